--- a/src/bin/plumline-drill/host.rs
+++ b/src/bin/curlewdeck-wirehost/host.rs
@@ -4,10 +4,10 @@
 use std::fmt::Write;
 
 use base64::Engine;
-use plumline::api::{
+use curlewdeck::api::{
     Action, ClassId, Event, KeyId, ListEntry, ListKind, PartId, QueryId, ServerId, ShardId, TenantId, ZoneId,
 };
-use plumline::Policy;
+use curlewdeck::Policy;
 
 use crate::info::{self, Info};
 use crate::wire::{self, Fields};
@@ -22,7 +22,7 @@
     cell: u32,
     started_at: u64,
     rating: f64,
-    phase: plumline::api::Phase,
+    phase: curlewdeck::api::Phase,
     area: Option<String>,
 }
 
--- a/src/bin/plumline-drill/info.rs
+++ b/src/bin/curlewdeck-wirehost/info.rs
@@ -1,6 +1,6 @@
 //! Start-up parameters: the wire's JSON object to the module's settings.
 
-use plumline::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant};
+use curlewdeck::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant};
 use serde::Deserialize;
 
 /// The settings, with the names that the wire uses for classes and tenants.
--- a/src/bin/plumline-drill/main.rs
+++ b/src/bin/curlewdeck-wirehost/main.rs
@@ -16,7 +16,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("plumline-drill: {message}");
+            eprintln!("curlewdeck-wirehost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/plumline-drill/wire.rs
+++ b/src/bin/curlewdeck-wirehost/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's field formats.
 
-use plumline::api::{Outcome, Phase};
+use curlewdeck::api::{Outcome, Phase};
 
 /// The fields of one line, taken from left to right.
 pub struct Fields<'a> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! plumline decides for an aggregator ("mixer") that serves queries from many shards:
+//! curlewdeck decides for an aggregator ("mixer") that serves queries from many shards:
 //! which replica gets each part, when a copy is sent, when to answer, refuse or give up.
 //!
 //! The interface is [`api`], the decisions are [`policy`]. The module does no I/O, reads no
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small bed for module tests: settings, lists and queries in few words.
 #![allow(dead_code)]
 
-use plumline::api::*;
-use plumline::Policy;
+use curlewdeck::api::*;
+use curlewdeck::Policy;
 
 pub const MS: Nanos = 1_000_000;
 pub const START: Nanos = 1_000_000 * MS;
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use plumline::api::*;
-use plumline::Policy;
+use curlewdeck::api::*;
+use curlewdeck::Policy;
 
 /// Servers with these zones, all holding shard 0.
 fn zoned(set: Settings, zones: &[u32]) -> Bed {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use plumline::api::*;
-use plumline::Policy;
+use curlewdeck::api::*;
+use curlewdeck::Policy;
 
 #[test]
 fn first_sends_go_to_the_replica_with_fewest_parts_out() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::{entry, settings, MS, START};
-use plumline::api::*;
-use plumline::Policy;
+use curlewdeck::api::*;
+use curlewdeck::Policy;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
