--- a/src/bin/curlewdeck-wirehost/host.rs
+++ b/src/bin/curlewdeck-wirehost/host.rs
@@ -7,9 +7,9 @@
 use curlewdeck::api::{
     Action, ClassId, Event, KeyId, ListEntry, ListKind, PartId, QueryId, ServerId, ShardId, TenantId, ZoneId,
 };
+use curlewdeck::settings::{self, Info};
 use curlewdeck::Policy;
 
-use crate::info::{self, Info};
 use crate::wire::{self, Fields};
 
 const LISTS: usize = 16;
@@ -180,7 +180,8 @@
     fn enlist(&mut self, f: &mut Fields) -> Result<(), String> {
         let mixer: u32 = f.number("mixer")?;
         let salt: u64 = f.number("salt")?;
-        let Info { settings, classes, tenants, zones } = info::read(f.rest("info")?)?;
+        let read = settings::read(f.rest("info")?).map_err(|e| format!("enlist: {e}"))?;
+        let Info { settings, classes, tenants, zones, .. } = read;
         let second_step = settings.classes.iter().map(|c| c.second_step > 0).collect();
         let policy = Policy::new(settings, salt).map_err(|e| format!("enlist: {e}"))?;
         let instance = Instance {
--- a/src/bin/curlewdeck-wirehost/main.rs
+++ b/src/bin/curlewdeck-wirehost/main.rs
@@ -2,7 +2,6 @@
 //! writes the module's actions on standard output. It decides nothing.
 
 mod host;
-mod info;
 mod wire;
 
 use std::io::{self, BufRead, BufReader, Write};
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,89 @@
+//! The configuration: what the platform tells a coordinator, and the file of the edge under `deploy/`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::net::list::WireList;
+use crate::settings::{self, Info};
+
+#[derive(Deserialize)]
+struct File<'a> {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: FileLimits,
+    known: Option<WireList>,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    #[serde(default = "most_sockets")]
+    sockets: usize,
+}
+
+fn most_sockets() -> usize {
+    1024
+}
+
+/// What a coordinator is told.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The list's service.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list as it was last held.
+    pub known: Option<WireList>,
+    /// The settings.
+    pub info: Info,
+}
+
+impl Config {
+    /// Reads the configuration's text. The variables of the environment, where given, come first.
+    ///
+    /// # Errors
+    /// Says in one line what is missing or out of place.
+    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| format!("not as expected: {e}"))?;
+        let info = settings::read(file.settings.get())?;
+        info.settings.check().map_err(|e| e.to_string())?;
+        let address = |name: &str, told: SocketAddr| match variable(name) {
+            Some(text) => text.parse().map_err(|_| format!("{name}: '{text}' is no address")),
+            None => Ok(told),
+        };
+        Ok(Self {
+            listen: address("LB_LISTEN", file.listen)?,
+            discovery: address("LB_DISCOVERY", file.discovery)?,
+            name: variable("LB_NAME").unwrap_or(file.name),
+            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
+            sockets: file.limits.sockets,
+            known: file.known,
+            info,
+        })
+    }
+
+    /// Reads the file that `LB_CONFIG` names.
+    ///
+    /// # Errors
+    /// Says in one line what is missing or out of place.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Self::read(&text, variable).map_err(|e| format!("{name}: {e}"))
+    }
+}
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,89 @@
+//! Counters of what is taken in, sent and answered: printed on request and at exit, served by SNMP.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+macro_rules! counters {
+    ($($(#[doc = $doc:literal])* $name:ident $shown:literal,)*) => {
+        /// All counters of one process. Their order is that of the MIB, and is only ever added to.
+        #[derive(Debug, Default)]
+        pub struct Counters { $($(#[doc = $doc])* pub $name: AtomicU64,)* }
+
+        impl Counters {
+            /// Names and values, in the order of the MIB.
+            pub fn all(&self) -> Vec<(&'static str, u64)> {
+                vec![$(($shown, self.$name.load(Ordering::Relaxed)),)*]
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    clients_accepted "cdClientsAccepted",
+    /// Client connections refused by count.
+    clients_refused "cdClientsRefused",
+    /// Requests answered without the core: bad input.
+    bad_requests "cdBadRequests",
+    /// Queries taken.
+    queries_taken "cdQueriesTaken",
+    /// Queries turned away over the limit.
+    queries_full "cdQueriesFull",
+    /// Queries answered whole.
+    answers_whole "cdAnswersWhole",
+    /// Queries answered in part.
+    answers_partial "cdAnswersPartial",
+    /// Queries refused.
+    queries_refused "cdQueriesRefused",
+    /// Queries failed.
+    queries_failed "cdQueriesFailed",
+    /// Queries whose client left.
+    clients_gone "cdClientsGone",
+    /// Attempts handed to data nodes.
+    attempts_sent "cdAttemptsSent",
+    /// Attempts that ended with a value.
+    attempts_passed "cdAttemptsPassed",
+    /// Attempts that ended otherwise.
+    attempts_failed "cdAttemptsFailed",
+    /// Attempts not sent: their data node drained or their time was over.
+    attempts_stale "cdAttemptsStale",
+    /// Attempts called off.
+    attempts_dropped "cdAttemptsDropped",
+    /// Connections opened to data nodes.
+    dials "cdDials",
+    /// Connections to data nodes that did not come up.
+    dials_failed "cdDialsFailed",
+    /// Connections that a data node broke.
+    links_broken "cdLinksBroken",
+    /// Frames from data nodes that could not be used.
+    bad_frames "cdBadFrames",
+    /// Probes sent.
+    probes "cdProbes",
+    /// Calls to the list's service.
+    list_calls "cdListCalls",
+    /// Calls that failed and watches that broke.
+    list_errors "cdListErrors",
+    /// Times that the list was silent for longer than the settings allow.
+    list_overdue "cdListOverdue",
+    /// Feature requests answered.
+    ogc_requests "cdOgcRequests",
+    /// Management requests answered.
+    snmp_requests "cdSnmpRequests",
+}
+
+impl Counters {
+    /// One more.
+    pub fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// One line a counter.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (name, value) in self.all() {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "{name} {value}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,632 @@
+//! The core: queries and parts, attempts and their ends, values, timers and deadlines round the
+//! [`Policy`]. It does no I/O, reads no clock and knows no wire: the embedder says what happened and when,
+//! and carries out the [`Command`]s that [`Engine::run`] returns.
+//!
+//! It owns what a client may rely on, whatever the module does: each query gets exactly one final
+//! answer, before its time is up; each attempt has exactly one end; an answer is made of values that data
+//! nodes gave, is marked whole only when it is, and is never given below the class's floor.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::api::{
+    Action, ClassId, Event, KeyId, ListEntry, ListKind, Nanos, Outcome, PartId, Phase, QueryId, ServerId,
+    SettingsError, ShardId, ZoneId,
+};
+use crate::settings::Info;
+use crate::Policy;
+
+/// An attempt, numbered by the engine for its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId(pub u64);
+
+/// Sums of weights may fall this much short.
+const SLACK: f64 = 1e-4;
+
+/// Rounds that one moment may take: each follows from the ends and parts that the one before made.
+const ROUNDS: usize = 16;
+
+/// One line of the list of data nodes, under the names that the list uses.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// The data node's name: the same for all coordinators and after a restart.
+    pub name: String,
+    /// Its cell.
+    pub cell: u32,
+    /// When it last started; 0: long ago.
+    pub started_at: Nanos,
+    /// Its size for comparison.
+    pub rating: f64,
+    /// Its phase.
+    pub phase: Phase,
+    /// Its zone's name.
+    pub zone: Option<String>,
+}
+
+/// A query as a front hands it in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    /// Its name on the wire.
+    pub name: String,
+    /// Its class.
+    pub class: ClassId,
+    /// Whether the client says that it repeats.
+    pub repeated: bool,
+    /// When the client gives up.
+    pub valid_until: Nanos,
+    /// Shards and their shares of the answer.
+    pub parts: Vec<(ShardId, f64)>,
+    /// What each part asks.
+    pub text: Arc<str>,
+}
+
+/// Why a query is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejected {
+    /// As many queries and parts are held as may be.
+    Full,
+    /// It names no part, a shard that does not exist or one shard twice.
+    BadParts,
+    /// There is no such class.
+    UnknownClass,
+    /// Its time has run out already.
+    Late,
+}
+
+/// What a part carries to its data node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PartText {
+    /// The part's name on the wire.
+    pub name: String,
+    /// Its shard.
+    pub shard: ShardId,
+    /// The query's text.
+    pub text: Arc<str>,
+    /// In a second step: the shards that were in, and whether the first step was whole.
+    pub after: Option<(Vec<ShardId>, bool)>,
+}
+
+/// An attempt on its way to a data node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Dispatch {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What it asks.
+    pub part: Arc<PartText>,
+    /// Until when its answer is waited for.
+    pub until: Nanos,
+}
+
+/// A value from a data node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Value {
+    /// Its score.
+    pub score: u64,
+    /// The value, unchanged.
+    pub data: Arc<str>,
+}
+
+/// A row of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Row {
+    /// The shard.
+    pub shard: ShardId,
+    /// The value, unchanged.
+    pub data: Arc<str>,
+}
+
+/// The one final answer of a query.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Final {
+    /// Served.
+    Answered {
+        /// Whether the answer is whole.
+        whole: bool,
+        /// The values that are in.
+        rows: Vec<Row>,
+    },
+    /// Turned away; trying again is harmless.
+    Refused {
+        /// How long to stay away; 0: no advice.
+        hold_off: Nanos,
+    },
+    /// Given up.
+    Failed,
+}
+
+/// What the embedder is to do, in this order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Send one call with these attempts.
+    Send {
+        /// Where to.
+        server: ServerId,
+        /// The parts of the call.
+        call: Vec<Dispatch>,
+    },
+    /// Stop waiting for an attempt: its end has been told already.
+    Drop {
+        /// Where it went.
+        server: ServerId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Probe a data node.
+    Probe {
+        /// Which.
+        server: ServerId,
+    },
+    /// Close idle connections to a data node.
+    CloseIdle {
+        /// Which.
+        server: ServerId,
+    },
+    /// Subscribe to the list.
+    Watch,
+    /// Give a query its final answer.
+    Finish {
+        /// The query.
+        query: QueryId,
+        /// The answer.
+        answer: Final,
+    },
+}
+
+struct Open {
+    name: String,
+    class: ClassId,
+    valid_until: Nanos,
+    text: Arc<str>,
+    parts: Vec<PartId>,
+    second: bool,
+    first_whole: bool,
+}
+
+struct Part {
+    query: QueryId,
+    shard: ShardId,
+    weight: f64,
+    text: Arc<PartText>,
+    /// Attempts out, by number.
+    out: Vec<(u32, AttemptId)>,
+    attempts: u32,
+    value: Option<Value>,
+}
+
+struct Attempt {
+    part: PartId,
+    number: u32,
+    server: ServerId,
+    sent: Nanos,
+}
+
+struct Server {
+    name: String,
+    cell: u32,
+    phase: Phase,
+}
+
+/// The core of one coordinator.
+pub struct Engine {
+    policy: Policy,
+    info: Info,
+    /// How long after a query's time the engine itself ends it.
+    backstop: Nanos,
+    now: Nanos,
+    servers: Vec<Server>,
+    ids: HashMap<String, ServerId>,
+    open: BTreeMap<QueryId, Open>,
+    parts: HashMap<PartId, Part>,
+    attempts: HashMap<AttemptId, Attempt>,
+    probes: HashMap<ServerId, Vec<Nanos>>,
+    next_part: u64,
+    next_attempt: u64,
+    events: Vec<Event>,
+    commands: Vec<Command>,
+    wakes: BinaryHeap<Reverse<Nanos>>,
+    limits: BinaryHeap<Reverse<(Nanos, AttemptId)>>,
+    ends: BinaryHeap<Reverse<(Nanos, QueryId)>>,
+}
+
+impl Engine {
+    /// An engine that knows no data node yet. A query that the module leaves open is ended `backstop`
+    /// after its time.
+    ///
+    /// # Errors
+    /// Settings that cannot be used are named.
+    pub fn new(info: Info, seed: u64, backstop: Nanos) -> Result<Self, SettingsError> {
+        Ok(Self {
+            policy: Policy::new(info.settings.clone(), seed)?,
+            info,
+            backstop,
+            now: 0,
+            servers: Vec::new(),
+            ids: HashMap::new(),
+            open: BTreeMap::new(),
+            parts: HashMap::new(),
+            attempts: HashMap::new(),
+            probes: HashMap::new(),
+            next_part: 0,
+            next_attempt: 0,
+            events: Vec::new(),
+            commands: Vec::new(),
+            wakes: BinaryHeap::new(),
+            limits: BinaryHeap::new(),
+            ends: BinaryHeap::new(),
+        })
+    }
+
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.info.classes.iter().position(|c| c == name).map(ClassId)
+    }
+
+    /// The data node's name.
+    pub fn server_name(&self, id: ServerId) -> &str {
+        self.servers.get(id.0 as usize).map_or("", |s| &s.name)
+    }
+
+    /// Queries held.
+    pub fn held(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Attempts whose end is not yet told.
+    pub fn out(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Data nodes in service, as the list has it.
+    pub fn in_service(&self) -> usize {
+        self.servers.iter().filter(|s| s.phase == Phase::In).count()
+    }
+
+    /// How long a client that is refused over the limit should stay away.
+    pub fn full_hold_off(&self) -> Nanos {
+        self.info.settings.max_hold_off.unwrap_or(0).min(self.info.settings.shortest_aim() / 4)
+    }
+
+    /// Takes a query under an id that the embedder has not used before.
+    ///
+    /// # Errors
+    /// Says why it is not taken; then nothing is owed for it.
+    pub fn ask(&mut self, now: Nanos, id: QueryId, ask: Ask) -> Result<(), Rejected> {
+        self.now = self.now.max(now);
+        let settings = &self.info.settings;
+        if ask.class.0 >= settings.classes.len() {
+            return Err(Rejected::UnknownClass);
+        }
+        let shards: HashSet<ShardId> = ask.parts.iter().map(|p| p.0).collect();
+        let weights = ask.parts.iter().all(|p| p.1.is_finite() && p.1 >= 0.0);
+        if shards.is_empty() || shards.len() != ask.parts.len() || !weights || self.open.contains_key(&id) {
+            return Err(Rejected::BadParts);
+        }
+        if ask.valid_until <= self.now {
+            return Err(Rejected::Late);
+        }
+        if self.open.len() + self.parts.len() + 1 + ask.parts.len() > settings.max_open {
+            return Err(Rejected::Full);
+        }
+        let Ask { name, class, repeated, valid_until, parts, text } = ask;
+        self.events.push(Event::Query { id, class, tenant: None, key: None::<KeyId>, repeated, valid_until });
+        self.ends.push(Reverse((valid_until.saturating_add(self.backstop), id)));
+        let open =
+            Open { name, class, valid_until, text, parts: Vec::new(), second: false, first_whole: false };
+        self.open.insert(id, open);
+        for (shard, weight) in parts {
+            self.add_part(id, shard, weight, None);
+        }
+        Ok(())
+    }
+
+    fn add_part(&mut self, query: QueryId, shard: ShardId, weight: f64, after: Option<(Vec<ShardId>, bool)>) {
+        let Some(open) = self.open.get_mut(&query) else { return };
+        let id = PartId(self.next_part);
+        self.next_part += 1;
+        let suffix = if after.is_some() { ".fetch" } else { "" };
+        let name = format!("{}.{}{suffix}", open.name, shard.0);
+        let text = Arc::new(PartText { name, shard, text: open.text.clone(), after });
+        open.parts.push(id);
+        let part = Part { query, shard, weight, text, out: Vec::new(), attempts: 0, value: None };
+        self.parts.insert(id, part);
+        self.events.push(Event::Part { id, query, shard, weight });
+    }
+
+    /// The client of a query has left.
+    pub fn gone(&mut self, query: QueryId) {
+        if self.close(query) {
+            self.events.push(Event::Gone(query));
+        }
+    }
+
+    /// The list of data nodes, or a change to it. Names that leave a full list are gone.
+    pub fn list(&mut self, kind: ListKind, members: &[Member]) {
+        if kind == ListKind::Full {
+            self.servers.iter_mut().for_each(|s| s.phase = Phase::Out);
+        }
+        let mut entries = Vec::with_capacity(members.len());
+        for m in members {
+            let server = self.intern(&m.name);
+            let known = &mut self.servers[server.0 as usize];
+            known.cell = m.cell;
+            known.phase = m.phase;
+            let zone = m.zone.as_ref().and_then(|z| self.info.zones.iter().position(|n| n == z));
+            entries.push(ListEntry {
+                server,
+                cell: m.cell,
+                started_at: m.started_at,
+                rating: m.rating,
+                phase: m.phase,
+                zone: zone.map(|z| ZoneId(z as u32)),
+            });
+        }
+        self.events.push(Event::List { kind, entries });
+    }
+
+    /// The id of a data node; ids are given in the order in which names are met.
+    pub fn intern(&mut self, name: &str) -> ServerId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = ServerId(self.servers.len() as u32);
+        self.servers.push(Server { name: name.to_string(), cell: u32::MAX, phase: Phase::Out });
+        self.ids.insert(name.to_string(), id);
+        id
+    }
+
+    /// An attempt has ended; only the first word on it counts.
+    pub fn ended(&mut self, now: Nanos, id: AttemptId, outcome: Outcome, value: Option<Value>) {
+        self.now = self.now.max(now);
+        let Some(a) = self.attempts.remove(&id) else { return };
+        // A pass without a value serves nobody.
+        let outcome = if outcome == Outcome::Pass && value.is_none() { Outcome::Fault } else { outcome };
+        if let Some(part) = self.parts.get_mut(&a.part) {
+            part.out.retain(|o| o.1 != id);
+            if outcome == Outcome::Pass && part.value.is_none() {
+                part.value = value;
+            }
+        }
+        let latency = self.now.saturating_sub(a.sent);
+        self.events.push(Event::Ended {
+            part: a.part,
+            attempt: a.number,
+            server: a.server,
+            outcome,
+            latency,
+        });
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, now: Nanos, server: ServerId, outcome: Outcome) {
+        self.now = self.now.max(now);
+        let Some(sent) = self.probes.get_mut(&server).filter(|p| !p.is_empty()).map(|p| p.remove(0)) else {
+            return;
+        };
+        let latency = self.now.saturating_sub(sent);
+        self.events.push(Event::Probed { server, outcome, latency });
+    }
+
+    /// When [`Engine::run`] is next due with nothing else happening.
+    pub fn next_due(&mut self) -> Option<Nanos> {
+        while self.limits.peek().is_some_and(|l| !self.attempts.contains_key(&l.0 .1)) {
+            self.limits.pop();
+        }
+        while self.ends.peek().is_some_and(|e| !self.open.contains_key(&e.0 .1)) {
+            self.ends.pop();
+        }
+        if !self.events.is_empty() {
+            return Some(self.now);
+        }
+        let wake = self.wakes.peek().map(|w| w.0);
+        let limit = self.limits.peek().map(|l| l.0 .0);
+        let end = self.ends.peek().map(|e| e.0 .0);
+        [wake, limit, end].into_iter().flatten().min()
+    }
+
+    /// Lets the module act on all that was told, and on what is due.
+    pub fn run(&mut self, now: Nanos) -> Vec<Command> {
+        self.now = self.now.max(now);
+        self.expire();
+        self.end_overdue();
+        for _ in 0..ROUNDS {
+            if self.events.is_empty() {
+                break;
+            }
+            let events = std::mem::take(&mut self.events);
+            for action in self.policy.round(self.now, events) {
+                self.act(action);
+            }
+        }
+        self.join_calls()
+    }
+
+    fn expire(&mut self) {
+        while self.wakes.peek().is_some_and(|w| w.0 <= self.now) {
+            self.wakes.pop();
+            if self.events.last() != Some(&Event::Wake) {
+                self.events.push(Event::Wake);
+            }
+        }
+        while let Some(&Reverse((_, id))) = self.limits.peek().filter(|l| l.0 .0 <= self.now) {
+            self.limits.pop();
+            self.give_up(id, Outcome::TooSlow);
+        }
+    }
+
+    /// Ends an attempt from this side, and has the data node told.
+    fn give_up(&mut self, id: AttemptId, outcome: Outcome) {
+        if let Some(a) = self.attempts.get(&id) {
+            self.commands.push(Command::Drop { server: a.server, attempt: id });
+            self.ended(self.now, id, outcome, None);
+        }
+    }
+
+    /// The guarantee that does not rest on the module: an answer in time.
+    fn end_overdue(&mut self) {
+        while let Some(&Reverse((_, id))) = self.ends.peek().filter(|e| e.0 .0 <= self.now) {
+            self.ends.pop();
+            if self.open.contains_key(&id) {
+                self.finish(id, Final::Failed);
+                self.events.push(Event::Gone(id));
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { part, server, within } => self.send(part, server, within),
+            Action::Cancel { part, attempt } => {
+                let out = self.parts.get(&part).and_then(|p| p.out.iter().find(|o| o.0 == attempt));
+                let id = out.map(|o| o.1).or_else(|| {
+                    let same = |a: &&Attempt| a.part == part && a.number == attempt;
+                    self.attempts.iter().find(|(_, a)| same(a)).map(|(&id, _)| id)
+                });
+                if let Some(id) = id {
+                    self.give_up(id, Outcome::Undone);
+                }
+            }
+            Action::Answer { query, whole } => self.answer(query, whole),
+            Action::Refuse { query, hold_off } => {
+                self.finish(query, Final::Refused { hold_off });
+            }
+            Action::Fail { query } => {
+                self.finish(query, Final::Failed);
+            }
+            Action::Probe { server } => {
+                self.probes.entry(server).or_default().push(self.now);
+                self.commands.push(Command::Probe { server });
+            }
+            Action::Close { server } => self.commands.push(Command::CloseIdle { server }),
+            Action::Watch => self.commands.push(Command::Watch),
+            Action::Wake { after } => self.wakes.push(Reverse(self.now.saturating_add(after.max(1)))),
+        }
+    }
+
+    /// Whether a data node's cell holds a shard.
+    fn holds(&self, server: ServerId, shard: ShardId) -> bool {
+        let layout = self.info.settings.layout;
+        let Some(server) = self.servers.get(server.0 as usize) else { return false };
+        let distance = u64::from(server.cell) + u64::from(layout.cells);
+        let distance = (distance - u64::from(shard.0 % layout.cells)) % u64::from(layout.cells);
+        server.cell < layout.cells && distance < u64::from(layout.in_a_row)
+    }
+
+    fn send(&mut self, part_id: PartId, server: ServerId, within: Nanos) {
+        let id = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        let max = self.info.settings.max_attempts;
+        let Some(part) = self.parts.get_mut(&part_id) else { return };
+        let number = part.attempts;
+        part.attempts += 1;
+        let (shard, text) = (part.shard, part.text.clone());
+        let Some(query) = self.open.get(&part.query) else { return };
+        let until = query.valid_until.min(self.now.saturating_add(within));
+        self.attempts.insert(id, Attempt { part: part_id, number, server, sent: self.now });
+        let phase = self.servers.get(server.0 as usize).map(|s| s.phase);
+        if number >= max || until <= self.now || phase != Some(Phase::In) || !self.holds(server, shard) {
+            return self.ended(self.now, id, Outcome::StaleSend, None);
+        }
+        if let Some(part) = self.parts.get_mut(&part_id) {
+            part.out.push((number, id));
+        }
+        self.limits.push(Reverse((until, id)));
+        let call = vec![Dispatch { attempt: id, part: text, until }];
+        self.commands.push(Command::Send { server, call });
+    }
+
+    /// Sends of this moment to one data node share a call, up to the most that one carries.
+    fn join_calls(&mut self) -> Vec<Command> {
+        let most = self.info.settings.layout.batch as usize;
+        let mut joined: Vec<Command> = Vec::with_capacity(self.commands.len());
+        let mut calls: HashMap<ServerId, usize> = HashMap::new();
+        for command in self.commands.drain(..) {
+            if let Command::Send { server, call } = &command {
+                if !call.iter().all(|d| self.attempts.contains_key(&d.attempt)) {
+                    continue; // Ended within the same moment.
+                }
+                let place = calls.get(server).copied();
+                if let Some(Command::Send { call: open, .. }) = place.and_then(|i| joined.get_mut(i)) {
+                    if open.len() + call.len() <= most {
+                        open.extend(call.iter().cloned());
+                        continue;
+                    }
+                }
+                calls.insert(*server, joined.len());
+            }
+            joined.push(command);
+        }
+        joined
+    }
+
+    fn answer(&mut self, id: QueryId, whole: bool) {
+        let Some(open) = self.open.get(&id) else { return };
+        let class = &self.info.settings.classes[open.class.0];
+        let (need, floor) = match open.second {
+            false => (class.need, class.floor),
+            true => (1.0, if class.floor < class.need { class.floor } else { 1.0 }),
+        };
+        let mut rows = Vec::new();
+        let mut scored = Vec::new();
+        let mut weight = 0.0;
+        for part in open.parts.iter().filter_map(|p| self.parts.get(p)) {
+            let Some(value) = &part.value else { continue };
+            weight += part.weight;
+            rows.push(Row { shard: part.shard, data: value.data.clone() });
+            scored.push((Reverse(value.score), part.shard));
+        }
+        if rows.is_empty() || weight < floor.min(need) - SLACK {
+            return self.overruled(id);
+        }
+        let whole = whole && weight >= need - SLACK && (!open.second || open.first_whole);
+        if open.second || class.second_step == 0 {
+            self.finish(id, Final::Answered { whole, rows });
+            return;
+        }
+        self.second_step(id, whole, scored);
+    }
+
+    /// The module answered what may not be answered: the query ends honestly.
+    fn overruled(&mut self, id: QueryId) {
+        self.finish(id, Final::Failed);
+        self.events.push(Event::Gone(id));
+    }
+
+    fn second_step(&mut self, id: QueryId, whole: bool, mut scored: Vec<(Reverse<u64>, ShardId)>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let most = self.info.settings.classes[open.class.0].second_step as usize;
+        open.second = true;
+        open.first_whole = whole;
+        for part in std::mem::take(&mut open.parts) {
+            self.drop_part(part);
+        }
+        let mut shards: Vec<ShardId> = scored.iter().map(|s| s.1).collect();
+        shards.sort_unstable();
+        scored.sort_unstable();
+        scored.truncate(most);
+        let weight = 1.0 / scored.len() as f64;
+        for (_, shard) in scored {
+            self.add_part(id, shard, weight, Some((shards.clone(), whole)));
+        }
+    }
+
+    /// Forgets a part; what is out for it stays known until it has ended.
+    fn drop_part(&mut self, id: PartId) {
+        let Some(part) = self.parts.remove(&id) else { return };
+        for (_, attempt) in part.out {
+            self.give_up(attempt, Outcome::Undone);
+        }
+    }
+
+    fn close(&mut self, id: QueryId) -> bool {
+        let Some(open) = self.open.remove(&id) else { return false };
+        open.parts.into_iter().for_each(|p| self.drop_part(p));
+        true
+    }
+
+    fn finish(&mut self, query: QueryId, answer: Final) {
+        if self.close(query) {
+            self.commands.push(Command::Finish { query, answer });
+        }
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,4 @@
+//! The fronts: each maps its requests to queries of the core, and the core's answers back.
+
+pub mod platform;
+pub mod server;
--- /dev/null
+++ b/src/front/platform.rs
@@ -0,0 +1,179 @@
+//! The platform's protocol: one `POST` a query, its class the path's first part.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::{Nanos, ShardId};
+use crate::counters::Counters;
+use crate::engine::{Ask, Final, Rejected};
+use crate::front::server::{Answer, Front, Reply, Served, Service};
+use crate::limits::Limits;
+use crate::net::core::Core;
+use crate::net::http::{BadMessage, Request};
+use crate::net::io::nanos;
+
+const HEALTH: &str = "/_health";
+const ID_BYTES: usize = 128;
+
+/// The front of the platform's protocol.
+pub struct Platform {
+    /// The core.
+    pub core: Core,
+    /// Limits.
+    pub limits: Arc<Limits>,
+    /// The state of the process.
+    pub service: Arc<Service>,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+struct Body {
+    parts: Vec<BodyPart>,
+    expr: String,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+struct BodyPart {
+    id: u32,
+    w: f64,
+}
+
+#[derive(Serialize)]
+struct Served200<'a> {
+    exact: bool,
+    rows: Vec<RowOut<'a>>,
+}
+
+#[derive(Serialize)]
+struct RowOut<'a> {
+    id: u32,
+    data: &'a str,
+}
+
+/// A number followed by `m` (milliseconds) or `u` (microseconds).
+fn timeout(text: &str) -> Option<Duration> {
+    let unit = text.chars().last()?;
+    let number: f64 = text.strip_suffix(unit)?.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)?;
+    let seconds = match unit {
+        'm' => number / 1e3,
+        'u' => number / 1e6,
+        _ => return None,
+    };
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// `Retry-After` in decimal seconds.
+pub fn retry_after(reply: Reply, hold_off: Nanos) -> Reply {
+    match hold_off {
+        0 => reply,
+        n => reply.with("Retry-After", &format!("{:.3}", n as f64 / 1e9)),
+    }
+}
+
+fn answer(ended: Result<Final, Rejected>, full_hold_off: Nanos) -> Reply {
+    match ended {
+        Ok(Final::Answered { whole, rows }) => {
+            let rows = rows.iter().map(|r| RowOut { id: r.shard.0, data: &r.data }).collect();
+            match serde_json::to_vec(&Served200 { exact: whole, rows }) {
+                Ok(body) => Reply { status: 200, kind: "application/json", more: String::new(), body },
+                Err(_) => Reply::text(500, "the answer cannot be written"),
+            }
+        }
+        Ok(Final::Refused { hold_off }) => retry_after(Reply::text(503, "refused"), hold_off),
+        Ok(Final::Failed) => Reply::text(504, "given up"),
+        Err(Rejected::Full) => retry_after(Reply::text(503, "over the limit"), full_hold_off),
+        Err(Rejected::Late) => Reply::text(503, "no time is left"),
+        Err(Rejected::BadParts) => Reply::text(400, "parts: at least one, each shard once"),
+        Err(Rejected::UnknownClass) => Reply::text(404, "unknown class"),
+    }
+}
+
+impl Platform {
+    fn ask(&self, request: &Request) -> Result<Ask, Reply> {
+        let class = request.path.split('/').nth(1).unwrap_or("");
+        let found = self.core.info.classes.iter().position(|c| c == class);
+        let class = crate::api::ClassId(found.ok_or_else(|| Reply::text(404, "unknown class"))?);
+        if request.method != "POST" {
+            return Err(Reply::text(405, "queries are sent by POST").with("Allow", "POST"));
+        }
+        let name = request.headers.get("x-request-id").unwrap_or("");
+        if name.is_empty() || name.len() > ID_BYTES || !name.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(Reply::text(400, "X-Request-ID: 1 to 128 visible characters are needed"));
+        }
+        let wait = match request.headers.get("x-timeout") {
+            Some(text) => timeout(text).ok_or_else(|| Reply::text(400, "X-Timeout: a number and m or u"))?,
+            None => Duration::from_nanos(self.core.info.settings.classes[class.0].deadline),
+        };
+        let body: Body = serde_json::from_slice(&request.body)
+            .map_err(|e| Reply::text(400, &format!("the body is not as expected: {e}")))?;
+        let wait = nanos(wait.saturating_sub(self.limits.answer_margin));
+        Ok(Ask {
+            name: name.to_string(),
+            class,
+            repeated: request.headers.get("x-retried") == Some("1"),
+            valid_until: self.core.clock.now().saturating_add(wait),
+            parts: body.parts.iter().map(|p| (ShardId(p.id), p.w)).collect(),
+            text: body.expr.into(),
+        })
+    }
+
+    fn health(&self, method: &str) -> Reply {
+        match method {
+            "GET" | "HEAD" if self.service.draining() => Reply::text(503, "draining"),
+            "GET" | "HEAD" if self.core.ready() => Reply::text(200, "ok"),
+            "GET" | "HEAD" => Reply::text(503, "no data node is known yet"),
+            _ => Reply::text(405, "health is read by GET").with("Allow", "GET, HEAD"),
+        }
+    }
+}
+
+impl Front for Platform {
+    fn serve(&self, request: Request, out: Answer) -> Served {
+        if request.path == HEALTH {
+            out.send(self.health(&request.method));
+            return Served::Now;
+        }
+        match self.ask(&request) {
+            Ok(ask) => {
+                let hold_off = self.core.full_hold_off();
+                let reply = Box::new(move |ended| out.send(answer(ended, hold_off)));
+                Served::Later(self.core.ask(ask, reply))
+            }
+            Err(reply) => {
+                Counters::add(&self.core.counters.bad_requests);
+                out.send(reply);
+                Served::Now
+            }
+        }
+    }
+
+    fn refuse(&self, bad: BadMessage) -> Reply {
+        Reply::text(bad.status, bad.why)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::engine::Row;
+
+    #[test]
+    fn timeouts_have_a_unit() {
+        assert_eq!(timeout("480m"), Some(Duration::from_millis(480)));
+        assert_eq!(timeout("1500u"), Some(Duration::from_micros(1500)));
+        for bad in ["", "m", "480", "480s", "-1m", "NaNm", "1e400m", "infm", "4é"] {
+            assert_eq!(timeout(bad), None, "{bad}");
+        }
+    }
+
+    #[test]
+    fn answers_have_the_protocols_form() {
+        let rows = vec![Row { shard: ShardId(3), data: "5be2\"a0".into() }];
+        let reply = answer(Ok(Final::Answered { whole: false, rows }), 0);
+        assert_eq!(reply.body, br#"{"exact":false,"rows":[{"id":3,"data":"5be2\"a0"}]}"#);
+        let reply = answer(Err(Rejected::Full), 250_000_000);
+        assert_eq!((reply.status, reply.more.as_str()), (503, "Retry-After: 0.250\r\n"));
+        assert_eq!(answer(Ok(Final::Failed), 0).status, 504);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,20 @@
-//! curlewdeck decides for an aggregator ("mixer") that serves queries from many shards:
-//! which replica gets each part, when a copy is sent, when to answer, refuse or give up.
+//! curlewdeck coordinates queries over many shards: it takes them from clients, sends their parts to the
+//! data nodes that hold the shards, and answers.
 //!
-//! The interface is [`api`], the decisions are [`policy`]. The module does no I/O, reads no
-//! clock and starts no thread: it takes rounds of `(now, events)` and returns actions.
+//! What is decided stands in [`policy`], behind [`api`]; [`engine`] is the core that knows no wire and owns
+//! the guarantees; [`net`] and [`front`] are the adapters round it.
 #![doc = include_str!("../README.md")]
 
 pub mod api;
+pub mod config;
+pub mod counters;
+pub mod engine;
+pub mod front;
+pub mod limits;
+pub mod net;
 pub mod policy;
+pub mod serve;
+pub mod settings;
 mod state;
 mod window;
 
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,132 @@
+//! Every size, count and time that bounds the program, in one type: filled at start and handed down.
+
+use std::time::Duration;
+
+/// The limits of one process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Worker threads: the platform gives one core.
+    pub workers: usize,
+    /// Stack of a coroutine that serves one connection, in machine words.
+    pub stack_words: usize,
+    /// Stack of the coroutine that runs the module, in machine words.
+    pub core_stack_words: usize,
+    /// Client connections held at once.
+    pub clients: usize,
+    /// Connections to data nodes held or being opened at once.
+    pub node_sockets: usize,
+    /// Bytes of a request's head, or of an answer's.
+    pub head: usize,
+    /// Bytes of a body.
+    pub body: usize,
+    /// Bytes of a frame from a data node.
+    pub frame: usize,
+    /// Bytes of one line of the list.
+    pub list_line: usize,
+    /// Header lines of a request or an answer.
+    pub headers: usize,
+    /// Messages that may wait for the module before new queries are refused.
+    pub core_backlog: usize,
+    /// Calls that may wait at one data node's actor.
+    pub node_backlog: usize,
+    /// A client connection without a request is closed after this long.
+    pub client_idle: Duration,
+    /// A request must be whole this long after its first byte.
+    pub request_read: Duration,
+    /// An answer must be taken by its client's socket within this.
+    pub client_write: Duration,
+    /// A frame must be taken by the data node's socket within this.
+    pub node_write: Duration,
+    /// A probe unanswered for this long has failed.
+    pub probe: Duration,
+    /// Connections are not used this close to the time at which their data node closes them.
+    pub idle_margin: Duration,
+    /// The list's service must have begun to answer a call within this.
+    pub list_answer: Duration,
+    /// A watch without a line for this long is broken: lines come every 2 s at the latest.
+    pub list_silence: Duration,
+    /// Taken off the client's time for the way of the answer.
+    pub answer_margin: Duration,
+    /// A query that the module leaves open is ended this long after its time, margin included.
+    pub backstop: Duration,
+    /// New connections are taken this long after SIGTERM.
+    pub term_accept: Duration,
+    /// What is held may take this long after that.
+    pub term_finish: Duration,
+    /// Pages that one part of a feature query may fetch.
+    pub pages: usize,
+    /// Most features on one page of an answer.
+    pub page_features: usize,
+    /// How long a client of the OGC front waits.
+    pub ogc_wait: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            workers: 1,
+            stack_words: 0x2000,
+            core_stack_words: 0x10000,
+            clients: 600,
+            node_sockets: 160,
+            head: 16 * 1024,
+            body: 64 * 1024,
+            frame: 256 * 1024,
+            list_line: 1024 * 1024,
+            headers: 64,
+            core_backlog: 4096,
+            node_backlog: 512,
+            client_idle: Duration::from_secs(120),
+            request_read: Duration::from_secs(10),
+            client_write: Duration::from_secs(2),
+            node_write: Duration::from_millis(500),
+            probe: Duration::from_millis(250),
+            idle_margin: Duration::from_secs(2),
+            list_answer: Duration::from_millis(2500),
+            list_silence: Duration::from_millis(3000),
+            answer_margin: Duration::from_millis(12),
+            backstop: Duration::from_millis(6),
+            term_accept: Duration::from_millis(500),
+            term_finish: Duration::from_secs(10),
+            pages: 64,
+            page_features: 1000,
+            ogc_wait: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Descriptors kept for standard streams, the poller, the listeners and the list.
+const RESERVED: usize = 64;
+const LEAST_SOCKETS: usize = 128;
+
+impl Limits {
+    /// The limits under a bound of descriptors: clients get what data nodes and the process leave.
+    ///
+    /// # Errors
+    /// Too few descriptors to serve at all.
+    pub fn for_sockets(sockets: usize) -> Result<Self, String> {
+        if sockets < LEAST_SOCKETS {
+            return Err(format!("limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed"));
+        }
+        let mut limits = Self::default();
+        limits.node_sockets = limits.node_sockets.min(sockets / 4);
+        limits.clients = limits.clients.min(sockets - RESERVED - limits.node_sockets);
+        Ok(limits)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against running out of descriptors: all kinds together stay below the bound.
+    #[test]
+    fn sockets_of_all_kinds_stay_below_the_bound() {
+        for sockets in [128, 256, 1024, 4096] {
+            let limits = Limits::for_sockets(sockets).unwrap();
+            assert!(limits.clients + limits.node_sockets + RESERVED <= sockets);
+            assert!(limits.clients > 0 && limits.node_sockets > 0);
+        }
+        assert!(Limits::for_sockets(LEAST_SOCKETS - 1).is_err());
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,84 @@
+//! The command line: `serve`, `check`, `version`, `help`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use curlewdeck::config::Config;
+use curlewdeck::limits::Limits;
+use curlewdeck::serve;
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+
+const HELP: &str = "\
+curlewdeck: a coordinator of queries over many shards
+
+    curlewdeck serve [--config FILE]    serve until SIGTERM; SIGUSR1 logs the counters
+    curlewdeck check [--config FILE]    read the configuration and say whether it can be used
+    curlewdeck version
+    curlewdeck help
+
+The configuration is the file that --config or LB_CONFIG names. RUST_LOG sets the log's level.";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("curlewdeck: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let mut args = pico_args::Arguments::from_env();
+    let command = args.subcommand().map_err(|e| e.to_string())?;
+    if args.contains(["-h", "--help"]) {
+        println!("{HELP}");
+        return Ok(());
+    }
+    let config: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| e.to_string())?;
+    let rest = args.finish();
+    if let Some(extra) = rest.first() {
+        return Err(format!("'{}' is not known, see 'curlewdeck help'", extra.to_string_lossy()));
+    }
+    match command.as_deref() {
+        Some("serve") => serve(&load(config)?),
+        Some("check") => {
+            let config = load(config)?;
+            Limits::for_sockets(config.sockets)?;
+            println!("the configuration can be used: {} classes", config.info.classes.len());
+            Ok(())
+        }
+        Some("version") => {
+            println!("curlewdeck {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some("help") | None => {
+            println!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(format!("'{other}' is not known, see 'curlewdeck help'")),
+    }
+}
+
+fn load(config: Option<PathBuf>) -> Result<Config, String> {
+    let path = config.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
+    Config::load(&path.ok_or("no configuration: give --config FILE or set LB_CONFIG")?)
+}
+
+fn serve(config: &Config) -> Result<(), String> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    // Before anything else, so that no signal finds the process unprepared.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    serve::set_up_workers(&Limits::for_sockets(config.sockets)?);
+    let coordinator = serve::start(config.clone())?;
+    for signal in signals.forever() {
+        if signal != SIGUSR1 {
+            break;
+        }
+        log::info!("counters:\n{}", coordinator.core.counters.text());
+    }
+    coordinator.finish();
+    log::info!("ends; counters:\n{}", coordinator.core.counters.text());
+    Ok(())
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,303 @@
+//! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, the list and fronts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use std::sync::mpsc::RecvTimeoutError;
+
+use may::sync::mpsc::{channel, Receiver, Sender};
+
+use crate::api::{Discovery, ListKind, Nanos, Outcome, Phase, QueryId, ServerId};
+use crate::counters::Counters;
+use crate::engine::{Ask, AttemptId, Command, Engine, Final, Rejected, Value};
+use crate::net::io::{spawn, Clock};
+use crate::net::list::ListNews;
+use crate::net::node::{count_end, NodeMsg};
+use crate::settings::Info;
+
+/// How a query ends, for its front: called once.
+pub type Reply = Box<dyn FnOnce(Result<Final, Rejected>) + Send>;
+
+/// What the core is told.
+pub enum Msg {
+    /// A query.
+    Ask(QueryId, Ask, Reply),
+    /// A query's client has left.
+    Gone(QueryId),
+    /// News of the list.
+    List(ListNews),
+    /// An attempt has ended.
+    Ended(AttemptId, Outcome, Option<Value>),
+    /// A probe has ended.
+    Probed(ServerId, Outcome),
+}
+
+/// The core's mailbox.
+#[derive(Clone)]
+pub struct CoreMail(Sender<Msg>);
+
+impl CoreMail {
+    /// Hands a message in.
+    pub fn send(&self, message: Msg) {
+        if self.0.send(message).is_err() {
+            log::error!("the core has ended");
+        }
+    }
+}
+
+/// What the fronts see of the core.
+#[derive(Clone)]
+pub struct Core {
+    mail: CoreMail,
+    next: Arc<AtomicU64>,
+    backlog: Arc<AtomicUsize>,
+    most: usize,
+    ready: Arc<AtomicBool>,
+    /// What the settings say.
+    pub info: Arc<Info>,
+    /// The clock of all deadlines.
+    pub clock: Clock,
+    /// Counters.
+    pub counters: Arc<Counters>,
+}
+
+impl Core {
+    /// Hands in a query. `reply` is called once, unless the query is told gone first.
+    pub fn ask(&self, ask: Ask, reply: Reply) -> QueryId {
+        let id = QueryId(self.next.fetch_add(1, Ordering::Relaxed));
+        if self.backlog.fetch_add(1, Ordering::AcqRel) >= self.most {
+            self.backlog.fetch_sub(1, Ordering::AcqRel);
+            Counters::add(&self.counters.queries_full);
+            reply(Err(Rejected::Full));
+        } else {
+            self.mail.send(Msg::Ask(id, ask, reply));
+        }
+        id
+    }
+
+    /// The client of a query has left.
+    pub fn gone(&self, id: QueryId) {
+        self.mail.send(Msg::Gone(id));
+    }
+
+    /// Whether queries can be served: some data node is in service.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// How long a client turned away over the limit should stay away.
+    pub fn full_hold_off(&self) -> Nanos {
+        let settings = &self.info.settings;
+        settings.max_hold_off.unwrap_or(0).min(settings.shortest_aim() / 4)
+    }
+}
+
+/// What the core's actor is made of.
+pub struct Parts {
+    /// The engine.
+    pub engine: Engine,
+    /// What the settings say.
+    pub info: Arc<Info>,
+    /// The clock.
+    pub clock: Clock,
+    /// Counters.
+    pub counters: Arc<Counters>,
+    /// Messages that may wait.
+    pub backlog: usize,
+    /// Stack of the actor.
+    pub stack_words: usize,
+}
+
+/// Starts the mailbox of a data node.
+pub type StartNode = Box<dyn FnMut(ServerId) -> Sender<NodeMsg> + Send>;
+
+/// The core's mailbox before its actor runs: data nodes and the list need it first.
+pub fn mailbox() -> (CoreMail, Receiver<Msg>) {
+    let (mail, inbox) = channel();
+    (CoreMail(mail), inbox)
+}
+
+/// Starts the actor.
+pub fn start(
+    parts: Parts,
+    mail: CoreMail,
+    inbox: Receiver<Msg>,
+    known: ListNews,
+    list: Sender<()>,
+    start_node: StartNode,
+) -> Core {
+    let core = Core {
+        mail,
+        next: Arc::default(),
+        backlog: Arc::default(),
+        most: parts.backlog,
+        ready: Arc::default(),
+        info: parts.info.clone(),
+        clock: parts.clock,
+        counters: parts.counters.clone(),
+    };
+    let must_ask_in = match parts.info.settings.discovery {
+        Discovery::OnRequest { must_ask_in } => must_ask_in,
+        Discovery::Pushed => Nanos::MAX,
+    };
+    let heard = parts.clock.now();
+    let mut actor = Actor {
+        engine: parts.engine,
+        core: core.clone(),
+        list,
+        start_node,
+        nodes: HashMap::new(),
+        replies: HashMap::new(),
+        must_ask_in,
+        heard,
+    };
+    spawn("core", parts.stack_words, move || {
+        actor.take(Msg::List(known));
+        actor.run(&inbox);
+    });
+    core
+}
+
+struct Actor {
+    engine: Engine,
+    core: Core,
+    list: Sender<()>,
+    start_node: StartNode,
+    nodes: HashMap<ServerId, (Sender<NodeMsg>, SocketAddr)>,
+    replies: HashMap<QueryId, Reply>,
+    must_ask_in: Nanos,
+    /// When the list was last heard of.
+    heard: Nanos,
+}
+
+/// Without anything due, the clock is looked at this often.
+const LOOK: Duration = Duration::from_secs(1);
+
+impl Actor {
+    fn run(&mut self, inbox: &Receiver<Msg>) {
+        loop {
+            self.act();
+            let now = self.core.clock.now();
+            let due = self.engine.next_due().map(|at| Duration::from_nanos(at.saturating_sub(now)));
+            let wait = due.unwrap_or(LOOK).min(LOOK);
+            if !wait.is_zero() {
+                match inbox.recv_timeout(wait) {
+                    Ok(message) => self.take(message),
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+            }
+            while let Ok(message) = inbox.try_recv() {
+                self.take(message);
+            }
+        }
+    }
+
+    fn take(&mut self, message: Msg) {
+        let now = self.core.clock.now();
+        match message {
+            Msg::Ask(id, ask, reply) => {
+                self.core.backlog.fetch_sub(1, Ordering::AcqRel);
+                match self.engine.ask(now, id, ask) {
+                    Ok(()) => {
+                        Counters::add(&self.core.counters.queries_taken);
+                        self.replies.insert(id, reply);
+                    }
+                    Err(why) => {
+                        if why == Rejected::Full {
+                            Counters::add(&self.core.counters.queries_full);
+                        }
+                        reply(Err(why));
+                    }
+                }
+            }
+            Msg::Gone(id) => {
+                if self.replies.remove(&id).is_some() {
+                    Counters::add(&self.core.counters.clients_gone);
+                    self.engine.gone(id);
+                }
+            }
+            Msg::List(news) => self.take_list(news),
+            Msg::Ended(id, outcome, value) => {
+                count_end(&self.core.counters, outcome);
+                self.engine.ended(now, id, outcome, value);
+            }
+            Msg::Probed(server, outcome) => self.engine.probed(now, server, outcome),
+        }
+    }
+
+    fn take_list(&mut self, news: ListNews) {
+        let now = self.core.clock.now();
+        if news.kind != ListKind::Error {
+            if now.saturating_sub(self.heard) > self.must_ask_in {
+                log::warn!("the list was silent for longer than the settings allow");
+                Counters::add(&self.core.counters.list_overdue);
+            }
+            self.heard = now;
+        }
+        if news.kind == ListKind::Full {
+            for (mail, addr) in self.nodes.values() {
+                tell(mail, NodeMsg::Member(*addr, false));
+            }
+        }
+        let members: Vec<_> = news.members.iter().map(|m| m.0.clone()).collect();
+        for (member, addr) in &news.members {
+            let id = self.engine.intern(&member.name);
+            let start = &mut self.start_node;
+            let node = self.nodes.entry(id).or_insert_with(|| (start(id), *addr));
+            node.1 = *addr;
+            tell(&node.0, NodeMsg::Member(*addr, member.phase == Phase::In));
+        }
+        self.engine.list(news.kind, &members);
+        self.core.ready.store(self.engine.in_service() > 0, Ordering::Release);
+    }
+
+    fn act(&mut self) {
+        for command in self.engine.run(self.core.clock.now()) {
+            match command {
+                Command::Send { server, call } => {
+                    call.iter().for_each(|_| Counters::add(&self.core.counters.attempts_sent));
+                    self.tell_node(server, NodeMsg::Call(call));
+                }
+                Command::Drop { server, attempt } => {
+                    Counters::add(&self.core.counters.attempts_dropped);
+                    self.tell_node(server, NodeMsg::Drop(attempt));
+                }
+                Command::Probe { server } => self.tell_node(server, NodeMsg::Probe),
+                Command::CloseIdle { server } => self.tell_node(server, NodeMsg::CloseIdle),
+                Command::Watch => {
+                    if self.list.send(()).is_err() {
+                        log::error!("the list's actor has ended");
+                    }
+                }
+                Command::Finish { query, answer } => {
+                    let counters = &self.core.counters;
+                    Counters::add(match &answer {
+                        Final::Answered { whole: true, .. } => &counters.answers_whole,
+                        Final::Answered { .. } => &counters.answers_partial,
+                        Final::Refused { .. } => &counters.queries_refused,
+                        Final::Failed => &counters.queries_failed,
+                    });
+                    if let Some(reply) = self.replies.remove(&query) {
+                        reply(Ok(answer));
+                    }
+                }
+            }
+        }
+    }
+
+    fn tell_node(&self, server: ServerId, message: NodeMsg) {
+        if let Some((mail, _)) = self.nodes.get(&server) {
+            tell(mail, message);
+        }
+    }
+}
+
+fn tell(mail: &Sender<NodeMsg>, message: NodeMsg) {
+    if mail.send(message).is_err() {
+        log::error!("a data node's actor has ended");
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,412 @@
+//! HTTP/1.1 messages: pure functions over bytes, for the fronts, the list and feature servers.
+
+use crate::limits::Limits;
+
+/// Why a message is not taken, with the status that says so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadMessage {
+    /// The answer's status.
+    pub status: u16,
+    /// In a few words.
+    pub why: &'static str,
+}
+
+const fn bad(status: u16, why: &'static str) -> BadMessage {
+    BadMessage { status, why }
+}
+
+const MALFORMED: BadMessage = bad(400, "malformed HTTP");
+const TOO_LARGE: BadMessage = bad(413, "body too large");
+
+/// A header's lines, names in lower case.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Headers(Vec<(String, String)>);
+
+impl Headers {
+    /// The value of the first line of this name (in lower case).
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
+    }
+
+    fn read(lines: &[httparse::Header]) -> Result<Self, BadMessage> {
+        let read = |h: &httparse::Header| {
+            let value = std::str::from_utf8(h.value).map_err(|_| MALFORMED)?;
+            Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
+        };
+        lines.iter().map(read).collect::<Result<_, _>>().map(Self)
+    }
+
+    fn has_token(&self, name: &str, token: &str) -> bool {
+        let lines = self.0.iter().filter(|h| h.0 == name);
+        lines.flat_map(|h| h.1.split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
+    }
+
+    fn framing(&self) -> Result<Framing, BadMessage> {
+        let lengths: Vec<&str> =
+            self.0.iter().filter(|h| h.0 == "content-length").map(|h| h.1.as_str()).collect();
+        let coded = self.get("transfer-encoding");
+        match (coded, lengths.as_slice()) {
+            (Some(c), []) if c.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+            (Some(_), []) => Err(bad(501, "transfer coding not known")),
+            (None, []) => Ok(Framing::None),
+            (None, [first, more @ ..]) if more.iter().all(|l| l == first) => {
+                let digits = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
+                first.parse().ok().filter(|_| digits).map(Framing::Length).ok_or(MALFORMED)
+            }
+            _ => Err(MALFORMED),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    None,
+    Length(usize),
+    Chunked,
+}
+
+/// A whole request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// Its method.
+    pub method: String,
+    /// Its path, without the query string.
+    pub path: String,
+    /// Its query string.
+    pub query: String,
+    /// Its header.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether the connection stays open after the answer.
+    pub keep_alive: bool,
+}
+
+/// The first request in `bytes` and how many of them it takes; nothing while it is not whole.
+///
+/// # Errors
+/// It is malformed or over a limit; the connection cannot be used any longer.
+pub fn parse_request(bytes: &[u8], limits: &Limits) -> Result<Option<(Request, usize)>, BadMessage> {
+    let mut lines = vec![httparse::EMPTY_HEADER; limits.headers];
+    let mut head = httparse::Request::new(&mut lines);
+    let size = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(size)) if size <= limits.head => size,
+        Ok(httparse::Status::Partial) if bytes.len() < limits.head => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(bad(431, "header too large")),
+        Err(_) => return Err(MALFORMED),
+    };
+    let headers = Headers::read(head.headers)?;
+    let framing = headers.framing()?;
+    let Some((body, used)) = body(framing, &bytes[size..], limits.body)? else { return Ok(None) };
+    let target = head.path.unwrap_or("/");
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let keep_alive = match head.version {
+        Some(1) => !headers.has_token("connection", "close"),
+        _ => headers.has_token("connection", "keep-alive"),
+    };
+    let request = Request {
+        method: head.method.unwrap_or("").to_string(),
+        path: path.to_string(),
+        query: query.to_string(),
+        headers,
+        body,
+        keep_alive,
+    };
+    Ok(Some((request, size + used)))
+}
+
+fn body(framing: Framing, bytes: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, BadMessage> {
+    match framing {
+        Framing::None => Ok(Some((Vec::new(), 0))),
+        Framing::Length(n) if n > most => Err(TOO_LARGE),
+        Framing::Length(n) => Ok(bytes.get(..n).map(|b| (b.to_vec(), n))),
+        Framing::Chunked => {
+            let (mut chunks, mut out) = (Chunks::default(), Vec::new());
+            let used = chunks.feed(bytes, &mut out, most)?;
+            Ok(chunks.done().then_some((out, used)))
+        }
+    }
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Head {
+    /// Its status.
+    pub status: u16,
+    /// Its header.
+    pub headers: Headers,
+    framing: Framing,
+}
+
+/// The head of the answer in `bytes` and its size; nothing while it is not whole.
+///
+/// # Errors
+/// It is malformed or too large.
+pub fn parse_head(bytes: &[u8], limits: &Limits) -> Result<Option<(Head, usize)>, BadMessage> {
+    let mut lines = vec![httparse::EMPTY_HEADER; limits.headers];
+    let mut head = httparse::Response::new(&mut lines);
+    match head.parse(bytes) {
+        Ok(httparse::Status::Complete(size)) if size <= limits.head => {
+            let headers = Headers::read(head.headers)?;
+            let framing = headers.framing()?;
+            Ok(Some((Head { status: head.code.unwrap_or(0), headers, framing }, size)))
+        }
+        Ok(httparse::Status::Partial) if bytes.len() < limits.head => Ok(None),
+        _ => Err(MALFORMED),
+    }
+}
+
+impl Head {
+    /// The body that follows the head and how many bytes it takes; nothing while it is not whole.
+    ///
+    /// # Errors
+    /// It is malformed or larger than `most`.
+    pub fn body(&self, bytes: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, BadMessage> {
+        body(self.framing, bytes, most)
+    }
+
+    /// Whether the body comes in chunks.
+    pub fn chunked(&self) -> bool {
+        self.framing == Framing::Chunked
+    }
+
+    /// Whether the connection may be used again.
+    pub fn keep_alive(&self) -> bool {
+        !self.headers.has_token("connection", "close")
+    }
+}
+
+/// Takes the chunks of a body apart, as they come.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    state: Chunk,
+    line: Vec<u8>,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Chunk {
+    #[default]
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+/// Bytes of a line between chunks.
+const CHUNK_LINE: usize = 1024;
+
+impl Chunks {
+    /// Whether the last chunk is through.
+    pub fn done(&self) -> bool {
+        self.state == Chunk::Done
+    }
+
+    /// Takes bytes until they or the chunks end; the data is put behind `out`, which may hold `most` bytes.
+    /// Returns how many bytes were taken.
+    ///
+    /// # Errors
+    /// They are malformed, or the data too large.
+    pub fn feed(&mut self, bytes: &[u8], out: &mut Vec<u8>, most: usize) -> Result<usize, BadMessage> {
+        let mut at = 0;
+        while at < bytes.len() && self.state != Chunk::Done {
+            if let Chunk::Data(left) = self.state {
+                let take = left.min(bytes.len() - at);
+                if out.len() + take > most {
+                    return Err(TOO_LARGE);
+                }
+                out.extend_from_slice(&bytes[at..at + take]);
+                at += take;
+                self.state = if take == left { Chunk::DataEnd } else { Chunk::Data(left - take) };
+                continue;
+            }
+            let byte = bytes[at];
+            at += 1;
+            if byte != b'\n' {
+                self.line.push(byte);
+                if self.line.len() > CHUNK_LINE {
+                    return Err(MALFORMED);
+                }
+                continue;
+            }
+            let line = std::mem::take(&mut self.line);
+            self.state = next(self.state, line.strip_suffix(b"\r").unwrap_or(&line), most)?;
+        }
+        Ok(at)
+    }
+}
+
+/// What follows a line between chunks.
+fn next(state: Chunk, line: &[u8], most: usize) -> Result<Chunk, BadMessage> {
+    match state {
+        Chunk::Size => {
+            let text = std::str::from_utf8(line).map_err(|_| MALFORMED)?;
+            let digits = text.split(';').next().unwrap_or("").trim();
+            let hex = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
+            let size = usize::from_str_radix(digits, 16).ok().filter(|_| hex).ok_or(MALFORMED)?;
+            match size {
+                0 => Ok(Chunk::Trailer),
+                n if n > most => Err(TOO_LARGE),
+                n => Ok(Chunk::Data(n)),
+            }
+        }
+        Chunk::DataEnd if line.is_empty() => Ok(Chunk::Size),
+        Chunk::DataEnd => Err(MALFORMED),
+        Chunk::Trailer if line.is_empty() => Ok(Chunk::Done),
+        other => Ok(other),
+    }
+}
+
+/// The words of a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        406 => "Not Acceptable",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
+
+/// An answer with its body; `more` are further header lines, each ended by CR LF.
+pub fn response(status: u16, kind: &str, more: &str, body: &[u8], keep_alive: bool, head: bool) -> Vec<u8> {
+    let connection = if keep_alive { "keep-alive" } else { "close" };
+    let line = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\nConnection: {connection}\r\n{more}\r\n",
+        reason(status),
+        body.len()
+    );
+    let mut bytes = line.into_bytes();
+    if !head {
+        bytes.extend_from_slice(body);
+    }
+    bytes
+}
+
+/// Undoes percent coding; `+` is a space in query strings. Nothing if it is malformed or not text.
+pub fn decode(text: &str, plus: bool) -> Option<String> {
+    let mut out = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(b) = bytes.next() {
+        out.push(match b {
+            b'%' => {
+                let digit = |b: Option<u8>| char::from(b?).to_digit(16);
+                let (high, low) = (digit(bytes.next())?, digit(bytes.next())?);
+                (high * 16 + low) as u8
+            }
+            b'+' if plus => b' ',
+            b => b,
+        });
+    }
+    String::from_utf8(out).ok()
+}
+
+/// Percent codes all but letters, digits and a few signs.
+pub fn encode(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for b in text.bytes() {
+        match b {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b',' => {
+                out.push(char::from(b))
+            }
+            _ => out.push_str(&format!("%{b:02X}")),
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const POST: &[u8] = b"POST /tag-lookup?x=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcdGET";
+    const CHUNKED: &[u8] =
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: v\r\n\r\n";
+
+    fn parsed(bytes: &[u8]) -> Result<Option<(Request, usize)>, BadMessage> {
+        parse_request(bytes, &Limits::default())
+    }
+
+    /// Requests come in pieces: no prefix is an error or a request.
+    #[test]
+    fn split_requests_are_waited_for() {
+        for (bytes, whole) in [(POST, POST.len() - 3), (CHUNKED, CHUNKED.len())] {
+            for cut in 0..whole {
+                assert_eq!(parsed(&bytes[..cut]), Ok(None), "{cut}");
+            }
+            let (request, used) = parsed(bytes).unwrap().unwrap();
+            assert_eq!((request.body.as_slice(), used), (b"abcd".as_slice(), whole));
+            assert!(request.keep_alive);
+        }
+        assert_eq!(parsed(POST).unwrap().unwrap().0.path, "/tag-lookup");
+    }
+
+    /// Each kind of bad input has its own answer.
+    #[test]
+    fn bad_requests_have_their_status() {
+        let large = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", 64 * 1024 + 1);
+        let long = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(17 * 1024));
+        let chunk = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFFF\r\n";
+        for (bytes, status) in [
+            (b"\x16\x03\x01 tls?\r\n\r\n".as_slice(), 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+            (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 400),
+            (chunk, 413),
+            (large.as_bytes(), 413),
+            (long.as_bytes(), 431),
+        ] {
+            assert_eq!(parsed(bytes).unwrap_err().status, status, "{:?}", String::from_utf8_lossy(bytes));
+        }
+    }
+
+    #[test]
+    fn connections_stay_open_unless_told() {
+        let of = |text: &str| parsed(text.as_bytes()).unwrap().unwrap().0.keep_alive;
+        assert!(!of("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"));
+        assert!(!of("GET / HTTP/1.0\r\n\r\n"));
+        assert!(of("GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n"));
+    }
+
+    #[test]
+    fn percent_coding_goes_both_ways() {
+        assert_eq!(decode("a%20b%2Cc+d", true).as_deref(), Some("a b,c d"));
+        assert_eq!(decode("%zz", true), None);
+        assert_eq!(decode("%ff", true), None);
+        assert_eq!(decode(&encode("ığ /?&"), false).as_deref(), Some("ığ /?&"));
+    }
+
+    proptest! {
+        /// Nothing that a peer sends may panic.
+        #[test]
+        fn any_bytes_are_parsed_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let _ = parsed(&bytes);
+            let _ = parse_head(&bytes, &Limits::default());
+            let _ = Chunks::default().feed(&bytes, &mut Vec::new(), 64);
+        }
+
+        /// However a chunked body is cut, it comes out the same.
+        #[test]
+        fn chunks_do_not_depend_on_how_they_are_cut(cuts in proptest::collection::vec(1..9usize, 0..40)) {
+            let mut rest = &b"3\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n"[..];
+            let (mut chunks, mut out) = (Chunks::default(), Vec::new());
+            for cut in cuts.into_iter().chain([64]) {
+                let piece = &rest[..cut.min(rest.len())];
+                prop_assert_eq!(chunks.feed(piece, &mut out, 64), Ok(piece.len()));
+                rest = &rest[piece.len()..];
+            }
+            prop_assert!(chunks.done());
+            prop_assert_eq!(out, b"abc0123456789abcdef".to_vec());
+        }
+    }
+}
--- /dev/null
+++ b/src/net/link.rs
@@ -0,0 +1,388 @@
+//! The states of the connections to one data node: pure, so that random steps can be checked against a
+//! model. Each attempt handed in ends exactly once, by [`Output::End`] or by [`Input::Drop`].
+//!
+//! A call is handed to its connection only when that can take its first byte; right then the data node's
+//! state and the attempt's time are looked at again. What breaks before a frame's last byte was written
+//! never ran (`NoRoute`), what breaks after it may have (`Cut`).
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::api::{Nanos, Outcome};
+use crate::engine::{AttemptId, Dispatch, Value};
+use crate::net::frame::{self, Reply};
+
+/// A connection, numbered for the life of its data node's actor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// What happens to the connections.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// A call is to be sent.
+    Call(Vec<Dispatch>),
+    /// An attempt is given up; its end has been told.
+    Drop(AttemptId),
+    /// Whether the data node may be sent anything new.
+    TakesNew(bool),
+    /// Connections without work are to be closed.
+    CloseIdle,
+    /// A probe is to be sent.
+    Probe,
+    /// A connection is up.
+    Up(LinkId),
+    /// A connection did not come up.
+    DialFailed(LinkId),
+    /// The frame last given was written whole.
+    Written(LinkId),
+    /// The frame last given could not be written whole.
+    WriteFailed(LinkId),
+    /// A frame has come.
+    Frame(LinkId, Reply),
+    /// Nothing more will come.
+    ReadEnded(LinkId),
+    /// Time has passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Open a connection: ends in `Up` or `DialFailed`.
+    Dial(LinkId),
+    /// Write a frame: ends in `Written` or `WriteFailed`.
+    Write(LinkId, Vec<u8>),
+    /// Close a connection: it ends in `ReadEnded`.
+    Shut(LinkId),
+    /// An attempt has ended.
+    End(AttemptId, Outcome, Option<Value>),
+    /// A probe has ended.
+    Probed(Outcome),
+}
+
+/// Figures of the connections.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkLimits {
+    /// Parts that one connection carries.
+    pub multiplex: usize,
+    /// A connection idle for this long is not used any more.
+    pub idle: Nanos,
+    /// A probe unanswered for this long has failed.
+    pub probe: Nanos,
+    /// Parts that may wait for a connection or a write.
+    pub backlog: usize,
+}
+
+#[derive(Debug, Clone)]
+enum Item {
+    Call(Vec<Dispatch>),
+    GiveUp(String),
+    Probe,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Dialing,
+    Up,
+    Closing,
+}
+
+#[derive(Debug)]
+struct Link {
+    state: State,
+    waiting: VecDeque<Item>,
+    writing: Option<Item>,
+    /// Parts written whole, by name.
+    out: Vec<(String, AttemptId)>,
+    probes: VecDeque<Nanos>,
+    used: Nanos,
+    read_ended: bool,
+}
+
+impl Link {
+    fn parts(&self) -> usize {
+        let calls = |i: &Item| if let Item::Call(c) = i { c.len() } else { 0 };
+        self.out.len() + self.waiting.iter().chain(&self.writing).map(calls).sum::<usize>()
+    }
+
+    fn at_rest(&self) -> bool {
+        self.out.is_empty() && self.waiting.is_empty() && self.writing.is_none() && self.probes.is_empty()
+    }
+}
+
+/// The connections to one data node.
+#[derive(Debug)]
+pub struct Links {
+    limits: LinkLimits,
+    links: BTreeMap<LinkId, Link>,
+    takes_new: bool,
+    next: u64,
+    now: Nanos,
+    outputs: Vec<Output>,
+}
+
+impl Links {
+    /// No connection yet; nothing is sent before [`Input::TakesNew`].
+    pub fn new(limits: LinkLimits) -> Self {
+        Self { limits, links: BTreeMap::new(), takes_new: false, next: 0, now: 0, outputs: Vec::new() }
+    }
+
+    /// Connections that are open, being opened or being closed.
+    pub fn count(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether a probe is out, so that time must be told often.
+    pub fn probing(&self) -> bool {
+        self.links.values().any(|l| !l.probes.is_empty())
+    }
+
+    /// Takes what happened at `now`.
+    pub fn step(&mut self, now: Nanos, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Call(call) => self.call(call),
+            Input::Drop(id) => self.drop_attempt(id),
+            Input::TakesNew(yes) => self.takes_new = yes,
+            Input::CloseIdle => self.close_idle(0),
+            Input::Probe => {
+                let link = self.choose(0);
+                self.put(link, Item::Probe);
+            }
+            Input::Up(id) => {
+                if let Some(link) = self.links.get_mut(&id).filter(|l| l.state == State::Dialing) {
+                    link.state = State::Up;
+                    link.used = self.now;
+                }
+                self.pump(id);
+            }
+            Input::DialFailed(id) => self.dial_failed(id),
+            Input::Written(id) => self.written(id),
+            Input::WriteFailed(id) => self.write_failed(id),
+            Input::Frame(id, reply) => self.frame(id, reply),
+            Input::ReadEnded(id) => {
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.read_ended = true;
+                }
+                self.broken(id);
+            }
+            Input::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn end(&mut self, id: AttemptId, outcome: Outcome, value: Option<Value>) {
+        self.outputs.push(Output::End(id, outcome, value));
+    }
+
+    /// A connection with room for so many parts: an open one, one that is being opened, or a new one.
+    fn choose(&mut self, parts: usize) -> LinkId {
+        let (most, idle, now) = (self.limits.multiplex, self.limits.idle, self.now);
+        let room = |l: &Link| l.parts() + parts <= most.max(parts);
+        let fresh = |l: &Link| !l.at_rest() || now.saturating_sub(l.used) < idle;
+        let fits = |state: State| {
+            let of_state = self.links.iter().filter(move |(_, l)| l.state == state && room(l) && fresh(l));
+            of_state.map(|(&id, _)| id).next()
+        };
+        if let Some(id) = fits(State::Up).or_else(|| fits(State::Dialing)) {
+            return id;
+        }
+        let id = LinkId(self.next);
+        self.next += 1;
+        let link = Link {
+            state: State::Dialing,
+            waiting: VecDeque::new(),
+            writing: None,
+            out: Vec::new(),
+            probes: VecDeque::new(),
+            used: self.now,
+            read_ended: false,
+        };
+        self.links.insert(id, link);
+        self.outputs.push(Output::Dial(id));
+        id
+    }
+
+    fn put(&mut self, id: LinkId, item: Item) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.waiting.push_back(item);
+        }
+        self.pump(id);
+    }
+
+    fn call(&mut self, call: Vec<Dispatch>) {
+        let waiting: usize = self.links.values().map(|l| l.parts() - l.out.len()).sum();
+        if waiting + call.len() > self.limits.backlog {
+            return call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
+        }
+        if self.takes_new {
+            let link = self.choose(call.len());
+            return self.put(link, Item::Call(call));
+        }
+        call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
+    }
+
+    /// Hands the next frame to a connection that has none to write.
+    fn pump(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.state == State::Up) else { return };
+        while link.writing.is_none() {
+            let Some(item) = link.waiting.pop_front() else { return };
+            let (item, bytes) = match item {
+                Item::Call(call) => {
+                    let (takes_new, now) = (self.takes_new, self.now);
+                    let (sent, stale): (Vec<_>, Vec<_>) =
+                        call.into_iter().partition(|d| takes_new && d.until > now);
+                    let stale = stale.iter().map(|d| Output::End(d.attempt, Outcome::StaleSend, None));
+                    self.outputs.extend(stale);
+                    if sent.is_empty() {
+                        continue;
+                    }
+                    let bytes = frame::call(&sent, now);
+                    (Item::Call(sent), bytes)
+                }
+                Item::GiveUp(name) => {
+                    let bytes = frame::give_up(&name);
+                    (Item::GiveUp(name), bytes)
+                }
+                Item::Probe => {
+                    link.probes.push_back(self.now);
+                    (Item::Probe, frame::probe())
+                }
+            };
+            link.writing = Some(item);
+            self.outputs.push(Output::Write(id, bytes));
+        }
+    }
+
+    fn drop_attempt(&mut self, id: AttemptId) {
+        for (&link_id, link) in &mut self.links {
+            for item in &mut link.waiting {
+                if let Item::Call(call) = item {
+                    call.retain(|d| d.attempt != id);
+                }
+            }
+            link.waiting.retain(|i| !matches!(i, Item::Call(c) if c.is_empty()));
+            let mut name = None;
+            if let Some(at) = link.out.iter().position(|o| o.1 == id) {
+                name = Some(link.out.swap_remove(at).0);
+            } else if let Some(Item::Call(call)) = &mut link.writing {
+                // Its frame is on the way: the word that it is given up follows.
+                if let Some(at) = call.iter().position(|d| d.attempt == id) {
+                    name = Some(call.remove(at).part.name.clone());
+                }
+            }
+            if let Some(name) = name {
+                if link.state == State::Up {
+                    link.waiting.push_back(Item::GiveUp(name));
+                    self.pump(link_id);
+                }
+                return;
+            }
+        }
+    }
+
+    fn dial_failed(&mut self, id: LinkId) {
+        let Some(link) = self.links.remove(&id) else { return };
+        self.fail_waiting(link.waiting);
+    }
+
+    fn fail_waiting(&mut self, waiting: VecDeque<Item>) {
+        for item in waiting {
+            match item {
+                Item::Call(call) => call.iter().for_each(|d| self.end(d.attempt, Outcome::NoRoute, None)),
+                Item::Probe => self.outputs.push(Output::Probed(Outcome::NoRoute)),
+                Item::GiveUp(_) => {}
+            }
+        }
+    }
+
+    fn written(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.used = self.now;
+        if let Some(Item::Call(call)) = link.writing.take() {
+            let closing = link.state == State::Closing;
+            for d in call {
+                match closing {
+                    true => self.outputs.push(Output::End(d.attempt, Outcome::Cut, None)),
+                    false => link.out.push((d.part.name.clone(), d.attempt)),
+                }
+            }
+        }
+        self.pump(id);
+        self.forget(id);
+    }
+
+    fn write_failed(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if let Some(Item::Call(call)) = link.writing.take() {
+            call.iter().for_each(|d| self.end(d.attempt, Outcome::NoRoute, None));
+        }
+        self.broken(id);
+    }
+
+    /// A connection is of no more use: all that was written may have run, what waits has not.
+    fn broken(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if link.state != State::Closing {
+            link.state = State::Closing;
+            let (out, waiting) = (std::mem::take(&mut link.out), std::mem::take(&mut link.waiting));
+            let probes = std::mem::take(&mut link.probes);
+            self.outputs.push(Output::Shut(id));
+            out.iter().for_each(|o| self.end(o.1, Outcome::Cut, None));
+            probes.iter().for_each(|_| self.outputs.push(Output::Probed(Outcome::Cut)));
+            self.fail_waiting(waiting);
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: LinkId) {
+        let over = |l: &Link| l.state == State::Closing && l.read_ended && l.writing.is_none();
+        if self.links.get(&id).is_some_and(over) {
+            self.links.remove(&id);
+        }
+    }
+
+    fn frame(&mut self, id: LinkId, reply: Reply) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.state == State::Up) else { return };
+        link.used = self.now;
+        match reply {
+            Reply::Answer { name, outcome, value } => {
+                // An answer to a part that was given up crosses the word of it.
+                if let Some(at) = link.out.iter().position(|o| o.0 == name) {
+                    let (_, attempt) = link.out.remove(at);
+                    self.end(attempt, outcome, value);
+                } else if let Some(Item::Call(call)) = &mut link.writing {
+                    // It may overtake the word that its frame was written.
+                    if let Some(at) = call.iter().position(|d| d.part.name == name) {
+                        let attempt = call.remove(at).attempt;
+                        self.end(attempt, outcome, value);
+                    }
+                }
+            }
+            Reply::Probed(outcome) => {
+                if link.probes.pop_front().is_some() {
+                    self.outputs.push(Output::Probed(outcome));
+                }
+            }
+            Reply::Refused(_) => self.broken(id),
+        }
+    }
+
+    fn tick(&mut self) {
+        let (now, most) = (self.now, self.limits.probe);
+        for link in self.links.values_mut() {
+            while link.probes.front().is_some_and(|&sent| now.saturating_sub(sent) >= most) {
+                link.probes.pop_front();
+                self.outputs.push(Output::Probed(Outcome::TooSlow));
+            }
+        }
+        self.close_idle(self.limits.idle);
+    }
+
+    /// Closes connections that have been at rest for so long.
+    fn close_idle(&mut self, least: Nanos) {
+        let now = self.now;
+        let rested = |l: &Link| l.state == State::Up && l.at_rest() && now.saturating_sub(l.used) >= least;
+        let old: Vec<LinkId> = self.links.iter().filter(|(_, l)| rested(l)).map(|(&id, _)| id).collect();
+        old.into_iter().for_each(|id| self.broken(id));
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,12 @@
+//! Sockets: an actor with a mailbox for each data node, the list and the module; parsing and the states of
+//! a connection are pure, beside them.
+
+pub mod core;
+//pub mod feature_node;
+//pub mod features;
+pub mod frame;
+pub mod http;
+pub mod io;
+pub mod link;
+pub mod list;
+pub mod node;
--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,243 @@
+//! The actor of one data node: carries out on sockets what [`Links`] decides.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use std::sync::mpsc::RecvTimeoutError;
+
+use may::sync::mpsc::{channel, Receiver, Sender};
+
+use crate::api::{Outcome, ServerId};
+use crate::counters::Counters;
+use crate::engine::{AttemptId, Dispatch};
+use crate::limits::Limits;
+use crate::net::core::{CoreMail, Msg};
+use crate::net::frame;
+use crate::net::io::{nanos, spawn, Clock, Permit, Permits, Stream};
+use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
+use crate::settings::Connections;
+
+/// What the core tells the actor of a data node, whichever protocol that speaks.
+#[derive(Debug)]
+pub enum NodeMsg {
+    /// Where it is, and whether it may be sent anything new.
+    Member(SocketAddr, bool),
+    /// Send one call.
+    Call(Vec<Dispatch>),
+    /// An attempt is given up.
+    Drop(AttemptId),
+    /// Probe it.
+    Probe,
+    /// Close idle connections.
+    CloseIdle,
+    /// News of a connection.
+    Link(Input),
+    /// A connection is up: its stream, and the mailbox of its writer.
+    Up(LinkId, Arc<Stream>, Sender<Vec<u8>>),
+}
+
+/// What every actor of a data node needs.
+#[derive(Clone)]
+pub struct NodeContext {
+    /// The core's mailbox.
+    pub core: CoreMail,
+    /// The process's limits.
+    pub limits: Arc<Limits>,
+    /// Figures of connections.
+    pub connections: Connections,
+    /// Sockets that data nodes may hold together.
+    pub permits: Permits,
+    /// Counters.
+    pub counters: Arc<Counters>,
+    /// The clock.
+    pub clock: Clock,
+}
+
+/// How often idle connections are looked at, and probes while one is out.
+const LOOK: Duration = Duration::from_millis(500);
+const LOOK_PROBING: Duration = Duration::from_millis(50);
+const READ: usize = 4096;
+
+/// Starts the actor; returns its mailbox.
+pub fn start(id: ServerId, context: NodeContext) -> Sender<NodeMsg> {
+    let (mail, inbox) = channel();
+    let own = mail.clone();
+    spawn("node", context.limits.stack_words, move || {
+        let connections = context.connections;
+        let links = Links::new(LinkLimits {
+            multiplex: connections.multiplex,
+            idle: connections.idle.saturating_sub(nanos(context.limits.idle_margin)).max(1),
+            probe: nanos(context.limits.probe),
+            backlog: context.limits.node_backlog,
+        });
+        Node { id, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
+    });
+    mail
+}
+
+struct Node {
+    id: ServerId,
+    context: NodeContext,
+    own: Sender<NodeMsg>,
+    links: Links,
+    addr: Option<SocketAddr>,
+    open: HashMap<LinkId, (Arc<Stream>, Sender<Vec<u8>>)>,
+}
+
+impl Node {
+    fn run(mut self, inbox: &Receiver<NodeMsg>) {
+        loop {
+            let look = if self.links.probing() { LOOK_PROBING } else { LOOK };
+            match inbox.recv_timeout(look) {
+                Ok(message) => self.take(message),
+                Err(RecvTimeoutError::Timeout) => self.step(Input::Tick),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, message: NodeMsg) {
+        match message {
+            NodeMsg::Member(addr, takes_new) => {
+                if self.addr.replace(addr).is_some_and(|old| old != addr) {
+                    self.step(Input::CloseIdle);
+                }
+                self.step(Input::TakesNew(takes_new));
+            }
+            NodeMsg::Call(call) => self.step(Input::Call(call)),
+            NodeMsg::Drop(id) => self.step(Input::Drop(id)),
+            NodeMsg::Probe => {
+                Counters::add(&self.context.counters.probes);
+                self.step(Input::Probe);
+            }
+            NodeMsg::CloseIdle => self.step(Input::CloseIdle),
+            NodeMsg::Link(input) => {
+                if let Input::ReadEnded(id) = &input {
+                    if self.open.remove(id).is_some() {
+                        Counters::add(&self.context.counters.links_broken);
+                    }
+                }
+                self.step(input);
+            }
+            NodeMsg::Up(id, stream, writer) => {
+                self.open.insert(id, (stream, writer));
+                self.step(Input::Up(id));
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        for output in self.links.step(self.context.clock.now(), input) {
+            match output {
+                Output::Dial(id) => self.dial(id),
+                Output::Write(id, bytes) => {
+                    let sent = self.open.get(&id).is_some_and(|o| o.1.send(bytes).is_ok());
+                    if !sent {
+                        // The mailbox outlives the actor's own loop.
+                        let _ = self.own.send(NodeMsg::Link(Input::WriteFailed(id)));
+                    }
+                }
+                Output::Shut(id) => {
+                    if let Some((stream, _)) = self.open.remove(&id) {
+                        stream.shut();
+                    }
+                }
+                Output::End(attempt, outcome, value) => {
+                    self.context.core.send(Msg::Ended(attempt, outcome, value));
+                }
+                Output::Probed(outcome) => self.context.core.send(Msg::Probed(self.id, outcome)),
+            }
+        }
+    }
+
+    fn dial(&mut self, id: LinkId) {
+        let permit = self.context.permits.take();
+        let (Some(addr), Some(permit)) = (self.addr, permit) else {
+            log::warn!("no socket left for a connection to a data node");
+            // The mailbox outlives the actor's own loop.
+            let _ = self.own.send(NodeMsg::Link(Input::DialFailed(id)));
+            return;
+        };
+        Counters::add(&self.context.counters.dials);
+        let (context, own) = (self.context.clone(), self.own.clone());
+        spawn("link", context.limits.stack_words, move || connection(id, addr, permit, &context, &own));
+    }
+}
+
+/// Opens a connection, starts its writer and reads it to its end.
+fn connection(id: LinkId, addr: SocketAddr, permit: Permit, context: &NodeContext, node: &Sender<NodeMsg>) {
+    let tell = |input| {
+        // Nobody is left to be told once the actor has ended.
+        let _ = node.send(NodeMsg::Link(input));
+    };
+    let within = Duration::from_nanos(context.connections.connect_timeout);
+    let stream = match Stream::dial(&addr, within, Some(permit)) {
+        Ok(stream) => Arc::new(stream),
+        Err(e) => {
+            log::debug!("dial {addr}: {e}");
+            Counters::add(&context.counters.dials_failed);
+            return tell(Input::DialFailed(id));
+        }
+    };
+    let (frames, to_write) = channel::<Vec<u8>>();
+    let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
+    spawn("link writer", context.limits.stack_words, move || {
+        for bytes in to_write.iter() {
+            let written = writer_stream.write_all(&bytes, within);
+            let news = if written.is_ok() { Input::Written(id) } else { Input::WriteFailed(id) };
+            // Nobody is left to be told once the actor has ended.
+            let _ = writer_node.send(NodeMsg::Link(news));
+        }
+    });
+    // Nobody is left to be told once the actor has ended.
+    let _ = node.send(NodeMsg::Up(id, stream.clone(), frames));
+    read_frames(&stream, context, |reply| tell(Input::Frame(id, reply)));
+    stream.shut();
+    tell(Input::ReadEnded(id));
+}
+
+fn read_frames(stream: &Stream, context: &NodeContext, tell: impl Fn(frame::Reply)) {
+    let mut held: Vec<u8> = Vec::new();
+    let mut buf = vec![0; READ];
+    loop {
+        match stream.read(&mut buf, LOOK * 120) {
+            Ok(0) => return,
+            Ok(n) => held.extend_from_slice(&buf[..n]),
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock) => {
+                continue
+            }
+            Err(_) => return,
+        }
+        let mut taken = 0;
+        loop {
+            match frame::parse(&held[taken..], context.limits.frame) {
+                Ok(Some((reply, used))) => {
+                    taken += used;
+                    if let frame::Reply::Refused(words) = &reply {
+                        log::warn!("a data node could not use a frame: {words}");
+                    }
+                    tell(reply);
+                }
+                Ok(None) => break,
+                Err(bad) => {
+                    log::warn!("bad frame from a data node: {}", bad.0);
+                    Counters::add(&context.counters.bad_frames);
+                    return;
+                }
+            }
+        }
+        held.drain(..taken);
+    }
+}
+
+/// The end that counts for an attempt, as a counter.
+pub fn count_end(counters: &Counters, outcome: Outcome) {
+    Counters::add(match outcome {
+        Outcome::Pass => &counters.attempts_passed,
+        Outcome::StaleSend => &counters.attempts_stale,
+        Outcome::Undone => &counters.attempts_dropped,
+        _ => &counters.attempts_failed,
+    });
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,95 @@
+//! Puts the parts together: the core, the data nodes, the list and the fronts.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::api::ListKind;
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::engine::Engine;
+use crate::front::platform::Platform;
+use crate::front::server::{self, Service, Shared};
+use crate::limits::Limits;
+use crate::net::core::{self, Core};
+use crate::net::io::{nanos, Clock, Permits};
+use crate::net::list::{self, ListNews, WireList};
+use crate::net::node::{self, NodeContext};
+
+/// A coordinator that serves.
+pub struct Coordinator {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The core.
+    pub core: Core,
+    service: Arc<Service>,
+    limits: Arc<Limits>,
+}
+
+/// Sets the coroutines' workers up; once in a process, before anything else.
+pub fn set_up_workers(limits: &Limits) {
+    may::config().set_workers(limits.workers).set_stack_size(limits.stack_words).set_worker_pin(false);
+}
+
+/// Starts to serve.
+///
+/// # Errors
+/// Says in one line what is out of place or cannot be had.
+pub fn start(config: Config) -> Result<Coordinator, String> {
+    let limits = Arc::new(Limits::for_sockets(config.sockets)?);
+    let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
+    let info = Arc::new(config.info.clone());
+    let engine = Engine::new(config.info, config.seed, nanos(limits.backstop)).map_err(|e| e.to_string())?;
+    let (mail, inbox) = core::mailbox();
+    let rev = config.known.as_ref().map_or(0, |k| k.rev);
+    let known = config.known.map_or(ListNews { kind: ListKind::Full, members: Vec::new() }, |known| {
+        WireList { all: true, ..known }.news()
+    });
+    let list = list::start(config.discovery, rev, mail.clone(), limits.clone(), counters.clone());
+    let context = NodeContext {
+        core: mail.clone(),
+        limits: limits.clone(),
+        connections: info.connections,
+        permits: Permits::new(limits.node_sockets),
+        counters: counters.clone(),
+        clock,
+    };
+    let start_node = Box::new(move |id| node::start(id, context.clone()));
+    let parts = core::Parts {
+        engine,
+        info,
+        clock,
+        counters,
+        backlog: limits.core_backlog,
+        stack_words: limits.core_stack_words,
+    };
+    let core = core::start(parts, mail, inbox, known, list, start_node);
+    let service = Arc::<Service>::default();
+    let permits = Permits::new(limits.clients);
+    let shared = Shared { core: core.clone(), limits: limits.clone(), service: service.clone(), permits };
+    let front = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
+    let cannot = |e: io::Error| format!("cannot listen at {}: {e}", config.listen);
+    let listen = server::listen(config.listen, Arc::new(front), shared).map_err(cannot)?;
+    log::info!("{} serves at {listen}", config.name);
+    Ok(Coordinator { listen, core, service, limits })
+}
+
+const LOOK: Duration = Duration::from_millis(10);
+
+impl Coordinator {
+    /// After SIGTERM: goes on for a while, then finishes what is held and closes what is idle. Returns once
+    /// all is answered, or when the time for that is over.
+    pub fn finish(&self) {
+        self.service.drain();
+        std::thread::sleep(self.limits.term_accept);
+        let start = Instant::now();
+        let mut at_rest = 0;
+        // Twice, so that what came while connections were closed is seen.
+        while at_rest < 2 && start.elapsed() < self.limits.term_finish {
+            self.service.close_idle();
+            std::thread::sleep(LOOK);
+            at_rest = if self.service.busy() == 0 { at_rest + 1 } else { 0 };
+        }
+    }
+}
--- a/src/bin/curlewdeck-wirehost/info.rs
+++ b/src/settings.rs
@@ -1,16 +1,40 @@
-//! Start-up parameters: the wire's JSON object to the module's settings.
+//! The settings object, as the simulator's first message and the configuration file carry it, to the
+//! module's settings and the figures that sockets need. One parser for both programs.
 
-use curlewdeck::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant};
+use crate::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant};
 use serde::Deserialize;
 
-/// The settings, with the names that the wire uses for classes and tenants.
+/// The settings, with the names that the wire uses for classes, tenants and zones.
+#[derive(Debug, Clone)]
 pub struct Info {
+    /// What the module is told.
     pub settings: Settings,
+    /// Names of the classes, in the order of [`Settings::classes`].
     pub classes: Vec<String>,
+    /// Names of the tenants.
     pub tenants: Vec<String>,
+    /// Names of the zones.
     pub zones: Vec<String>,
+    /// Figures for connections to data nodes.
+    pub connections: Connections,
 }
 
+/// What the settings say of connections to data nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connections {
+    /// A connection is closed by its data node once idle for this long.
+    pub idle: Nanos,
+    /// A connection that is not up after this long counts as no route.
+    pub connect_timeout: Nanos,
+    /// Calls that one connection carries at once.
+    pub multiplex: usize,
+}
+
+/// Where the settings say nothing of connections.
+const DEFAULT_IDLE: Nanos = 30_000_000_000;
+const DEFAULT_CONNECT_TIMEOUT: Nanos = 250_000_000;
+const DEFAULT_MULTIPLEX: usize = 32;
+
 #[derive(Deserialize)]
 struct WireInfo {
     balancers: u32,
@@ -76,6 +100,8 @@
     #[serde(default)]
     probes: bool,
     conn_idle_ns: Option<Nanos>,
+    connect_timeout_ns: Option<Nanos>,
+    multiplex: Option<usize>,
     max_attempts: u32,
     max_open: usize,
     #[serde(default)]
@@ -104,9 +130,12 @@
 }
 
 /// Reads the object; unknown keys are skipped.
+///
+/// # Errors
+/// Says what is missing or out of place.
 pub fn read(text: &str) -> Result<Info, String> {
     let info: WireInfo =
-        serde_json::from_str(text).map_err(|e| format!("enlist: info is not as expected: {e}"))?;
+        serde_json::from_str(text).map_err(|e| format!("settings are not as expected: {e}"))?;
     let mut classes = Vec::new();
     for (i, class) in info.classes.iter().enumerate() {
         classes.push(read_class(class, &info.domain, i)?);
@@ -156,6 +185,11 @@
         classes: info.classes.into_iter().map(|c| c.name).collect(),
         tenants: info.realms.into_iter().map(|r| r.name).collect(),
         zones: info.zones,
+        connections: Connections {
+            idle: info.limits.conn_idle_ns.unwrap_or(DEFAULT_IDLE),
+            connect_timeout: info.limits.connect_timeout_ns.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
+            multiplex: info.limits.multiplex.unwrap_or(DEFAULT_MULTIPLEX).max(1),
+        },
     })
 }
 
@@ -164,7 +198,7 @@
         "idempotent" => Effect::Safe,
         "deduplicated" => Effect::Keyed,
         "at_most_once" => Effect::Unsafe,
-        other => return Err(format!("enlist: unknown effect '{other}'")),
+        other => return Err(format!("unknown effect '{other}'")),
     };
     let need = domain.complete_from.get(i).copied().unwrap_or(1.0);
     Ok(Class {
