Add the OGC API - Features front, feature servers as data nodes, and an SNMP agent

Both are off unless deploy/edge.toml turns them on. The feature front hands its queries to the same core and Policy; a feature server is a data node whose actor reads a tag range page by page.

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,8 +6,10 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::front::ogc::OgcConfig;
 use crate::net::list::WireList;
 use crate::settings::{self, Info};
+use crate::snmp::SnmpConfig;
 
 #[derive(Deserialize)]
 struct File<'a> {
@@ -87,3 +89,69 @@
         Self::read(&text, variable).map_err(|e| format!("{name}: {e}"))
     }
 }
+
+/// Which protocol the data nodes speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum NodeProtocol {
+    /// The platform's frames.
+    #[default]
+    Frames,
+    /// OGC API - Features: the data nodes are feature servers.
+    Features,
+}
+
+/// The file of the edge: what is not there is off.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Edge {
+    /// How the data nodes are spoken to.
+    #[serde(default)]
+    pub nodes: Nodes,
+    /// The front for feature queries.
+    pub ogc: Option<OgcConfig>,
+    /// The management agent.
+    pub snmp: Option<SnmpConfig>,
+}
+
+/// How the data nodes are spoken to.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Nodes {
+    /// Their protocol.
+    #[serde(default)]
+    pub protocol: NodeProtocol,
+    /// The parameter that names a tag range to feature servers.
+    #[serde(default = "tag_range")]
+    pub range_parameter: String,
+}
+
+impl Default for Nodes {
+    fn default() -> Self {
+        Self { protocol: NodeProtocol::default(), range_parameter: tag_range() }
+    }
+}
+
+fn tag_range() -> String {
+    "tag_range".to_string()
+}
+
+impl Edge {
+    /// Reads the file's text.
+    ///
+    /// # Errors
+    /// Says in one line what is out of place.
+    pub fn read(text: &str) -> Result<Self, String> {
+        toml::from_str(text).map_err(|e| e.message().to_string())
+    }
+
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// Says in one line what is out of place.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        Self::read(&text).map_err(|e| format!("{name}: {e}"))
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,4 +1,5 @@
 //! The fronts: each maps its requests to queries of the core, and the core's answers back.
 
+pub mod ogc;
 pub mod platform;
 pub mod server;
--- /dev/null
+++ b/src/front/ogc.rs
@@ -0,0 +1,584 @@
+//! OGC API - Features: feature queries in, GeoJSON out. Each becomes one query of the core, with a part for
+//! each tag range; what the core answers is one page.
+//!
+//! A page follows the ranges in order. Where a class may be answered in part, a range that is not in is
+//! named in `missingRanges`, and `complete` is false.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::{json, Value as Json};
+
+use crate::api::{ClassId, ShardId};
+use crate::counters::Counters;
+use crate::engine::{Ask, Final, Rejected, Row};
+use crate::front::platform::retry_after;
+use crate::front::server::{Answer, Front, Reply, Served};
+use crate::limits::Limits;
+use crate::net::core::Core;
+use crate::net::features::{self, Cursor};
+use crate::net::http::{self, BadMessage, Request};
+use crate::net::io::nanos;
+use crate::settings::Info;
+
+/// What the edge's file says of this front.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OgcConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// What the pages' links begin with; `http://` and the request's host where it is not given.
+    #[serde(default)]
+    pub base: Option<String>,
+    /// The collections.
+    pub collections: Vec<CollectionConfig>,
+}
+
+/// One collection.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CollectionConfig {
+    /// Its id, as paths name it.
+    pub id: String,
+    /// Its title.
+    pub title: String,
+    /// What it holds.
+    #[serde(default)]
+    pub description: String,
+    /// The class of its queries.
+    pub class: String,
+    /// Where its features lie: west, south, east, north.
+    #[serde(default)]
+    pub bbox: Option<[f64; 4]>,
+}
+
+const CONFORMANCE: [&str; 2] = [
+    "http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core",
+    "http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/geojson",
+];
+const GEOJSON: &str = "application/geo+json";
+const JSON: &str = "application/json";
+const PROBLEM: &str = "application/problem+json";
+const OPENAPI: &str = "application/vnd.oai.openapi+json;version=3.0";
+const CRS84: &str = "http://www.opengis.net/def/crs/OGC/1.3/CRS84";
+const LIMIT: usize = 10;
+const FID_BYTES: usize = 256;
+
+/// The front.
+pub struct Ogc {
+    core: Core,
+    limits: Arc<Limits>,
+    base: Option<String>,
+    collections: Vec<(CollectionConfig, ClassId)>,
+    ranges: u32,
+    /// Queries are named after the process's start and this.
+    next: AtomicU64,
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq)]
+enum Wanted {
+    Landing,
+    Api,
+    Conformance,
+    Collections,
+    Collection(usize),
+    Items(usize, Filter),
+    Item(usize, String),
+}
+
+/// The filter of a request for items.
+#[derive(Debug, Clone, PartialEq)]
+struct Filter {
+    bbox: Option<String>,
+    datetime: Option<String>,
+    limit: usize,
+    cursor: Cursor,
+}
+
+impl Filter {
+    /// The query string without the cursor.
+    fn text(&self) -> String {
+        let mut pairs = Vec::new();
+        pairs.extend(self.bbox.as_ref().map(|b| format!("bbox={}", http::encode(b))));
+        pairs.extend(self.datetime.as_ref().map(|d| format!("datetime={}", http::encode(d))));
+        pairs.push(format!("limit={}", self.limit));
+        pairs.join("&")
+    }
+}
+
+/// A problem of RFC 9457.
+fn problem(status: u16, detail: &str) -> Reply {
+    let body =
+        json!({"type": "about:blank", "title": http::reason(status), "status": status, "detail": detail});
+    Reply { status, kind: PROBLEM, more: String::new(), body: body.to_string().into_bytes() }
+}
+
+fn document(kind: &'static str, body: &Json) -> Reply {
+    Reply { status: 200, kind, more: String::new(), body: body.to_string().into_bytes() }
+}
+
+/// Four numbers, or six with heights; south must not lie beyond north.
+fn check_bbox(text: &str) -> Result<(), &'static str> {
+    let numbers: Result<Vec<f64>, _> = text.split(',').map(|n| n.trim().parse::<f64>()).collect();
+    let numbers = numbers.map_err(|_| "bbox: numbers are expected")?;
+    let (south, north) = match numbers[..] {
+        [_, south, _, north] | [_, south, _, _, north, _] => (south, north),
+        _ => return Err("bbox: four or six numbers are expected"),
+    };
+    if numbers.iter().any(|n| !n.is_finite()) || south > north {
+        return Err("bbox: finite numbers are expected, south before north");
+    }
+    Ok(())
+}
+
+/// An instant, or an interval with `..` or nothing for an open end.
+fn check_datetime(text: &str) -> Result<(), &'static str> {
+    const WRONG: &str = "datetime: an RFC 3339 time or interval is expected";
+    let instant = |t: &str| chrono::DateTime::parse_from_rfc3339(t).map_err(|_| WRONG);
+    let open = |t: &str| t.is_empty() || t == "..";
+    match text.split_once('/') {
+        None => instant(text).map(|_| ()),
+        Some((from, to)) if open(from) && open(to) => Err(WRONG),
+        Some((from, to)) if open(from) => instant(to).map(|_| ()),
+        Some((from, to)) if open(to) => instant(from).map(|_| ()),
+        Some((from, to)) if instant(from)? <= instant(to)? => Ok(()),
+        Some(_) => Err("datetime: the interval ends before it begins"),
+    }
+}
+
+impl Ogc {
+    /// The front of these collections.
+    ///
+    /// # Errors
+    /// A collection's class is not in the settings, or has a second step; or an id cannot stand in a path.
+    pub fn new(config: &OgcConfig, core: Core, limits: Arc<Limits>, seed: u64) -> Result<Self, String> {
+        let ranges = core.info.ranges;
+        let collections = config.collections.iter().map(|c| Ok((c.clone(), class_of(c, &core.info)?)));
+        let collections = collections.collect::<Result<Vec<_>, String>>()?;
+        let ids: BTreeSet<&str> = collections.iter().map(|c| c.0.id.as_str()).collect();
+        if ids.len() != collections.len() || ranges == 0 {
+            return Err("ogc: each collection needs an id of its own, and the settings tag ranges".into());
+        }
+        let base = config.base.as_ref().map(|b| b.trim_end_matches('/').to_string());
+        Ok(Self {
+            core,
+            limits,
+            base,
+            collections,
+            ranges,
+            next: AtomicU64::new(seed & 0xffff_ffff_0000_0000),
+        })
+    }
+
+    fn route(&self, request: &Request) -> Result<Wanted, Reply> {
+        let path = http::decode(&request.path, false).ok_or_else(|| problem(400, "the path is malformed"))?;
+        let steps: Vec<&str> = path.split('/').skip(1).collect();
+        let collection = |id: &str| {
+            let found = self.collections.iter().position(|c| c.0.id == id);
+            found.ok_or_else(|| problem(404, "there is no such collection"))
+        };
+        let wanted = match steps[..] {
+            [""] => Wanted::Landing,
+            ["api"] => Wanted::Api,
+            ["conformance"] => Wanted::Conformance,
+            ["collections"] => Wanted::Collections,
+            ["collections", id] => Wanted::Collection(collection(id)?),
+            ["collections", id, "items"] => {
+                let at = collection(id)?;
+                return Ok(Wanted::Items(at, self.filter(&request.query)?));
+            }
+            ["collections", id, "items", fid] if !fid.is_empty() && fid.len() <= FID_BYTES => {
+                Wanted::Item(collection(id)?, fid.to_string())
+            }
+            _ => return Err(problem(404, "there is no such resource")),
+        };
+        match request.query.is_empty() {
+            true => Ok(wanted),
+            false => Err(problem(400, "this resource takes no parameters")),
+        }
+    }
+
+    fn filter(&self, query: &str) -> Result<Filter, Reply> {
+        let mut filter = Filter { bbox: None, datetime: None, limit: LIMIT, cursor: Cursor::START };
+        let mut seen = BTreeSet::new();
+        let bad = |why: &str| problem(400, why);
+        for pair in query.split('&').filter(|p| !p.is_empty()) {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let value = http::decode(value, true).ok_or_else(|| bad("the query string is malformed"))?;
+            if !seen.insert(name.to_string()) {
+                return Err(bad("a parameter is given twice"));
+            }
+            match name {
+                "bbox" => {
+                    check_bbox(&value).map_err(bad)?;
+                    filter.bbox = Some(value);
+                }
+                "datetime" => {
+                    check_datetime(&value).map_err(bad)?;
+                    filter.datetime = Some(value);
+                }
+                "limit" => {
+                    let limit: usize = value.parse().map_err(|_| bad("limit: a number is expected"))?;
+                    if limit == 0 {
+                        return Err(bad("limit: it must be above 0"));
+                    }
+                    filter.limit = limit.min(self.limits.page_features);
+                }
+                "cursor" => {
+                    let cursor = Cursor::parse(&value).filter(|c| c.range.0 < self.ranges);
+                    filter.cursor = cursor.ok_or_else(|| bad("cursor: follow the next link"))?;
+                }
+                _ => return Err(bad("a parameter is not known")),
+            }
+        }
+        Ok(filter)
+    }
+
+    fn base(&self, request: &Request) -> String {
+        let host = || format!("http://{}", request.headers.get("host").unwrap_or("localhost"));
+        self.base.clone().unwrap_or_else(host)
+    }
+
+    fn landing(&self, base: &str) -> Json {
+        json!({
+            "title": "curlewdeck",
+            "description": "Feature queries over tag ranges",
+            "links": [
+                link(base, "/", "self", JSON, "This page"),
+                link(base, "/api", "service-desc", OPENAPI, "The API's definition"),
+                link(base, "/conformance", "conformance", JSON, "Conformance classes"),
+                link(base, "/collections", "data", JSON, "The collections"),
+            ],
+        })
+    }
+
+    fn collection(&self, base: &str, at: usize) -> Json {
+        let c = &self.collections[at].0;
+        let path = format!("/collections/{}", c.id);
+        let mut body = json!({
+            "id": c.id, "title": c.title, "description": c.description, "itemType": "feature", "crs": [CRS84],
+            "links": [
+                link(base, &path, "self", JSON, &c.title),
+                link(base, &format!("{path}/items"), "items", GEOJSON, "Its features"),
+            ],
+        });
+        if let Some(bbox) = c.bbox {
+            body["extent"] = json!({"spatial": {"bbox": [bbox], "crs": CRS84}});
+        }
+        body
+    }
+
+    fn collections(&self, base: &str) -> Json {
+        let all: Vec<Json> = (0..self.collections.len()).map(|at| self.collection(base, at)).collect();
+        json!({"links": [link(base, "/collections", "self", JSON, "The collections")], "collections": all})
+    }
+
+    /// The definition of the API, as far as Core asks for one.
+    fn api(&self, base: &str) -> Json {
+        let get =
+            |summary: &str| json!({"get": {"summary": summary, "responses": {"200": {"description": "OK"}}}});
+        let mut paths = serde_json::Map::new();
+        for (path, summary) in [
+            ("/", "Landing page"),
+            ("/conformance", "Conformance classes"),
+            ("/collections", "The collections"),
+        ] {
+            paths.insert(path.to_string(), get(summary));
+        }
+        for (c, _) in &self.collections {
+            let path = format!("/collections/{}", c.id);
+            let mut items = get("Its features");
+            let parameter =
+                |name: &str, kind: &str| json!({"name": name, "in": "query", "schema": {"type": kind}});
+            items["get"]["parameters"] = json!([
+                parameter("bbox", "string"),
+                parameter("datetime", "string"),
+                parameter("limit", "integer"),
+                parameter("cursor", "string"),
+            ]);
+            let mut item = get("One feature");
+            item["get"]["parameters"] =
+                json!([{"name": "fid", "in": "path", "required": true, "schema": {"type": "string"}}]);
+            paths.insert(path.clone(), get(&c.title));
+            paths.insert(format!("{path}/items"), items);
+            paths.insert(format!("{path}/items/{{fid}}"), item);
+        }
+        json!({
+            "openapi": "3.0.3",
+            "info": {"title": "curlewdeck", "version": env!("CARGO_PKG_VERSION")},
+            "servers": [{"url": base}],
+            "paths": paths,
+        })
+    }
+
+    /// Hands a feature query to the core: a part for each of these ranges.
+    fn ask(&self, at: usize, text: &str, from: ShardId, reply: crate::net::core::Reply) -> Served {
+        let class = self.collections[at].1;
+        let settings = &self.core.info.settings;
+        let wait = settings.classes[class.0].deadline.min(nanos(self.limits.ogc_wait));
+        let wait = wait.saturating_sub(nanos(self.limits.answer_margin));
+        let ranges: Vec<u32> = (from.0..self.ranges).collect();
+        let share = 1.0 / ranges.len() as f64;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let ask = Ask {
+            name: format!("{number:016x}"),
+            class,
+            repeated: false,
+            valid_until: self.core.clock.now().saturating_add(wait),
+            parts: ranges.into_iter().map(|r| (ShardId(r), share)).collect(),
+            text: text.into(),
+        };
+        Served::Later(self.core.ask(ask, reply))
+    }
+
+    fn items(&self, base: String, at: usize, filter: Filter, out: Answer) -> Served {
+        let path = format!("/collections/{}/items", self.collections[at].0.id);
+        let text = format!("{path}?{}&cursor={}", filter.text(), filter.cursor.text());
+        let (hold_off, ranges, from) = (self.core.full_hold_off(), self.ranges, filter.cursor.range);
+        let reply = Box::new(move |ended| {
+            out.send(match unserved(&ended, hold_off) {
+                Some(reply) => reply,
+                None => page(&base, &path, &filter, ranges, ended),
+            });
+        });
+        self.ask(at, &text, from, reply)
+    }
+
+    fn item(&self, base: String, at: usize, fid: &str, out: Answer) -> Served {
+        let path = format!("/collections/{}/items/{}", self.collections[at].0.id, http::encode(fid));
+        let collection = format!("/collections/{}", self.collections[at].0.id);
+        let text = path.clone();
+        let hold_off = self.core.full_hold_off();
+        let reply = Box::new(move |ended| {
+            out.send(match unserved(&ended, hold_off) {
+                Some(reply) => reply,
+                None => one(&base, &path, &collection, ended),
+            });
+        });
+        self.ask(at, &text, ShardId(0), reply)
+    }
+}
+
+fn class_of(collection: &CollectionConfig, info: &Info) -> Result<ClassId, String> {
+    let id = &collection.id;
+    if id.is_empty() || http::encode(id) != *id || id.contains(',') {
+        return Err(format!("ogc: the collection id '{id}' cannot stand in a path"));
+    }
+    let found = info.classes.iter().position(|c| *c == collection.class);
+    let class = found.ok_or_else(|| format!("ogc: {id}: there is no class '{}'", collection.class))?;
+    if info.settings.classes[class].second_step > 0 {
+        return Err(format!("ogc: {id}: the class '{}' has a second step", collection.class));
+    }
+    Ok(ClassId(class))
+}
+
+fn link(base: &str, path: &str, rel: &str, kind: &str, title: &str) -> Json {
+    json!({"href": format!("{base}{path}"), "rel": rel, "type": kind, "title": title})
+}
+
+/// The answer to a query that has none of its own.
+fn unserved(ended: &Result<Final, Rejected>, full_hold_off: u64) -> Option<Reply> {
+    match ended {
+        Ok(Final::Answered { .. }) => None,
+        Ok(Final::Refused { hold_off }) => Some(retry_after(problem(503, "refused, try again"), *hold_off)),
+        Ok(Final::Failed) => Some(problem(504, "the data nodes did not answer in time")),
+        Err(Rejected::Full) => Some(retry_after(problem(503, "over the limit, try again"), full_hold_off)),
+        Err(Rejected::Late) => Some(problem(503, "no time is left")),
+        Err(Rejected::BadParts | Rejected::UnknownClass) => Some(problem(500, "the query cannot be asked")),
+    }
+}
+
+/// The features of a range that is in.
+fn read(row: &Row) -> Option<(ShardId, Vec<Box<RawValue>>)> {
+    match features::features_of(&row.data) {
+        Ok(features) => Some((row.shard, features)),
+        Err(why) => {
+            log::warn!("tag range {}: {why}", row.shard.0);
+            None
+        }
+    }
+}
+
+/// One page: the ranges in order, cut at the limit.
+fn page(base: &str, path: &str, filter: &Filter, ranges: u32, ended: Result<Final, Rejected>) -> Reply {
+    let Ok(Final::Answered { whole, rows }) = ended else { return problem(500, "there is no answer") };
+    let mut read: Vec<_> = rows.iter().filter_map(read).collect();
+    read.sort_by_key(|r| r.0);
+    let missing: Vec<u32> = (filter.cursor.range.0..ranges)
+        .filter(|r| read.binary_search_by_key(&ShardId(*r), |x| x.0).is_err())
+        .collect();
+    if read.is_empty() {
+        return problem(504, "no tag range gave features that can be read");
+    }
+    let (taken, next) = cut(&read, filter);
+    let texts: Vec<&str> = taken.iter().map(|f| f.get()).collect();
+    let own = format!("{path}?{}", filter.text());
+    let at = |c: Cursor| format!("{own}&cursor={}", c.text());
+    let this = if filter.cursor == Cursor::START { own.clone() } else { at(filter.cursor) };
+    let collection = path.trim_end_matches("/items");
+    let mut links = vec![
+        link(base, &this, "self", GEOJSON, "This page"),
+        link(base, collection, "collection", JSON, "The collection"),
+    ];
+    links.extend(next.map(|c| link(base, &at(c), "next", GEOJSON, "The next page")));
+    let stamp = chrono::Utc::now().to_rfc3339_opts(chrono::SecondsFormat::Millis, true);
+    // A query that is whole has every range; what cannot be read is missing all the same.
+    let tail = json!({
+        "numberReturned": texts.len(),
+        "timeStamp": stamp,
+        "complete": whole && missing.is_empty(),
+        "missingRanges": missing,
+        "links": links,
+    });
+    let tail = tail.to_string();
+    // Features go out to the letter: only what stands round them is written here.
+    let body = format!(
+        "{{\"type\":\"FeatureCollection\",\"features\":[{}],{}",
+        texts.join(","),
+        tail.trim_start_matches('{')
+    );
+    Reply { status: 200, kind: GEOJSON, more: String::new(), body: body.into_bytes() }
+}
+
+type Range = (ShardId, Vec<Box<RawValue>>);
+
+/// The features of one page, and where the next begins if there may be more.
+fn cut<'a>(read: &'a [Range], filter: &Filter) -> (Vec<&'a RawValue>, Option<Cursor>) {
+    let mut taken = Vec::new();
+    for (range, features) in read {
+        let room = filter.limit - taken.len();
+        let take = room.min(features.len());
+        taken.extend(features[..take].iter().map(AsRef::as_ref));
+        let offset = filter.cursor.offset_in(*range) + take;
+        // A range that gave as many as were asked for may have more.
+        if take < features.len() || take == filter.limit {
+            return (taken, Some(Cursor { range: *range, offset }));
+        }
+    }
+    (taken, None)
+}
+
+fn one(base: &str, path: &str, collection: &str, ended: Result<Final, Rejected>) -> Reply {
+    let Ok(Final::Answered { whole, rows }) = ended else { return problem(500, "there is no answer") };
+    let read: Vec<Option<Range>> = rows.iter().map(read).collect();
+    let complete = whole && read.iter().all(Option::is_some);
+    let Some(feature) = read.iter().flatten().find_map(|r| r.1.first()) else {
+        return match complete {
+            true => problem(404, "there is no such feature"),
+            // It may lie in a range that did not answer.
+            false => problem(504, "not all tag ranges answered, and the others have no such feature"),
+        };
+    };
+    let links = format!(
+        "<{base}{path}>; rel=\"self\"; type=\"{GEOJSON}\", <{base}{collection}>; rel=\"collection\"; type=\"{JSON}\""
+    );
+    let body = feature.get().as_bytes().to_vec();
+    Reply { status: 200, kind: GEOJSON, more: String::new(), body }.with("Link", &links)
+}
+
+impl Front for Ogc {
+    fn serve(&self, request: Request, out: Answer) -> Served {
+        Counters::add(&self.core.counters.ogc_requests);
+        let wanted = match request.method.as_str() {
+            "GET" | "HEAD" => self.route(&request),
+            _ => Err(problem(405, "features are read by GET").with("Allow", "GET, HEAD")),
+        };
+        let base = self.base(&request);
+        let reply = match wanted {
+            Ok(Wanted::Items(at, filter)) => return self.items(base, at, filter, out),
+            Ok(Wanted::Item(at, fid)) => return self.item(base, at, &fid, out),
+            Ok(Wanted::Landing) => document(JSON, &self.landing(&base)),
+            Ok(Wanted::Api) => document(OPENAPI, &self.api(&base)),
+            Ok(Wanted::Conformance) => document(JSON, &json!({"conformsTo": CONFORMANCE})),
+            Ok(Wanted::Collections) => document(JSON, &self.collections(&base)),
+            Ok(Wanted::Collection(at)) => document(JSON, &self.collection(&base, at)),
+            Err(reply) => {
+                Counters::add(&self.core.counters.bad_requests);
+                reply
+            }
+        };
+        out.send(reply);
+        Served::Now
+    }
+
+    fn refuse(&self, bad: BadMessage) -> Reply {
+        problem(bad.status, bad.why)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn range(shard: u32, count: usize) -> Range {
+        let feature =
+            |i| RawValue::from_string(format!(r#"{{"type":"Feature","id":"{shard}-{i}"}}"#)).unwrap();
+        (ShardId(shard), (0..count).map(feature).collect())
+    }
+
+    #[test]
+    fn boxes_and_times_are_checked() {
+        for good in ["1,2,3,4", "-180, -90, 180, 90", "170,-10,-170,10", "1,2,0,3,4,9"] {
+            assert_eq!(check_bbox(good), Ok(()), "{good}");
+        }
+        for bad in ["", "1,2,3", "1,2,3,4,5", "1,2,x,4", "1,4,3,2", "NaN,1,2,3", "1,2,inf,4"] {
+            assert!(check_bbox(bad).is_err(), "{bad}");
+        }
+        for good in ["2026-12-01T00:00:00Z", "2026-12-01T00:00:00Z/..", "/2026-12-01T00:00:00+03:00"] {
+            assert_eq!(check_datetime(good), Ok(()), "{good}");
+        }
+        for bad in ["", "..", "../..", "/", "today", "2026-12-02T00:00:00Z/2026-12-01T00:00:00Z"] {
+            assert!(check_datetime(bad).is_err(), "{bad}");
+        }
+    }
+
+    /// A value that cannot be read is marked as missing, never passed over in silence.
+    #[test]
+    fn an_unreadable_range_is_missing() {
+        let row = |shard, data: &str| Row { shard: ShardId(shard), data: data.into() };
+        let filter = Filter { bbox: None, datetime: None, limit: 5, cursor: Cursor::START };
+        let rows = vec![row(0, r#"[{"type":"Feature","id":1}]"#), row(1, "5be2a07c")];
+        let reply = page("", "/collections/a/items", &filter, 2, Ok(Final::Answered { whole: true, rows }));
+        let body: Json = serde_json::from_slice(&reply.body).unwrap();
+        assert_eq!((&body["complete"], &body["missingRanges"]), (&json!(false), &json!([1])));
+        assert_eq!(body["numberReturned"], 1);
+    }
+
+    proptest! {
+        /// Following the cursors gives every feature once, in order, whatever the ranges hold.
+        #[test]
+        fn pages_follow_each_other_without_gap_or_repeat(
+            counts in proptest::collection::vec(0..7usize, 1..6),
+            limit in 1..5usize,
+        ) {
+            let all: Vec<Range> = (0..).zip(&counts).map(|(s, &n)| range(s, n)).collect();
+            let expected: Vec<&str> = all.iter().flat_map(|r| r.1.iter().map(|f| f.get())).collect();
+            let mut filter = Filter { bbox: None, datetime: None, limit, cursor: Cursor::START };
+            let mut got = Vec::new();
+            for _ in 0..100 {
+                // What servers give: from the range's offset on, at most the limit.
+                let served: Vec<Range> = all
+                    .iter()
+                    .filter(|r| r.0 >= filter.cursor.range)
+                    .map(|r| {
+                        let offset = filter.cursor.offset_in(r.0);
+                        (r.0, r.1.iter().skip(offset).take(limit).cloned().collect())
+                    })
+                    .collect();
+                let (taken, next) = cut(&served, &filter);
+                got.extend(taken.iter().map(|f| f.get().to_string()));
+                match next {
+                    Some(cursor) => filter.cursor = cursor,
+                    None => break,
+                }
+            }
+            prop_assert_eq!(got, expected);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod policy;
 pub mod serve;
 pub mod settings;
+pub mod snmp;
 mod state;
 mod window;
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -59,6 +59,10 @@
     pub page_features: usize,
     /// How long a client of the OGC front waits.
     pub ogc_wait: Duration,
+    /// Variables in one management request or answer.
+    pub snmp_bindings: usize,
+    /// Bytes of the same.
+    pub snmp_bytes: usize,
 }
 
 impl Default for Limits {
@@ -91,6 +95,8 @@
             pages: 64,
             page_features: 1000,
             ogc_wait: Duration::from_secs(10),
+            snmp_bindings: 64,
+            snmp_bytes: 4096,
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,9 @@
 //! The command line: `serve`, `check`, `version`, `help`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use curlewdeck::config::Config;
+use curlewdeck::config::{Config, Edge};
 use curlewdeck::limits::Limits;
 use curlewdeck::serve;
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
@@ -12,12 +12,17 @@
 const HELP: &str = "\
 curlewdeck: a coordinator of queries over many shards
 
-    curlewdeck serve [--config FILE]    serve until SIGTERM; SIGUSR1 logs the counters
-    curlewdeck check [--config FILE]    read the configuration and say whether it can be used
+    curlewdeck serve [--config FILE] [--edge FILE]    serve until SIGTERM; SIGUSR1 logs the counters
+    curlewdeck check [--config FILE] [--edge FILE]    read the files and say whether they can be used
     curlewdeck version
     curlewdeck help
 
-The configuration is the file that --config or LB_CONFIG names. RUST_LOG sets the log's level.";
+The configuration is the file that --config or LB_CONFIG names. The edge's
+file turns the feature front and the management agent on; without --edge it is deploy/edge.toml, if that
+is there. RUST_LOG sets the log's level.";
+
+/// The edge's file, from the folder that the platform starts programs in.
+const EDGE: &str = "deploy/edge.toml";
 
 fn main() -> ExitCode {
     match run() {
@@ -37,16 +42,24 @@
         return Ok(());
     }
     let config: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| e.to_string())?;
+    let edge: Option<PathBuf> = args.opt_value_from_str("--edge").map_err(|e| e.to_string())?;
     let rest = args.finish();
     if let Some(extra) = rest.first() {
         return Err(format!("'{}' is not known, see 'curlewdeck help'", extra.to_string_lossy()));
     }
     match command.as_deref() {
-        Some("serve") => serve(&load(config)?),
+        Some("serve") => serve(load(config)?, load_edge(edge)?),
         Some("check") => {
             let config = load(config)?;
+            let edge = load_edge(edge)?;
             Limits::for_sockets(config.sockets)?;
-            println!("the configuration can be used: {} classes", config.info.classes.len());
+            let state = |on| if on { "on" } else { "off" };
+            println!(
+                "the configuration can be used: {} classes, feature front {}, management agent {}",
+                config.info.classes.len(),
+                state(edge.ogc.is_some()),
+                state(edge.snmp.is_some())
+            );
             Ok(())
         }
         Some("version") => {
@@ -66,12 +79,20 @@
     Config::load(&path.ok_or("no configuration: give --config FILE or set LB_CONFIG")?)
 }
 
-fn serve(config: &Config) -> Result<(), String> {
+fn load_edge(edge: Option<PathBuf>) -> Result<Edge, String> {
+    match edge {
+        Some(path) => Edge::load(&path),
+        None if Path::new(EDGE).exists() => Edge::load(Path::new(EDGE)),
+        None => Ok(Edge::default()),
+    }
+}
+
+fn serve(config: Config, edge: Edge) -> Result<(), String> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     // Before anything else, so that no signal finds the process unprepared.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
     serve::set_up_workers(&Limits::for_sockets(config.sockets)?);
-    let coordinator = serve::start(config.clone())?;
+    let coordinator = serve::start(config, edge)?;
     for signal in signals.forever() {
         if signal != SIGUSR1 {
             break;
--- /dev/null
+++ b/src/net/feature_node.rs
@@ -0,0 +1,293 @@
+//! The actor of one feature server: a data node that speaks OGC API - Features over HTTP.
+//!
+//! A part is a range's features, read page by page on one connection. Each page is new work: before it is
+//! asked for, the server's state and the attempt's time are looked at again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::sync::mpsc::{channel, Receiver, Sender};
+
+use crate::api::{Nanos, Outcome, ServerId};
+use crate::counters::Counters;
+use crate::engine::{AttemptId, Dispatch, Value};
+use crate::net::core::Msg;
+use crate::net::features::{self, RangeQuery};
+use crate::net::http;
+use crate::net::io::{nanos, spawn, Stream};
+use crate::net::node::{NodeContext, NodeMsg};
+
+/// A connection at rest, and since when.
+type Rested = (Arc<Stream>, Instant);
+
+/// Starts the actor; returns its mailbox. The server is told the range in the parameter `range_name`.
+pub fn start(id: ServerId, context: NodeContext, range_name: Arc<str>) -> Sender<NodeMsg> {
+    let (mail, inbox) = channel();
+    let (own, words) = (mail.clone(), context.limits.stack_words);
+    spawn("feature node", words, move || {
+        let takes_new = Arc::new(AtomicBool::new(false));
+        let (jobs, rested) = (HashMap::new(), Vec::new());
+        FeatureNode { id, context, range_name, own, addr: None, takes_new, jobs, rested }.run(&inbox);
+    });
+    mail
+}
+
+/// What ends a job early.
+struct Job {
+    dropped: AtomicBool,
+    stream: may::sync::Mutex<Option<Arc<Stream>>>,
+}
+
+struct FeatureNode {
+    id: ServerId,
+    context: NodeContext,
+    range_name: Arc<str>,
+    own: Sender<NodeMsg>,
+    addr: Option<SocketAddr>,
+    takes_new: Arc<AtomicBool>,
+    jobs: HashMap<AttemptId, Arc<Job>>,
+    rested: Vec<Rested>,
+}
+
+impl FeatureNode {
+    fn run(mut self, inbox: &Receiver<NodeMsg>) {
+        while let Ok(message) = inbox.recv() {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: NodeMsg) {
+        match message {
+            NodeMsg::Member(addr, takes_new) => {
+                if self.addr.replace(addr).is_some_and(|old| old != addr) {
+                    self.rested.clear();
+                }
+                self.takes_new.store(takes_new, Ordering::Release);
+            }
+            NodeMsg::Call(call) => call.into_iter().for_each(|d| self.fetch(d)),
+            NodeMsg::Drop(attempt) => {
+                if let Some(job) = self.jobs.get(&attempt) {
+                    job.dropped.store(true, Ordering::Release);
+                    if let Ok(Some(stream)) = job.stream.lock().as_deref() {
+                        stream.shut();
+                    }
+                }
+            }
+            NodeMsg::Probe => self.probe(),
+            NodeMsg::CloseIdle => self.rested.clear(),
+            NodeMsg::Rested(attempt, stream) => {
+                self.jobs.remove(&attempt);
+                self.rested.extend(stream.map(|s| (s, Instant::now())));
+            }
+            // Only actors that speak frames send these.
+            NodeMsg::Link(_) | NodeMsg::Up(..) => {}
+        }
+    }
+
+    /// A connection that the server will not close under the next request.
+    fn rested(&mut self) -> Option<Arc<Stream>> {
+        let idle = Duration::from_nanos(self.context.connections.idle);
+        let most = idle.saturating_sub(self.context.limits.idle_margin);
+        self.rested.retain(|r| r.1.elapsed() < most && !r.0.readable());
+        self.rested.pop().map(|r| r.0)
+    }
+
+    fn fetch(&mut self, dispatch: Dispatch) {
+        let attempt = dispatch.attempt;
+        let full = self.jobs.len() >= self.context.limits.node_backlog;
+        let Some(addr) = self.addr.filter(|_| !full) else {
+            return self.context.core.send(Msg::Ended(attempt, Outcome::StaleSend, None));
+        };
+        let job = Arc::new(Job { dropped: AtomicBool::new(false), stream: may::sync::Mutex::new(None) });
+        self.jobs.insert(attempt, job.clone());
+        let fetch = Fetch {
+            addr,
+            context: self.context.clone(),
+            range_name: self.range_name.clone(),
+            takes_new: self.takes_new.clone(),
+            job,
+            until: dispatch.until,
+            asked: false,
+        };
+        let (own, rested) = (self.own.clone(), self.rested());
+        spawn("feature fetch", self.context.limits.core_stack_words, move || {
+            let core = fetch.context.core.clone();
+            let (outcome, value, stream) = fetch.run(&dispatch, rested);
+            core.send(Msg::Ended(attempt, outcome, value));
+            // Nobody is left to be told once the actor has ended.
+            let _ = own.send(NodeMsg::Rested(attempt, stream));
+        });
+    }
+
+    /// A feature server is sound when its landing page can be had.
+    fn probe(&mut self) {
+        Counters::add(&self.context.counters.probes);
+        let job = Arc::new(Job { dropped: AtomicBool::new(false), stream: may::sync::Mutex::new(None) });
+        let (id, context, addr) = (self.id, self.context.clone(), self.addr);
+        let until = context.clock.now() + nanos(context.limits.probe);
+        let (range_name, takes_new) = (self.range_name.clone(), self.takes_new.clone());
+        spawn("feature probe", context.limits.core_stack_words, move || {
+            let core = context.core.clone();
+            let probe = |addr| {
+                let mut fetch = Fetch { addr, context, range_name, takes_new, job, until, asked: false };
+                match fetch.connect(None).and_then(|s| fetch.page(&s, "/")) {
+                    Ok((200, ..)) => Outcome::Pass,
+                    Ok(_) => Outcome::Fault,
+                    Err(outcome) => outcome,
+                }
+            };
+            core.send(Msg::Probed(id, addr.map_or(Outcome::NoRoute, probe)));
+        });
+    }
+}
+
+/// One attempt: its pages, one after the other.
+struct Fetch {
+    addr: SocketAddr,
+    context: NodeContext,
+    range_name: Arc<str>,
+    takes_new: Arc<AtomicBool>,
+    job: Arc<Job>,
+    until: Nanos,
+    /// A request was written whole: the attempt may have run.
+    asked: bool,
+}
+
+type Ended = (Outcome, Option<Value>, Option<Arc<Stream>>);
+
+impl Fetch {
+    fn run(mut self, dispatch: &Dispatch, rested: Option<Arc<Stream>>) -> Ended {
+        let part = &dispatch.part;
+        let Some(query) = RangeQuery::new(&part.text, part.shard, &self.range_name) else {
+            return (Outcome::StaleSend, None, None);
+        };
+        match self.connect(rested).and_then(|stream| self.pages(&stream, query).map(|v| (v, stream))) {
+            Ok(((data, keep), stream)) => {
+                let value = Value { score: 0, data: data.into() };
+                (Outcome::Pass, Some(value), keep.then_some(stream))
+            }
+            Err(outcome) => {
+                if let Ok(Some(stream)) = self.job.stream.lock().as_deref() {
+                    stream.shut();
+                }
+                (outcome, None, None)
+            }
+        }
+    }
+
+    fn left(&self) -> Duration {
+        Duration::from_nanos(self.until.saturating_sub(self.context.clock.now()))
+    }
+
+    fn connect(&self, rested: Option<Arc<Stream>>) -> Result<Arc<Stream>, Outcome> {
+        let stream = match rested {
+            Some(stream) => stream,
+            None => {
+                let permit = self.context.permits.take().ok_or(Outcome::NoRoute)?;
+                Counters::add(&self.context.counters.dials);
+                let within = Duration::from_nanos(self.context.connections.connect_timeout).min(self.left());
+                let dialled = Stream::dial(&self.addr, within, Some(permit));
+                Arc::new(dialled.map_err(|_| {
+                    Counters::add(&self.context.counters.dials_failed);
+                    Outcome::NoRoute
+                })?)
+            }
+        };
+        if let Ok(mut held) = self.job.stream.lock() {
+            *held = Some(stream.clone());
+        }
+        Ok(stream)
+    }
+
+    /// Whether the next page may be asked for. The first that may not never ran.
+    fn may_ask(&self) -> Result<(), Outcome> {
+        let over = self.job.dropped.load(Ordering::Acquire) || self.left().is_zero();
+        if over || !self.takes_new.load(Ordering::Acquire) {
+            return Err(if self.asked { Outcome::Fault } else { Outcome::StaleSend });
+        }
+        Ok(())
+    }
+
+    fn pages(&mut self, stream: &Stream, query: RangeQuery) -> Result<(String, bool), Outcome> {
+        let (mut features, mut target) = (Vec::new(), query.target);
+        for _ in 0..self.context.limits.pages {
+            self.may_ask()?;
+            let (status, body, keep) = self.page(stream, &target)?;
+            match status {
+                200 => {}
+                404 if query.limit.is_none() => return Ok((features::value(&[]), keep)),
+                429 | 503 if features.is_empty() => return Err(Outcome::NoRoom),
+                _ => return Err(Outcome::Fault),
+            }
+            let page = features::parse_page(&body).map_err(|why| self.unusable(why))?;
+            features.extend(page.features);
+            let wanted = query.limit.unwrap_or(1);
+            match page.next.filter(|_| features.len() < wanted) {
+                Some(next) if keep => target = next,
+                // The server ends the connection between pages: what is read is not the whole range.
+                Some(_) => return Err(Outcome::Fault),
+                None => {
+                    features.truncate(wanted);
+                    return Ok((features::value(&features), keep));
+                }
+            }
+        }
+        Err(self.unusable("more pages than are read"))
+    }
+
+    fn unusable(&self, why: &'static str) -> Outcome {
+        log::warn!("a feature server's answer cannot be used: {why}");
+        Counters::add(&self.context.counters.bad_frames);
+        Outcome::Fault
+    }
+
+    /// Asks for one page and reads the answer whole.
+    fn page(&mut self, stream: &Stream, target: &str) -> Result<(u16, String, bool), Outcome> {
+        let accept = "application/geo+json, application/json";
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: {accept}\r\n\r\n", self.addr);
+        let broken = |asked| if asked { Outcome::Cut } else { Outcome::NoRoute };
+        let within = self.context.limits.node_write.min(self.left());
+        stream.write_all(request.as_bytes(), within).map_err(|_| broken(self.asked))?;
+        self.asked = true;
+        let (mut held, mut buf) = (Vec::new(), vec![0; 4096]);
+        let most = self.context.limits.frame;
+        loop {
+            match http::parse_head(&held, &self.context.limits) {
+                Ok(Some((head, size))) => {
+                    let body = head.body(&held[size..], most).map_err(|e| self.unusable(e.why))?;
+                    if let Some((body, _)) = body {
+                        let text = String::from_utf8(body).map_err(|_| self.unusable("it is not text"))?;
+                        return Ok((head.status, text, head.keep_alive()));
+                    }
+                }
+                Ok(None) => {}
+                Err(e) => return Err(self.unusable(e.why)),
+            }
+            match stream.read(&mut buf, self.left()) {
+                Ok(0) => return self.ended(&held),
+                Ok(n) if held.len() + n > most => return Err(self.unusable("it is too large")),
+                Ok(n) => held.extend_from_slice(&buf[..n]),
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock) =>
+                {
+                    return Err(Outcome::TooSlow);
+                }
+                Err(_) => return Err(Outcome::Cut),
+            }
+        }
+    }
+
+    /// The connection has ended: that may be the end of the body, too.
+    fn ended(&self, held: &[u8]) -> Result<(u16, String, bool), Outcome> {
+        match http::parse_head(held, &self.context.limits) {
+            Ok(Some((head, size))) if head.until_end() => {
+                let text = String::from_utf8(held[size..].to_vec());
+                Ok((head.status, text.map_err(|_| self.unusable("it is not text"))?, false))
+            }
+            _ => Err(Outcome::Cut),
+        }
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -61,6 +61,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Framing {
     None,
+    UntilEnd,
     Length(usize),
     Chunked,
 }
@@ -118,6 +119,8 @@
 fn body(framing: Framing, bytes: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, BadMessage> {
     match framing {
         Framing::None => Ok(Some((Vec::new(), 0))),
+        Framing::UntilEnd if bytes.len() > most => Err(TOO_LARGE),
+        Framing::UntilEnd => Ok(None),
         Framing::Length(n) if n > most => Err(TOO_LARGE),
         Framing::Length(n) => Ok(bytes.get(..n).map(|b| (b.to_vec(), n))),
         Framing::Chunked => {
@@ -148,7 +151,10 @@
     match head.parse(bytes) {
         Ok(httparse::Status::Complete(size)) if size <= limits.head => {
             let headers = Headers::read(head.headers)?;
-            let framing = headers.framing()?;
+            let framing = match headers.framing()? {
+                Framing::None if !matches!(head.code, Some(204 | 304)) => Framing::UntilEnd,
+                framing => framing,
+            };
             Ok(Some((Head { status: head.code.unwrap_or(0), headers, framing }, size)))
         }
         Ok(httparse::Status::Partial) if bytes.len() < limits.head => Ok(None),
@@ -165,6 +171,11 @@
         body(self.framing, bytes, most)
     }
 
+    /// Whether the body ends with the connection.
+    pub fn until_end(&self) -> bool {
+        self.framing == Framing::UntilEnd
+    }
+
     /// Whether the body comes in chunks.
     pub fn chunked(&self) -> bool {
         self.framing == Framing::Chunked
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,8 +2,8 @@
 //! a connection are pure, beside them.
 
 pub mod core;
-//pub mod feature_node;
-//pub mod features;
+pub mod feature_node;
+pub mod features;
 pub mod frame;
 pub mod http;
 pub mod io;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -36,6 +36,8 @@
     Link(Input),
     /// A connection is up: its stream, and the mailbox of its writer.
     Up(LinkId, Arc<Stream>, Sender<Vec<u8>>),
+    /// An attempt's connection, if it can be used again.
+    Rested(AttemptId, Option<Arc<Stream>>),
 }
 
 /// What every actor of a data node needs.
@@ -125,6 +127,8 @@
                 self.open.insert(id, (stream, writer));
                 self.step(Input::Up(id));
             }
+            // Only actors of feature servers send this.
+            NodeMsg::Rested(..) => {}
         }
     }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,21 +6,28 @@
 use std::time::{Duration, Instant};
 
 use crate::api::ListKind;
-use crate::config::Config;
+use crate::config::{Config, Edge, NodeProtocol};
 use crate::counters::Counters;
 use crate::engine::Engine;
+use crate::front::ogc::Ogc;
 use crate::front::platform::Platform;
-use crate::front::server::{self, Service, Shared};
+use crate::front::server::{self, Front, Service, Shared};
 use crate::limits::Limits;
 use crate::net::core::{self, Core};
+use crate::net::feature_node;
 use crate::net::io::{nanos, Clock, Permits};
 use crate::net::list::{self, ListNews, WireList};
 use crate::net::node::{self, NodeContext};
+use crate::snmp;
 
 /// A coordinator that serves.
 pub struct Coordinator {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the feature front listens, if it is on.
+    pub ogc: Option<SocketAddr>,
+    /// Where the management agent listens, if it is on.
+    pub snmp: Option<SocketAddr>,
     /// The core.
     pub core: Core,
     service: Arc<Service>,
@@ -36,7 +43,7 @@
 ///
 /// # Errors
 /// Says in one line what is out of place or cannot be had.
-pub fn start(config: Config) -> Result<Coordinator, String> {
+pub fn start(config: Config, edge: Edge) -> Result<Coordinator, String> {
     let limits = Arc::new(Limits::for_sockets(config.sockets)?);
     let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
     let info = Arc::new(config.info.clone());
@@ -55,12 +62,18 @@
         counters: counters.clone(),
         clock,
     };
-    let start_node = Box::new(move |id| node::start(id, context.clone()));
+    let range_name: Arc<str> = edge.nodes.range_parameter.into();
+    let start_node: core::StartNode = match edge.nodes.protocol {
+        NodeProtocol::Frames => Box::new(move |id| node::start(id, context.clone())),
+        NodeProtocol::Features => {
+            Box::new(move |id| feature_node::start(id, context.clone(), range_name.clone()))
+        }
+    };
     let parts = core::Parts {
         engine,
         info,
         clock,
-        counters,
+        counters: counters.clone(),
         backlog: limits.core_backlog,
         stack_words: limits.core_stack_words,
     };
@@ -68,11 +81,29 @@
     let service = Arc::<Service>::default();
     let permits = Permits::new(limits.clients);
     let shared = Shared { core: core.clone(), limits: limits.clone(), service: service.clone(), permits };
-    let front = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
-    let cannot = |e: io::Error| format!("cannot listen at {}: {e}", config.listen);
-    let listen = server::listen(config.listen, Arc::new(front), shared).map_err(cannot)?;
+    let open = |addr, front: Arc<dyn Front>| {
+        let cannot = |e: io::Error| format!("cannot listen at {addr}: {e}");
+        server::listen(addr, front, shared.clone()).map_err(cannot)
+    };
+    let ogc = match &edge.ogc {
+        Some(ogc) => {
+            let front = Ogc::new(ogc, core.clone(), limits.clone(), config.seed)?;
+            Some(open(ogc.listen, Arc::new(front))?)
+        }
+        None => None,
+    };
+    let snmp = match edge.snmp {
+        Some(agent) => {
+            let addr = agent.listen;
+            let started = snmp::start(agent, counters, clock, limits.clone());
+            Some(started.map_err(|e| format!("cannot listen at {addr}: {e}"))?)
+        }
+        None => None,
+    };
+    let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
+    let listen = open(config.listen, Arc::new(platform))?;
     log::info!("{} serves at {listen}", config.name);
-    Ok(Coordinator { listen, core, service, limits })
+    Ok(Coordinator { listen, ogc, snmp, core, service, limits })
 }
 
 const LOOK: Duration = Duration::from_millis(10);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,8 @@
     pub tenants: Vec<String>,
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// How many shards there are; 0 where that is not told.
+    pub ranges: u32,
     /// Figures for connections to data nodes.
     pub connections: Connections,
 }
@@ -76,6 +78,8 @@
 
 #[derive(Deserialize)]
 struct WireDomain {
+    #[serde(default)]
+    ranges: u32,
     positions: u32,
     in_a_row: u32,
     batch: u32,
@@ -185,6 +189,7 @@
         classes: info.classes.into_iter().map(|c| c.name).collect(),
         tenants: info.realms.into_iter().map(|r| r.name).collect(),
         zones: info.zones,
+        ranges: info.domain.ranges,
         connections: Connections {
             idle: info.limits.conn_idle_ns.unwrap_or(DEFAULT_IDLE),
             connect_timeout: info.limits.connect_timeout_ns.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
