--- a/src/counters.rs
+++ b/src/counters.rs
@@ -69,6 +69,8 @@
     ogc_requests "cdOgcRequests",
     /// Management requests answered.
     snmp_requests "cdSnmpRequests",
+    /// Changes of the list that were taken in.
+    list_changes "cdListChanges",
 }
 
 impl Counters {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -299,7 +299,8 @@
         }
         let shards: HashSet<ShardId> = ask.parts.iter().map(|p| p.0).collect();
         let weights = ask.parts.iter().all(|p| p.1.is_finite() && p.1 >= 0.0);
-        if shards.is_empty() || shards.len() != ask.parts.len() || !weights || self.open.contains_key(&id) {
+        let known = shards.iter().all(|s| self.info.ranges == 0 || s.0 < self.info.ranges);
+        if shards.is_empty() || shards.len() != ask.parts.len() || !known || !weights {
             return Err(Rejected::BadParts);
         }
         if ask.valid_until <= self.now {
@@ -630,3 +631,200 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings;
+    use proptest::prelude::*;
+
+    const MS: Nanos = 1_000_000;
+    const BACKSTOP: Nanos = 6 * MS;
+
+    fn engine() -> Engine {
+        let class = |name: &str| {
+            format!(
+                r#"{{"name":"{name}","aim_ns":500000000,"deadline_ns":2000000000,"effect":"idempotent","importance":1,"late_worth":0.3}}"#
+            )
+        };
+        let text = format!(
+            r#"{{"balancers":1,"classes":[{},{},{}],"discovery":"on_request","domain":{{"batch":2,"overhead_ns":1000,
+            "class_floor":[1,0.5,1],"class_partial":[0.9,0.8,0.9],"complete_from":[1,1,1],"in_a_row":2,"positions":3,
+            "ranges":6,"second_step":[0,0,2]}},"limits":{{"cancel":true,"max_attempts":3,"max_open":60,"probes":true,
+            "may_duplicate":true}},"rules":{{"cold_ns":1000000000,"cold_share":0.2,"fall_ns":1000000000,
+            "must_ask_in_ns":1000000000,"tip_multiple":2}},"tick_ns":5000000,"zones":["a"]}}"#,
+            class("a"),
+            class("b"),
+            class("c")
+        );
+        Engine::new(settings::read(&text).unwrap(), 7, BACKSTOP).unwrap()
+    }
+
+    fn member(n: u32, phase: Phase) -> Member {
+        Member {
+            name: format!("s{n}"),
+            cell: n % 3,
+            started_at: 0,
+            rating: 1.0,
+            phase,
+            zone: Some("a".into()),
+        }
+    }
+
+    fn ask(class: usize, shards: &[u32], valid_until: Nanos) -> Ask {
+        let weight = 1.0 / shards.len() as f64;
+        let parts = shards.iter().map(|&s| (ShardId(s), weight)).collect();
+        Ask { name: "q".into(), class: ClassId(class), repeated: false, valid_until, parts, text: "t".into() }
+    }
+
+    /// A query with its name, deadline and answers; what is out; what was given.
+    #[derive(Default)]
+    struct World {
+        now: Nanos,
+        asked: BTreeMap<QueryId, (usize, usize, Nanos)>,
+        finals: BTreeMap<QueryId, usize>,
+        gone: HashSet<QueryId>,
+        out: BTreeMap<AttemptId, (ServerId, Dispatch)>,
+        phases: BTreeMap<u32, Phase>,
+    }
+
+    impl World {
+        fn act(&mut self, engine: &mut Engine) {
+            for command in engine.run(self.now) {
+                match command {
+                    Command::Send { server, call } => {
+                        let number: u32 = engine.server_name(server)[1..].parse().unwrap();
+                        assert!(call.len() <= 2, "more parts than a call carries");
+                        for d in call {
+                            assert_eq!(self.phases[&number], Phase::In, "sent to a data node that drains");
+                            let held = (0..2).any(|j| (d.part.shard.0 + j) % 3 == number % 3);
+                            assert!(held, "sent to a data node without the shard");
+                            assert!(d.until > self.now);
+                            assert!(self.out.insert(d.attempt, (server, d)).is_none());
+                        }
+                    }
+                    Command::Drop { attempt, .. } => {
+                        self.out.remove(&attempt);
+                    }
+                    Command::Finish { query, answer } => {
+                        *self.finals.entry(query).or_default() += 1;
+                        let (class, parts, until) = self.asked[&query];
+                        assert!(self.now <= until + BACKSTOP, "answered late");
+                        if let Final::Answered { whole, rows } = answer {
+                            let needed = if class == 2 { parts.min(2) } else { parts };
+                            assert!(!whole || rows.len() == needed, "marked whole that is not");
+                            assert!(2 * rows.len() >= needed && (class == 1 || rows.len() == needed));
+                            assert!(rows.iter().all(|r| *r.data == *format!("v{}", r.shard.0)));
+                        }
+                    }
+                    Command::Probe { .. } | Command::CloseIdle { .. } | Command::Watch => {}
+                }
+            }
+            let out: HashSet<AttemptId> = self.out.keys().copied().collect();
+            assert_eq!(engine.out(), out.len(), "attempts without an end");
+        }
+
+        fn step(&mut self, engine: &mut Engine, kind: u8, pick: usize) {
+            match kind {
+                0..=2 => {
+                    let id = QueryId(self.asked.len() as u64);
+                    let shards: Vec<u32> = (0..1 + pick as u32 % 5).collect();
+                    let until = self.now + (1 + pick as Nanos % 2000) * MS;
+                    if engine.ask(self.now, id, ask(pick % 3, &shards, until)).is_ok() {
+                        self.asked.insert(id, (pick % 3, shards.len(), until));
+                    }
+                }
+                3..=8 => {
+                    let Some((&id, _)) = self.out.iter().nth(pick % self.out.len().max(1)) else { return };
+                    let (_, dispatch) = self.out.remove(&id).unwrap();
+                    let outcomes =
+                        [Outcome::Pass, Outcome::Pass, Outcome::Pass, Outcome::Fault, Outcome::Cut];
+                    let outcome = outcomes[pick / 7 % outcomes.len()];
+                    let data = format!("v{}", dispatch.part.shard.0).into();
+                    let value = Some(Value { score: pick as u64, data }).filter(|_| outcome == Outcome::Pass);
+                    engine.ended(self.now, id, outcome, value.clone());
+                    // A second word on it is not heard.
+                    engine.ended(self.now, id, Outcome::Cut, value);
+                }
+                9 => {
+                    let number = pick as u32 % 6;
+                    let phase = [Phase::In, Phase::In, Phase::Draining, Phase::Out][pick / 7 % 4];
+                    self.phases.insert(number, phase);
+                    engine.list(ListKind::Diff, &[member(number, phase)]);
+                }
+                10 => {
+                    let id = QueryId(pick as u64 % self.asked.len().max(1) as u64);
+                    if self.asked.contains_key(&id) && !self.finals.contains_key(&id) {
+                        self.gone.insert(id);
+                        engine.gone(id);
+                    }
+                }
+                11 => engine.list(ListKind::Error, &[]),
+                _ => return self.pass(engine, pick as Nanos % 300 * MS),
+            }
+            self.act(engine);
+        }
+
+        fn pass(&mut self, engine: &mut Engine, span: Nanos) {
+            let end = self.now + span;
+            while let Some(at) = engine.next_due().filter(|&at| at <= end) {
+                self.now = self.now.max(at);
+                self.act(engine);
+            }
+            self.now = end;
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever happens in whatever order: each query gets exactly one honest answer in time, each
+        /// attempt one end, and nothing is sent where it may not be.
+        #[test]
+        fn every_query_gets_one_answer(steps in proptest::collection::vec((0..15u8, any::<usize>()), 0..150)) {
+            let (mut engine, mut world) = (engine(), World { now: MS, ..World::default() });
+            let all: Vec<Member> = (0..6).map(|n| member(n, Phase::In)).collect();
+            world.phases = (0..6).map(|n| (n, Phase::In)).collect();
+            engine.list(ListKind::Full, &all);
+            world.act(&mut engine);
+            for (kind, pick) in steps {
+                world.step(&mut engine, kind, pick);
+            }
+            world.pass(&mut engine, 10_000 * MS);
+            for id in world.asked.keys() {
+                let finals = world.finals.get(id).copied().unwrap_or(0);
+                prop_assert_eq!(finals, usize::from(!world.gone.contains(id)), "{:?}", id);
+            }
+            prop_assert_eq!((engine.held(), engine.out()), (0, 0));
+        }
+    }
+
+    /// The guarantee that does not rest on the module: it never hears its timers here.
+    #[test]
+    fn a_silent_module_is_overruled_in_time() {
+        let mut engine = engine();
+        engine.list(ListKind::Full, &[member(0, Phase::In)]);
+        engine.ask(MS, QueryId(1), ask(0, &[0], 100 * MS)).unwrap();
+        engine.run(MS);
+        engine.wakes.clear();
+        engine.limits.clear();
+        assert_eq!(engine.next_due(), Some(100 * MS + BACKSTOP));
+        let commands = engine.run(100 * MS + BACKSTOP);
+        let finals = commands.iter().filter(|c| matches!(c, Command::Finish { answer: Final::Failed, .. }));
+        assert_eq!((finals.count(), engine.held(), engine.out()), (1, 0, 0));
+    }
+
+    #[test]
+    fn what_cannot_be_taken_is_rejected() {
+        let mut engine = engine();
+        let all: Vec<u32> = (0..6).collect();
+        let try_ask = |engine: &mut Engine, id, ask| engine.ask(MS, QueryId(id), ask);
+        assert_eq!(try_ask(&mut engine, 0, ask(9, &[0], MS * 9)), Err(Rejected::UnknownClass));
+        assert_eq!(try_ask(&mut engine, 0, ask(0, &[], MS * 9)), Err(Rejected::BadParts));
+        assert_eq!(try_ask(&mut engine, 0, ask(0, &[1, 1], MS * 9)), Err(Rejected::BadParts));
+        assert_eq!(try_ask(&mut engine, 0, ask(0, &[6], MS * 9)), Err(Rejected::BadParts));
+        assert_eq!(try_ask(&mut engine, 0, ask(0, &[0], MS)), Err(Rejected::Late));
+        let taken = (0..20).filter(|&id| try_ask(&mut engine, id, ask(0, &all, MS * 9)).is_ok()).count();
+        assert_eq!(taken, 60 / 7);
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,7 +1,6 @@
 //! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, the list and fronts.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -111,8 +110,31 @@
     pub stack_words: usize,
 }
 
-/// Starts the mailbox of a data node.
-pub type StartNode = Box<dyn FnMut(ServerId) -> Sender<NodeMsg> + Send>;
+/// Starts the actor of a data node; new work is looked at against the gate right before it goes out.
+pub type StartNode = Box<dyn FnMut(ServerId, Gate) -> Sender<NodeMsg> + Send>;
+
+/// Whether a data node may be sent anything new. The list's news shuts it at once, whatever waits in the
+/// mailbox of the data node's actor.
+#[derive(Debug, Clone, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    /// Opens or shuts it.
+    pub fn set(&self, open: bool) {
+        self.0.store(open, Ordering::Release);
+    }
+
+    /// Whether it is open.
+    pub fn open(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// A data node's actor, as the core knows it.
+struct Node {
+    mail: Sender<NodeMsg>,
+    gate: Gate,
+}
 
 /// The core's mailbox before its actor runs: data nodes and the list need it first.
 pub fn mailbox() -> (CoreMail, Receiver<Msg>) {
@@ -166,7 +188,7 @@
     core: Core,
     list: Sender<()>,
     start_node: StartNode,
-    nodes: HashMap<ServerId, (Sender<NodeMsg>, SocketAddr)>,
+    nodes: HashMap<ServerId, Node>,
     replies: HashMap<QueryId, Reply>,
     must_ask_in: Nanos,
     /// When the list was last heard of.
@@ -239,20 +261,25 @@
             self.heard = now;
         }
         if news.kind == ListKind::Full {
-            for (mail, addr) in self.nodes.values() {
-                tell(mail, NodeMsg::Member(*addr, false));
-            }
+            let named = |id: &ServerId| news.members.iter().any(|m| m.0.name == self.engine.server_name(*id));
+            self.nodes.iter().filter(|(id, _)| !named(id)).for_each(|(_, node)| node.gate.set(false));
         }
         let members: Vec<_> = news.members.iter().map(|m| m.0.clone()).collect();
         for (member, addr) in &news.members {
             let id = self.engine.intern(&member.name);
             let start = &mut self.start_node;
-            let node = self.nodes.entry(id).or_insert_with(|| (start(id), *addr));
-            node.1 = *addr;
-            tell(&node.0, NodeMsg::Member(*addr, member.phase == Phase::In));
+            let node = self.nodes.entry(id).or_insert_with(|| {
+                let gate = Gate::default();
+                Node { mail: start(id, gate.clone()), gate }
+            });
+            node.gate.set(member.phase == Phase::In);
+            tell(&node.mail, NodeMsg::Address(*addr));
         }
         self.engine.list(news.kind, &members);
         self.core.ready.store(self.engine.in_service() > 0, Ordering::Release);
+        if !members.is_empty() {
+            Counters::add(&self.core.counters.list_changes);
+        }
     }
 
     fn act(&mut self) {
@@ -290,8 +317,8 @@
     }
 
     fn tell_node(&self, server: ServerId, message: NodeMsg) {
-        if let Some((mail, _)) = self.nodes.get(&server) {
-            tell(mail, message);
+        if let Some(node) = self.nodes.get(&server) {
+            tell(&node.mail, message);
         }
     }
 }
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -14,7 +14,7 @@
 use crate::api::{Nanos, Outcome, ServerId};
 use crate::counters::Counters;
 use crate::engine::{AttemptId, Dispatch, Value};
-use crate::net::core::Msg;
+use crate::net::core::{Gate, Msg};
 use crate::net::features::{self, RangeQuery};
 use crate::net::http;
 use crate::net::io::{nanos, spawn, Stream};
@@ -24,13 +24,12 @@
 type Rested = (Arc<Stream>, Instant);
 
 /// Starts the actor; returns its mailbox. The server is told the range in the parameter `range_name`.
-pub fn start(id: ServerId, context: NodeContext, range_name: Arc<str>) -> Sender<NodeMsg> {
+pub fn start(id: ServerId, gate: Gate, context: NodeContext, range_name: Arc<str>) -> Sender<NodeMsg> {
     let (mail, inbox) = channel();
     let (own, words) = (mail.clone(), context.limits.stack_words);
     spawn("feature node", words, move || {
-        let takes_new = Arc::new(AtomicBool::new(false));
         let (jobs, rested) = (HashMap::new(), Vec::new());
-        FeatureNode { id, context, range_name, own, addr: None, takes_new, jobs, rested }.run(&inbox);
+        FeatureNode { id, context, range_name, own, addr: None, gate, jobs, rested }.run(&inbox);
     });
     mail
 }
@@ -47,7 +46,7 @@
     range_name: Arc<str>,
     own: Sender<NodeMsg>,
     addr: Option<SocketAddr>,
-    takes_new: Arc<AtomicBool>,
+    gate: Gate,
     jobs: HashMap<AttemptId, Arc<Job>>,
     rested: Vec<Rested>,
 }
@@ -61,11 +60,10 @@
 
     fn take(&mut self, message: NodeMsg) {
         match message {
-            NodeMsg::Member(addr, takes_new) => {
+            NodeMsg::Address(addr) => {
                 if self.addr.replace(addr).is_some_and(|old| old != addr) {
                     self.rested.clear();
                 }
-                self.takes_new.store(takes_new, Ordering::Release);
             }
             NodeMsg::Call(call) => call.into_iter().for_each(|d| self.fetch(d)),
             NodeMsg::Drop(attempt) => {
@@ -107,7 +105,7 @@
             addr,
             context: self.context.clone(),
             range_name: self.range_name.clone(),
-            takes_new: self.takes_new.clone(),
+            gate: self.gate.clone(),
             job,
             until: dispatch.until,
             asked: false,
@@ -128,11 +126,11 @@
         let job = Arc::new(Job { dropped: AtomicBool::new(false), stream: may::sync::Mutex::new(None) });
         let (id, context, addr) = (self.id, self.context.clone(), self.addr);
         let until = context.clock.now() + nanos(context.limits.probe);
-        let (range_name, takes_new) = (self.range_name.clone(), self.takes_new.clone());
+        let (range_name, gate) = (self.range_name.clone(), self.gate.clone());
         spawn("feature probe", context.limits.core_stack_words, move || {
             let core = context.core.clone();
             let probe = |addr| {
-                let mut fetch = Fetch { addr, context, range_name, takes_new, job, until, asked: false };
+                let mut fetch = Fetch { addr, context, range_name, gate, job, until, asked: false };
                 match fetch.connect(None).and_then(|s| fetch.page(&s, "/")) {
                     Ok((200, ..)) => Outcome::Pass,
                     Ok(_) => Outcome::Fault,
@@ -149,7 +147,7 @@
     addr: SocketAddr,
     context: NodeContext,
     range_name: Arc<str>,
-    takes_new: Arc<AtomicBool>,
+    gate: Gate,
     job: Arc<Job>,
     until: Nanos,
     /// A request was written whole: the attempt may have run.
@@ -205,7 +203,7 @@
     /// Whether the next page may be asked for. The first that may not never ran.
     fn may_ask(&self) -> Result<(), Outcome> {
         let over = self.job.dropped.load(Ordering::Acquire) || self.left().is_zero();
-        if over || !self.takes_new.load(Ordering::Acquire) {
+        if over || !self.gate.open() {
             return Err(if self.asked { Outcome::Fault } else { Outcome::StaleSend });
         }
         Ok(())
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -386,3 +386,259 @@
         old.into_iter().for_each(|id| self.broken(id));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::Arc;
+
+    use crate::api::ShardId;
+    use crate::engine::PartText;
+    use proptest::prelude::*;
+
+    const MULTIPLEX: usize = 3;
+    const IDLE: Nanos = 1000;
+    const PROBE: Nanos = 50;
+    const WAIT: Nanos = 400;
+
+    fn links() -> Links {
+        Links::new(LinkLimits { multiplex: MULTIPLEX, idle: IDLE, probe: PROBE, backlog: 64 })
+    }
+
+    fn part(id: u64, until: Nanos) -> Dispatch {
+        let text = PartText { name: format!("q.{id}"), shard: ShardId(0), text: "t".into(), after: None };
+        Dispatch { attempt: AttemptId(id), part: Arc::new(text), until }
+    }
+
+    fn answer(id: u64) -> Reply {
+        let value = Some(Value { score: 1, data: "v".into() });
+        Reply::Answer { name: format!("q.{id}"), outcome: Outcome::Pass, value }
+    }
+
+    /// How far the model holds an attempt to be.
+    #[derive(Debug, Clone, Copy, PartialEq)]
+    enum At {
+        Waiting,
+        Handed(LinkId),
+        Written(LinkId),
+        Over,
+    }
+
+    /// What the model knows: attempts, and what the network owes the machine.
+    #[derive(Default)]
+    struct Model {
+        attempts: Vec<(At, Nanos)>,
+        dialing: Vec<LinkId>,
+        up: Vec<LinkId>,
+        shut: Vec<LinkId>,
+        writing: Vec<(LinkId, Vec<u64>)>,
+        takes_new: bool,
+        now: Nanos,
+        probes: i64,
+    }
+
+    impl Model {
+        fn step(&mut self, links: &mut Links, input: Input) {
+            match &input {
+                Input::Probe => self.probes += 1,
+                Input::TakesNew(yes) => self.takes_new = *yes,
+                Input::Drop(id) => self.attempts[id.0 as usize].0 = At::Over,
+                Input::Written(id) => self.end_write(*id, true),
+                // What it held is seen to end by the outputs.
+                Input::WriteFailed(id) => self.end_write(*id, false),
+                _ => {}
+            }
+            for output in links.step(self.now, input) {
+                self.check(output);
+            }
+            let most =
+                self.up.iter().map(|u| self.attempts.iter().filter(|a| a.0 == At::Written(*u)).count());
+            assert!(most.max().unwrap_or(0) <= MULTIPLEX, "more parts than a connection carries");
+        }
+
+        fn end_write(&mut self, id: LinkId, whole: bool) {
+            let at = self.writing.iter().position(|w| w.0 == id).unwrap();
+            for part in self.writing.remove(at).1 {
+                let attempt = &mut self.attempts[part as usize];
+                if whole && attempt.0 == At::Handed(id) {
+                    attempt.0 = At::Written(id);
+                }
+            }
+        }
+
+        fn check(&mut self, output: Output) {
+            match output {
+                Output::Dial(id) => self.dialing.push(id),
+                Output::Shut(id) => {
+                    self.up.retain(|&u| u != id);
+                    self.shut.push(id);
+                }
+                Output::Probed(_) => {
+                    self.probes -= 1;
+                    assert!(self.probes >= 0, "a probe ended twice");
+                }
+                Output::Write(id, bytes) => {
+                    assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
+                    let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
+                    let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
+                    let parts: Vec<u64> = if bytes[4] == b'D' { names.collect() } else { Vec::new() };
+                    for &part in &parts {
+                        let attempt = &mut self.attempts[part as usize];
+                        assert!(
+                            attempt.0 == At::Waiting && attempt.1 > self.now && self.takes_new,
+                            "sent too late"
+                        );
+                        attempt.0 = At::Handed(id);
+                    }
+                    self.writing.push((id, parts));
+                }
+                Output::End(id, outcome, _) => {
+                    let at = std::mem::replace(&mut self.attempts[id.0 as usize].0, At::Over);
+                    let right = match outcome {
+                        Outcome::StaleSend => at == At::Waiting,
+                        Outcome::NoRoute => matches!(at, At::Waiting | At::Handed(_)),
+                        Outcome::Cut => matches!(at, At::Written(_)),
+                        Outcome::Pass => matches!(at, At::Written(_) | At::Handed(_)),
+                        _ => false,
+                    };
+                    assert!(right, "{id:?} ended {outcome:?} when it was {at:?}");
+                }
+            }
+        }
+
+        fn random(&mut self, links: &mut Links, kind: u8, pick: usize) {
+            let one = |all: &[LinkId]| all.get(pick % all.len().max(1)).copied();
+            let open: Vec<u64> =
+                (0..).zip(&self.attempts).filter(|(_, a)| a.0 != At::Over).map(|(n, _)| n).collect();
+            match kind {
+                0..=2 => {
+                    let first = self.attempts.len() as u64;
+                    let until = self.now + WAIT;
+                    let call: Vec<Dispatch> =
+                        (0..1 + pick as u64 % 2).map(|n| part(first + n, until)).collect();
+                    self.attempts.extend(call.iter().map(|_| (At::Waiting, until)));
+                    self.step(links, Input::Call(call));
+                }
+                3 if !open.is_empty() => {
+                    self.step(links, Input::Drop(AttemptId(open[pick % open.len()])));
+                }
+                4 => self.step(links, Input::TakesNew(pick % 4 > 0)),
+                5 => self.step(links, Input::CloseIdle),
+                6 => self.step(links, Input::Probe),
+                7 | 8 => self.dialled(links, one(&self.dialing), pick % 4 > 0),
+                9 | 10 => self.written(links, pick),
+                11 | 12 => {
+                    let written =
+                        |n: &&u64| matches!(self.attempts[**n as usize].0, At::Written(_) | At::Handed(_));
+                    let some: Vec<u64> = open.iter().filter(written).copied().collect();
+                    if let Some(&id) = some.get(pick % some.len().max(1)) {
+                        if let At::Written(link) | At::Handed(link) = self.attempts[id as usize].0 {
+                            self.step(links, Input::Frame(link, answer(id)));
+                        }
+                    }
+                }
+                13 => {
+                    if let Some(id) = one(&self.up) {
+                        self.up.retain(|&u| u != id);
+                        self.step(links, Input::ReadEnded(id));
+                        self.shut.retain(|&s| s != id);
+                    }
+                }
+                14 => {
+                    if let Some(id) = one(&self.shut) {
+                        self.shut.retain(|&s| s != id);
+                        self.step(links, Input::ReadEnded(id));
+                    }
+                }
+                _ => {
+                    self.now += pick as Nanos % 200;
+                    self.step(links, Input::Tick);
+                }
+            }
+        }
+
+        fn dialled(&mut self, links: &mut Links, id: Option<LinkId>, well: bool) {
+            let Some(id) = id else { return };
+            self.dialing.retain(|&d| d != id);
+            if well {
+                self.up.push(id);
+            }
+            self.step(links, if well { Input::Up(id) } else { Input::DialFailed(id) });
+        }
+
+        fn written(&mut self, links: &mut Links, pick: usize) {
+            let Some(&(id, _)) = self.writing.get(pick % self.writing.len().max(1)) else { return };
+            let whole = self.up.contains(&id) && pick % 8 > 0;
+            self.step(links, if whole { Input::Written(id) } else { Input::WriteFailed(id) });
+        }
+
+        /// Everything breaks: what is open must end now.
+        fn end(&mut self, links: &mut Links) {
+            for _ in 0..1000 {
+                if let Some(&id) = self.dialing.first() {
+                    self.dialled(links, Some(id), false);
+                } else if let Some(&(id, _)) = self.writing.first() {
+                    self.step(links, Input::WriteFailed(id));
+                } else if let Some(&id) = self.shut.first() {
+                    self.shut.remove(0);
+                    self.step(links, Input::ReadEnded(id));
+                } else if let Some(&id) = self.up.first() {
+                    self.up.remove(0);
+                    self.step(links, Input::ReadEnded(id));
+                    self.shut.retain(|&s| s != id);
+                } else {
+                    break;
+                }
+            }
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever happens in whatever order: each attempt ends exactly once and as its frame's progress
+        /// says, nothing is handed to a data node that takes nothing new, and no connection is left over.
+        #[test]
+        fn every_attempt_ends_once_and_as_it_went(
+            steps in proptest::collection::vec((0..17u8, any::<usize>()), 0..200),
+        ) {
+            let (mut links, mut model) = (links(), Model::default());
+            model.step(&mut links, Input::TakesNew(true));
+            for (kind, pick) in steps {
+                model.random(&mut links, kind, pick);
+            }
+            model.end(&mut links);
+            prop_assert!(model.attempts.iter().all(|a| a.0 == At::Over), "{:?}", model.attempts);
+            prop_assert_eq!((model.probes, links.count()), (0, 0));
+        }
+    }
+
+    /// Guards against writing to a connection that its data node is about to close as idle.
+    #[test]
+    fn a_connection_near_its_idle_limit_is_not_used() {
+        let mut links = links();
+        links.step(0, Input::TakesNew(true));
+        links.step(0, Input::Call(vec![part(0, WAIT)]));
+        links.step(0, Input::Up(LinkId(0)));
+        links.step(0, Input::Written(LinkId(0)));
+        links.step(1, Input::Frame(LinkId(0), answer(0)));
+        let early = links.step(IDLE, Input::Call(vec![part(1, 2 * IDLE)]));
+        assert!(matches!(early[..], [Output::Write(LinkId(0), _)]), "{early:?}");
+        links.step(IDLE, Input::Written(LinkId(0)));
+        links.step(IDLE, Input::Frame(LinkId(0), answer(1)));
+        let late = links.step(2 * IDLE, Input::Call(vec![part(2, 3 * IDLE)]));
+        assert_eq!(late, [Output::Dial(LinkId(1))]);
+        assert_eq!(links.step(2 * IDLE, Input::Tick), [Output::Shut(LinkId(0))]);
+    }
+
+    /// Guards the drain rule for calls that waited behind a dial or a write.
+    #[test]
+    fn a_call_that_waited_past_a_drain_is_stale() {
+        let mut links = links();
+        links.step(0, Input::TakesNew(true));
+        links.step(0, Input::Call(vec![part(0, WAIT)]));
+        links.step(0, Input::TakesNew(false));
+        let up = links.step(0, Input::Up(LinkId(0)));
+        assert_eq!(up, [Output::End(AttemptId(0), Outcome::StaleSend, None)]);
+    }
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -13,7 +13,7 @@
 use crate::counters::Counters;
 use crate::engine::{AttemptId, Dispatch};
 use crate::limits::Limits;
-use crate::net::core::{CoreMail, Msg};
+use crate::net::core::{CoreMail, Gate, Msg};
 use crate::net::frame;
 use crate::net::io::{nanos, spawn, Clock, Permit, Permits, Stream};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
@@ -22,8 +22,8 @@
 /// What the core tells the actor of a data node, whichever protocol that speaks.
 #[derive(Debug)]
 pub enum NodeMsg {
-    /// Where it is, and whether it may be sent anything new.
-    Member(SocketAddr, bool),
+    /// Where it is.
+    Address(SocketAddr),
     /// Send one call.
     Call(Vec<Dispatch>),
     /// An attempt is given up.
@@ -63,7 +63,7 @@
 const READ: usize = 4096;
 
 /// Starts the actor; returns its mailbox.
-pub fn start(id: ServerId, context: NodeContext) -> Sender<NodeMsg> {
+pub fn start(id: ServerId, gate: Gate, context: NodeContext) -> Sender<NodeMsg> {
     let (mail, inbox) = channel();
     let own = mail.clone();
     spawn("node", context.limits.stack_words, move || {
@@ -74,13 +74,14 @@
             probe: nanos(context.limits.probe),
             backlog: context.limits.node_backlog,
         });
-        Node { id, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
+        Node { id, gate, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
     });
     mail
 }
 
 struct Node {
     id: ServerId,
+    gate: Gate,
     context: NodeContext,
     own: Sender<NodeMsg>,
     links: Links,
@@ -102,11 +103,10 @@
 
     fn take(&mut self, message: NodeMsg) {
         match message {
-            NodeMsg::Member(addr, takes_new) => {
+            NodeMsg::Address(addr) => {
                 if self.addr.replace(addr).is_some_and(|old| old != addr) {
                     self.step(Input::CloseIdle);
                 }
-                self.step(Input::TakesNew(takes_new));
             }
             NodeMsg::Call(call) => self.step(Input::Call(call)),
             NodeMsg::Drop(id) => self.step(Input::Drop(id)),
@@ -133,7 +133,10 @@
     }
 
     fn step(&mut self, input: Input) {
-        for output in self.links.step(self.context.clock.now(), input) {
+        let now = self.context.clock.now();
+        let mut outputs = self.links.step(now, Input::TakesNew(self.gate.open()));
+        outputs.extend(self.links.step(now, input));
+        for output in outputs {
             match output {
                 Output::Dial(id) => self.dial(id),
                 Output::Write(id, bytes) => {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -64,9 +64,9 @@
     };
     let range_name: Arc<str> = edge.nodes.range_parameter.into();
     let start_node: core::StartNode = match edge.nodes.protocol {
-        NodeProtocol::Frames => Box::new(move |id| node::start(id, context.clone())),
+        NodeProtocol::Frames => Box::new(move |id, gate| node::start(id, gate, context.clone())),
         NodeProtocol::Features => {
-            Box::new(move |id| feature_node::start(id, context.clone(), range_name.clone()))
+            Box::new(move |id, gate| feature_node::start(id, gate, context.clone(), range_name.clone()))
         }
     };
     let parts = core::Parts {
--- /dev/null
+++ b/tests/bed/mod.rs
@@ -0,0 +1,107 @@
+//! A coordinator on loopback, with stand-ins round it.
+#![allow(dead_code)]
+
+#[path = "../../examples/toy/stand_in.rs"]
+pub mod stand_in;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Once;
+use std::time::{Duration, Instant};
+
+use curlewdeck::config::{Config, Edge};
+use curlewdeck::limits::Limits;
+use curlewdeck::serve::{self, Coordinator};
+use stand_in::{exchange, Answer, Discovery, Member};
+
+/// What a test bed may differ in. Deadlines are long: nothing here waits for one to pass.
+pub struct Bed {
+    pub cells: u32,
+    pub in_a_row: u32,
+    pub ranges: u32,
+    pub max_open: u32,
+    pub deadline_s: u64,
+}
+
+impl Default for Bed {
+    fn default() -> Self {
+        Self { cells: 2, in_a_row: 2, ranges: 4, max_open: 400, deadline_s: 60 }
+    }
+}
+
+impl Bed {
+    /// The configuration's text.
+    pub fn config(&self, discovery: SocketAddr) -> String {
+        let Self { cells, in_a_row, ranges, max_open, deadline_s } = self;
+        let class = |name: &str| {
+            format!(
+                r#"{{"name":"{name}","aim_ns":1000000000,"deadline_ns":{deadline_s}000000000,"effect":"idempotent","importance":1.0,"late_worth":0.3}}"#
+            )
+        };
+        let classes = [class("tag-lookup"), class("plaza-ranking"), class("monthly-settle")].join(",");
+        format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+            "settings":{{"balancers":1,"classes":[{classes}],"discovery":"on_request",
+            "domain":{{"batch":1,"class_floor":[1.0,0.5,1.0],"class_partial":[0.9,0.8,0.9],"complete_from":[1.0,1.0,1.0],
+            "in_a_row":{in_a_row},"overhead_ns":0,"positions":{cells},"ranges":{ranges},"second_step":[0,0,2]}},
+            "limits":{{"cancel":true,"conn_idle_ns":30000000000,"connect_timeout_ns":2000000000,"max_attempts":4,
+            "max_open":{max_open},"max_retry_after_ns":2000000000,"may_duplicate":true,"multiplex":32,"probes":true,
+            "retry_after":true}},
+            "rules":{{"cold_ns":17000000000,"cold_share":0.15,"fall_ns":1000000000,"must_ask_in_ns":10000000000,
+            "tip_multiple":2.5}},"tick_ns":5000000,"zones":["a"]}}}}"#
+        )
+    }
+
+    /// Starts a coordinator in this process.
+    pub fn start(&self, discovery: SocketAddr, edge: &str) -> Coordinator {
+        static WORKERS: Once = Once::new();
+        WORKERS.call_once(|| serve::set_up_workers(&Limits::default()));
+        let config = Config::read(&self.config(discovery), |_| None).unwrap();
+        serve::start(config, Edge::read(edge).unwrap()).unwrap()
+    }
+}
+
+pub fn member(uid: &str, cell: u32, endpoint: SocketAddr) -> Member {
+    Member { uid: uid.to_string(), endpoint, cell, state: "up" }
+}
+
+/// Waits for something that is bound to happen; gives up only after far longer than that can take.
+pub fn until(what: &str, happened: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !happened() {
+        assert!(start.elapsed() < Duration::from_secs(60), "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Waits until a coordinator can serve.
+pub fn ready(coordinator: &Coordinator) {
+    until("health", || stand_in::get(coordinator.listen, "/_health").is_ok_and(|a| a.status == 200));
+}
+
+/// Changes a member's state, and waits until the coordinator has heard of it.
+pub fn change(coordinator: &Coordinator, discovery: &Discovery, uid: &str, state: &'static str) {
+    let changes = || coordinator.core.counters.list_changes.load(Ordering::SeqCst);
+    let before = changes();
+    discovery.set(uid, state);
+    until("the list's change", || changes() > before);
+}
+
+/// One query of the platform's protocol.
+pub fn query(addr: SocketAddr, class: &str, shards: &[u32]) -> std::io::Result<Answer> {
+    exchange(addr, &query_bytes(class, shards, "60000m"))
+}
+
+pub fn query_bytes(class: &str, shards: &[u32], timeout: &str) -> Vec<u8> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let id = NEXT.fetch_add(1, Ordering::SeqCst);
+    let weight = 1.0 / shards.len() as f64;
+    let parts: Vec<String> = shards.iter().map(|s| format!(r#"{{"id":{s},"w":{weight}}}"#)).collect();
+    let body = format!(r#"{{"parts":[{}],"expr":"c41e77d0"}}"#, parts.join(","));
+    let head = format!(
+        "POST /{class} HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id:016x}\r\nX-Timeout: {timeout}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    (head + &body).into_bytes()
+}
--- /dev/null
+++ b/tests/ogc.rs
@@ -0,0 +1,302 @@
+//! Feature queries on loopback, against stand-in feature servers: conformance requests replayed, the hard
+//! cases, and exactly one final answer for every query.
+
+mod bed;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+
+use bed::stand_in::{exchange, get, store, Answer, Discovery, FeatureQuery, FeatureReply, FeatureServer};
+use bed::{change, member, ready, until, Bed};
+use curlewdeck::serve::Coordinator;
+use serde_json::Value as Json;
+
+const EDGE: &str = r#"
+[nodes]
+protocol = "features"
+[ogc]
+listen = "127.0.0.1:0"
+[[ogc.collections]]
+id = "plazas"
+title = "Plazas"
+class = "tag-lookup"
+bbox = [26.0, 36.0, 45.0, 42.0]
+[[ogc.collections]]
+id = "segments"
+title = "Road segments"
+class = "plaza-ranking"
+"#;
+const COUNT: usize = 5;
+
+fn start(bed: &Bed, servers: &[&FeatureServer]) -> (Coordinator, Discovery, SocketAddr) {
+    let members =
+        servers.iter().zip(0..).map(|(s, cell)| member(&format!("f{cell}"), cell, s.addr)).collect();
+    let discovery = Discovery::start("127.0.0.1:0", members);
+    let coordinator = bed.start(discovery.addr, EDGE);
+    ready(&coordinator);
+    until("the watch", || discovery.watches() > 0);
+    let ogc = coordinator.ogc.unwrap();
+    (coordinator, discovery, ogc)
+}
+
+fn sound() -> FeatureServer {
+    FeatureServer::start(|q| store(q, COUNT, 2))
+}
+
+fn json(answer: &Answer) -> Json {
+    serde_json::from_str(&answer.body).unwrap_or_else(|e| panic!("{e}: {}", answer.body))
+}
+
+fn href(body: &Json, rel: &str) -> Option<String> {
+    let link = body["links"].as_array()?.iter().find(|l| l["rel"] == rel)?;
+    Some(link["href"].as_str()?.strip_prefix("http://edge")?.to_string())
+}
+
+fn ids(body: &Json) -> Vec<String> {
+    body["features"].as_array().unwrap().iter().map(|f| f["id"].as_str().unwrap().to_string()).collect()
+}
+
+fn all_ids() -> Vec<String> {
+    (0..4).flat_map(|r| (0..COUNT).map(move |n| format!("{r}-{n}"))).collect()
+}
+
+/// Requests of the abstract test suite of Part 1 (core, geojson), replayed.
+#[test]
+fn conformance_requests_are_met() {
+    let (a, b) = (sound(), sound());
+    let (_coordinator, _discovery, ogc) = start(&Bed::default(), &[&a, &b]);
+    let landing = get(ogc, "/").unwrap();
+    assert_eq!((landing.status, landing.header("content-type")), (200, Some("application/json")));
+    let landing = json(&landing);
+    for rel in ["service-desc", "conformance", "data"] {
+        let answer = get(ogc, &href(&landing, rel).unwrap()).unwrap();
+        assert_eq!(answer.status, 200, "{rel}");
+    }
+    let api = get(ogc, "/api").unwrap();
+    assert_eq!(api.header("content-type"), Some("application/vnd.oai.openapi+json;version=3.0"));
+    assert!(json(&api)["paths"]["/collections/plazas/items"]["get"].is_object());
+    let classes = json(&get(ogc, "/conformance").unwrap());
+    let claimed = classes["conformsTo"].as_array().unwrap();
+    assert!(claimed.iter().all(|c| c.as_str().unwrap().contains("/ogcapi-features-1/1.0/conf/")));
+    let collections = json(&get(ogc, "/collections").unwrap());
+    for collection in collections["collections"].as_array().unwrap() {
+        let id = collection["id"].as_str().unwrap();
+        let own = json(&get(ogc, &format!("/collections/{id}")).unwrap());
+        assert_eq!(&own, collection);
+        let items = get(ogc, &href(&own, "items").unwrap()).unwrap();
+        assert_eq!((items.status, items.header("content-type")), (200, Some("application/geo+json")));
+        let items = json(&items);
+        assert_eq!(items["type"], "FeatureCollection");
+        assert_eq!(items["numberReturned"], items["features"].as_array().unwrap().len());
+        assert!(items["timeStamp"].is_string() && href(&items, "self").is_some());
+        let id = items["features"][0]["id"].as_str().unwrap().to_string();
+        let one = get(ogc, &format!("{}/{id}", href(&own, "items").unwrap())).unwrap();
+        assert_eq!((one.status, one.header("content-type")), (200, Some("application/geo+json")));
+        assert_eq!(json(&one), items["features"][0]);
+        assert!(one.header("link").is_some_and(|l| l.contains("rel=\"collection\"")));
+    }
+    assert_eq!(
+        json(&get(ogc, "/collections").unwrap())["collections"][0]["extent"]["spatial"]["bbox"][0][0],
+        26.0
+    );
+}
+
+#[test]
+fn bad_requests_are_problems() {
+    let (a, b) = (sound(), sound());
+    let (_coordinator, _discovery, ogc) = start(&Bed::default(), &[&a, &b]);
+    for (target, status) in [
+        ("/collections/plazas/items?bbox=1,2,3", 400),
+        ("/collections/plazas/items?bbox=1,9,3,4", 400),
+        ("/collections/plazas/items?datetime=yesterday", 400),
+        ("/collections/plazas/items?limit=0", 400),
+        ("/collections/plazas/items?limit=many", 400),
+        ("/collections/plazas/items?limit=1&limit=2", 400),
+        ("/collections/plazas/items?cursor=99.0", 400),
+        ("/collections/plazas/items?colour=red", 400),
+        ("/collections/plazas/items?bbox=%zz", 400),
+        ("/collections?colour=red", 400),
+        ("/collections/nowhere", 404),
+        ("/collections/nowhere/items", 404),
+        ("/collections/plazas/items/0-99", 404),
+        ("/nowhere", 404),
+    ] {
+        let answer = get(ogc, target).unwrap();
+        assert_eq!(answer.status, status, "{target}");
+        assert_eq!(answer.header("content-type"), Some("application/problem+json"), "{target}");
+        assert_eq!(json(&answer)["status"], status);
+    }
+    let post = exchange(ogc, b"POST /collections HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!((post.status, post.header("allow")), (405, Some("GET, HEAD")));
+    let malformed = exchange(ogc, b"nonsense\r\n\r\n").unwrap();
+    assert_eq!((malformed.status, malformed.header("content-type")), (400, Some("application/problem+json")));
+}
+
+/// A box that spans every tag range: all ranges are asked, with the box as it came, and following the next
+/// links gives every feature once, across the servers' own pages.
+#[test]
+fn a_box_over_every_range_is_read_page_by_page() {
+    let (a, b) = (sound(), sound());
+    let (_coordinator, _discovery, ogc) = start(&Bed::default(), &[&a, &b]);
+    let mut target = "/collections/plazas/items?bbox=-180,-90,180,90&limit=3".to_string();
+    let mut got = Vec::new();
+    loop {
+        let body = json(&get(ogc, &target).unwrap());
+        assert_eq!(
+            (&body["complete"], &body["missingRanges"]),
+            (&Json::Bool(true), &Json::Array(Vec::new()))
+        );
+        got.extend(ids(&body));
+        match href(&body, "next") {
+            Some(next) => target = next,
+            None => break,
+        }
+        assert!(got.len() <= 20, "more features than there are");
+    }
+    assert_eq!(got, all_ids());
+    let asked: Vec<FeatureQuery> = a.seen().into_iter().chain(b.seen()).collect();
+    let ranges: BTreeSet<usize> = asked.iter().filter_map(|q| q.number("tag_range")).collect();
+    assert_eq!(ranges, (0..4).collect());
+    let first = asked.iter().filter(|q| q.parameters.contains_key("bbox"));
+    assert!(first.clone().count() > 0 && first.clone().all(|q| q.parameters["bbox"] == "-180,-90,180,90"));
+}
+
+/// A server that stalls between its pages: its half is dropped, and another replica gives the range whole.
+#[test]
+fn a_stall_mid_page_is_served_by_another_replica() {
+    let stalled = Arc::new(AtomicBool::new(false));
+    let noted = stalled.clone();
+    let bad = FeatureServer::start(move |q| {
+        if q.number("offset").unwrap_or(0) > 0 {
+            noted.store(true, Ordering::SeqCst);
+            return FeatureReply::Stall;
+        }
+        store(q, COUNT, 2)
+    });
+    let good = sound();
+    let (coordinator, _discovery, ogc) = start(&Bed::default(), &[&bad, &good]);
+    until("a stall", || {
+        let body = json(&get(ogc, "/collections/plazas/items?limit=100").unwrap());
+        assert_eq!((ids(&body), &body["complete"]), (all_ids(), &Json::Bool(true)));
+        stalled.load(Ordering::SeqCst)
+    });
+    let counters = &coordinator.core.counters;
+    let taken = counters.queries_taken.load(Ordering::SeqCst);
+    assert_eq!(counters.answers_whole.load(Ordering::SeqCst), taken);
+}
+
+/// A drain between two pages: the second page is new work, so it is not asked for; another replica gives the
+/// whole range.
+#[test]
+fn a_drain_between_pages_is_honoured() {
+    let (at_page, reached) = mpsc::channel();
+    let (go_on, wait) = mpsc::channel::<()>();
+    let (at_page, wait) = (Mutex::new(at_page), Mutex::new(wait));
+    let draining = FeatureServer::start(move |q| {
+        if q.number("offset").is_none() && q.target.contains("/items?") {
+            let _ = at_page.lock().unwrap().send(());
+            // Closed once the test lets every page go.
+            let _ = wait.lock().unwrap().recv();
+        }
+        store(q, COUNT, 2)
+    });
+    let good = sound();
+    let (coordinator, discovery, ogc) = start(&Bed::default(), &[&draining, &good]);
+    let asked = std::thread::spawn(move || get(ogc, "/collections/plazas/items?limit=100").unwrap());
+    reached.recv().unwrap();
+    change(&coordinator, &discovery, "f0", "draining");
+    let before = draining.seen().len();
+    drop(go_on);
+    let body = json(&asked.join().unwrap());
+    assert_eq!((ids(&body), &body["complete"]), (all_ids(), &Json::Bool(true)));
+    assert_eq!(draining.seen().len(), before, "a page was asked for after the drain");
+    assert!(draining.seen().iter().all(|q| q.number("offset").is_none()));
+}
+
+/// Half of the ranges are on a server that fails: the answer says so, and a feature that may lie there is
+/// not denied.
+#[test]
+fn partial_answers_are_marked() {
+    // It holds the even ranges, and knows nothing of features of the others.
+    let good = FeatureServer::start(|q| match q.last().split_once('-') {
+        Some(("1" | "3", _)) => FeatureReply::Body(404, "{}".to_string()),
+        _ => store(q, COUNT, 2),
+    });
+    let bad = FeatureServer::start(|_| FeatureReply::Body(500, "{}".to_string()));
+    let bed = Bed { in_a_row: 1, ..Bed::default() };
+    let (coordinator, _discovery, ogc) = start(&bed, &[&good, &bad]);
+    let body = json(&get(ogc, "/collections/segments/items?limit=100").unwrap());
+    assert_eq!((&body["complete"], &body["missingRanges"]), (&Json::Bool(false), &serde_json::json!([1, 3])));
+    assert!(ids(&body).iter().all(|id| id.starts_with("0-") || id.starts_with("2-")));
+    assert_eq!(get(ogc, "/collections/segments/items/0-1").unwrap().status, 200);
+    assert_eq!(get(ogc, "/collections/segments/items/1-1").unwrap().status, 504);
+    // A class that needs every range is not answered in part.
+    assert!(matches!(get(ogc, "/collections/plazas/items").unwrap().status, 503 | 504));
+    assert!(coordinator.core.counters.answers_partial.load(Ordering::SeqCst) >= 3);
+}
+
+/// Servers that fail in every way: each query ends with exactly one answer, and the counters agree.
+#[test]
+fn every_query_ends_with_exactly_one_answer() {
+    let turn = Arc::new(AtomicUsize::new(0));
+    let faulty = move |q: &FeatureQuery| match turn.fetch_add(1, Ordering::SeqCst) % 7 {
+        0 => FeatureReply::Close,
+        1 => FeatureReply::Body(500, String::new()),
+        2 => FeatureReply::Body(200, "no json".to_string()),
+        3 => FeatureReply::Body(503, String::new()),
+        _ => store(q, COUNT, 2),
+    };
+    let (a, b) = (FeatureServer::start(faulty.clone()), FeatureServer::start(faulty));
+    let (coordinator, _discovery, ogc) = start(&Bed { deadline_s: 5, ..Bed::default() }, &[&a, &b]);
+    const CLIENTS: usize = 8;
+    const EACH: usize = 5;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            std::thread::spawn(move || {
+                let target = ["/collections/plazas/items?limit=9", "/collections/segments/items/2-1"][n % 2];
+                (0..EACH).map(|_| get(ogc, target).unwrap().status).collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let statuses: Vec<u16> = clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
+    assert_eq!(statuses.len(), CLIENTS * EACH);
+    assert!(statuses.iter().all(|s| matches!(s, 200 | 404 | 503 | 504)), "{statuses:?}");
+    let c = &coordinator.core.counters;
+    let sum = [&c.answers_whole, &c.answers_partial, &c.queries_refused, &c.queries_failed, &c.queries_full];
+    let sum: u64 = sum.iter().map(|c| c.load(Ordering::SeqCst)).sum();
+    assert_eq!(sum, (CLIENTS * EACH) as u64);
+}
+
+/// The front speaks to data nodes that speak frames, too: on the same core, with the query as their text.
+#[test]
+fn data_nodes_that_speak_frames_may_hold_features() {
+    use bed::stand_in::{feature, DataNode, NodeReply};
+    let node = || {
+        DataNode::start(|part| NodeReply::Answer(200, 0, format!("[{}]", feature(part.shard as usize, 0))))
+    };
+    let (a, b) = (node(), node());
+    let members = vec![member("a", 0, a.addr), member("b", 1, b.addr)];
+    let discovery = Discovery::start("127.0.0.1:0", members);
+    let edge = EDGE.replace("\"features\"", "\"frames\"");
+    let coordinator = Bed::default().start(discovery.addr, &edge);
+    ready(&coordinator);
+    let body = json(&get(coordinator.ogc.unwrap(), "/collections/plazas/items").unwrap());
+    assert_eq!(ids(&body), ["0-0", "1-0", "2-0", "3-0"]);
+    let texts: BTreeSet<String> = a.parts().into_iter().chain(b.parts()).map(|p| p.text).collect();
+    assert_eq!(texts.into_iter().collect::<Vec<_>>(), ["/collections/plazas/items?limit=10&cursor=0.0"]);
+}
+
+#[test]
+fn an_edge_that_cannot_be_used_is_named() {
+    use curlewdeck::config::Edge;
+    assert!(Edge::read("[ogc]\nlisten = 5\ncollections = []").is_err());
+    assert!(Edge::read("[gco]").is_err());
+    assert!(Edge::read(include_str!("../deploy/edge.toml")).unwrap().ogc.is_none());
+    let config =
+        curlewdeck::config::Config::read(&Bed::default().config("127.0.0.1:1".parse().unwrap()), |_| None);
+    let edge = EDGE.replace("plaza-ranking", "monthly-settle");
+    let started = curlewdeck::serve::start(config.unwrap(), Edge::read(&edge).unwrap());
+    assert!(started.err().unwrap().contains("second step"));
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,270 @@
+//! The platform's protocol on loopback, against stand-in data nodes and a stand-in list.
+
+mod bed;
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply, Part};
+use bed::{change, member, query, query_bytes, ready, until, Bed};
+
+fn served(part: &Part) -> NodeReply {
+    NodeReply::Answer(200, u64::from(part.shard), format!("v{}", part.id.split_once('.').unwrap().1))
+}
+
+/// Two data nodes that hold every shard, and their list.
+fn two(
+    first: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
+    second: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
+) -> (DataNode, DataNode, Discovery) {
+    let (a, b) = (DataNode::start(first), DataNode::start(second));
+    let list = vec![member("a", 0, a.addr), member("b", 1, b.addr)];
+    let discovery = Discovery::start("127.0.0.1:0", list);
+    (a, b, discovery)
+}
+
+#[test]
+fn a_query_is_answered_whole_with_the_data_nodes_values() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let answer = query(coordinator.listen, "tag-lookup", &[3, 0]).unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, r#"{"exact":true,"rows":[{"id":3,"data":"v3"},{"id":0,"data":"v0"}]}"#);
+    let parts: Vec<Part> = a.parts().into_iter().chain(b.parts()).collect();
+    assert_eq!(parts.len(), 2);
+    assert!(parts.iter().all(|p| p.text == "c41e77d0" && p.list.starts_with("d=")), "{parts:?}");
+}
+
+/// Guards the second step: it goes to the shards with the highest scores, names all that were in, and its
+/// values alone make up the answer.
+#[test]
+fn the_second_step_follows_the_highest_scores() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let answer = query(coordinator.listen, "monthly-settle", &[0, 1, 2, 3]).unwrap();
+    assert_eq!(
+        answer.body,
+        r#"{"exact":true,"rows":[{"id":3,"data":"v3.fetch"},{"id":2,"data":"v2.fetch"}]}"#
+    );
+    let second: Vec<Part> =
+        a.parts().into_iter().chain(b.parts()).filter(|p| p.id.ends_with(".fetch")).collect();
+    assert_eq!(second.len(), 2);
+    assert!(second.iter().all(|p| p.list.ends_with(",from=0+1+2+3,whole=1")), "{second:?}");
+}
+
+/// Guards against losing a query with a connection, a bad frame or an error of one data node.
+#[test]
+fn another_replica_serves_what_one_does_not() {
+    let bad_frame = || NodeReply::Raw(vec![1, 0, 0, 0, b'?']);
+    let faults: [fn() -> NodeReply; 4] = [
+        || NodeReply::Close,
+        bad_frame,
+        || NodeReply::Answer(500, 0, String::new()),
+        || NodeReply::Answer(503, 0, String::new()),
+    ];
+    for fault in faults {
+        let (a, b, discovery) = two(move |_| fault(), served);
+        let coordinator = Bed::default().start(discovery.addr, "");
+        ready(&coordinator);
+        // One part a query: which replica comes first is the module's choice.
+        until("a part at the faulty data node", || {
+            let answer = query(coordinator.listen, "tag-lookup", &[1]).unwrap();
+            assert_eq!(answer.body, r#"{"exact":true,"rows":[{"id":1,"data":"v1"}]}"#);
+            !a.parts().is_empty()
+        });
+        assert!(!b.parts().is_empty());
+    }
+}
+
+/// Guards the drain rule: once the list's word is here, not one frame goes to that data node.
+#[test]
+fn nothing_new_reaches_a_data_node_that_drains() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    until("the watch", || discovery.watches() > 0);
+    change(&coordinator, &discovery, "a", "draining");
+    let before = a.parts().len();
+    for _ in 0..20 {
+        assert_eq!(query(coordinator.listen, "tag-lookup", &[0, 1]).unwrap().status, 200);
+    }
+    assert_eq!(a.parts().len(), before);
+    assert!(b.parts().len() >= 40);
+}
+
+/// Guards against a watch that is open and silent, which no reset ever ends.
+#[test]
+fn a_silent_watch_is_asked_for_again() {
+    let (_a, _b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    until("the watch", || discovery.watches() == 1);
+    discovery.silence(true);
+    until("another watch", || discovery.watches() > 1);
+    assert!(coordinator.core.counters.list_errors.load(Ordering::SeqCst) > 0);
+}
+
+#[test]
+fn health_waits_for_a_data_node() {
+    let discovery = Discovery::start("127.0.0.1:0", Vec::new());
+    let coordinator = Bed::default().start(discovery.addr, "");
+    until("the watch", || discovery.watches() > 0);
+    assert_eq!(get(coordinator.listen, "/_health").unwrap().status, 503);
+    let a = DataNode::start(served);
+    discovery.add(member("a", 0, a.addr));
+    ready(&coordinator);
+}
+
+#[test]
+fn connections_are_reused() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let mut stream = TcpStream::connect(coordinator.listen).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    for _ in 0..10 {
+        // Two at once: the second waits for the first answer.
+        stream.write_all(&query_bytes("tag-lookup", &[0, 1], "60000m")).unwrap();
+        stream.write_all(&query_bytes("plaza-ranking", &[2, 3], "60000m")).unwrap();
+        for _ in 0..2 {
+            assert_eq!(read_answer(&mut reader).unwrap().status, 200);
+        }
+    }
+    assert_eq!((a.connections(), b.connections()), (1, 1));
+}
+
+/// Each kind of bad input has its own plain answer.
+#[test]
+fn bad_input_is_answered() {
+    let (_a, _b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let post = |path: &str, head: &str, body: &str| {
+        let length = body.len();
+        format!("POST {path} HTTP/1.1\r\nX-Request-ID: a1\r\n{head}Content-Length: {length}\r\n\r\n{body}")
+    };
+    let good = r#"{"parts":[{"id":0,"w":1}],"expr":"c4"}"#;
+    let twice = r#"{"parts":[{"id":0,"w":1},{"id":0,"w":1}],"expr":"c4"}"#;
+    for (text, status) in [
+        (post("/tag-lookup", "", good), 200),
+        ("nonsense\r\n\r\n".to_string(), 400),
+        (post("/tag-lookup", "", "{"), 400),
+        (post("/tag-lookup", "", r#"{"parts":[],"expr":"c4"}"#), 400),
+        (post("/tag-lookup", "", r#"{"parts":[{"id":0,"w":1}]}"#), 400),
+        (post("/tag-lookup", "", twice), 400),
+        (post("/tag-lookup", "X-Timeout: soon\r\n", good), 400),
+        (post("/tag-lookup", "X-Timeout: 0m\r\n", good), 503),
+        (format!("POST /tag-lookup HTTP/1.1\r\nContent-Length: {}\r\n\r\n{good}", good.len()), 400),
+        (post("/no-such-class", "", good), 404),
+        ("GET /tag-lookup HTTP/1.1\r\n\r\n".to_string(), 405),
+        ("POST /_health HTTP/1.1\r\n\r\n".to_string(), 405),
+        ("POST /tag-lookup HTTP/1.1\r\nContent-Length: 65537\r\n\r\n".to_string(), 413),
+        (format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000)), 431),
+    ] {
+        let answer = exchange(coordinator.listen, text.as_bytes()).unwrap();
+        assert_eq!(answer.status, status, "{text:.80}: {}", answer.body);
+    }
+}
+
+/// Guards against holding more than the settings allow: the client is told when to come back.
+#[test]
+fn queries_over_the_limit_are_refused_with_advice() {
+    let (_a, _b, discovery) = two(|_| NodeReply::Silence, |_| NodeReply::Silence);
+    let coordinator = Bed { max_open: 4, ..Bed::default() }.start(discovery.addr, "");
+    ready(&coordinator);
+    let answer = query(coordinator.listen, "tag-lookup", &[0, 1, 2, 3]).unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some_and(|s| s.parse::<f64>().unwrap() > 0.0));
+    assert_eq!(coordinator.core.counters.queries_full.load(Ordering::SeqCst), 1);
+}
+
+/// A query that no data node answers is refused or given up within its own time.
+#[test]
+fn a_query_without_answers_ends_in_time() {
+    let (_a, _b, discovery) = two(|_| NodeReply::Silence, |_| NodeReply::Silence);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let answer = exchange(coordinator.listen, &query_bytes("tag-lookup", &[0, 1], "1500m")).unwrap();
+    assert!(matches!(answer.status, 503 | 504), "{}", answer.status);
+}
+
+/// Guards against work for a client that has left: its parts are given up at the data nodes.
+#[test]
+fn a_client_that_closes_is_gone() {
+    let (a, b, discovery) = two(|_| NodeReply::Silence, |_| NodeReply::Silence);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let mut stream = TcpStream::connect(coordinator.listen).unwrap();
+    stream.write_all(&query_bytes("tag-lookup", &[0, 1], "60000m")).unwrap();
+    until("the parts", || a.parts().len() + b.parts().len() >= 2);
+    drop(stream);
+    until("the client's leaving", || coordinator.core.counters.clients_gone.load(Ordering::SeqCst) == 1);
+    until("the parts given up", || a.given_up().len() + b.given_up().len() >= 2);
+}
+
+/// Guards a planned restart: what is held is answered, what is idle is closed, and the program ends with 0.
+#[test]
+fn sigterm_finishes_what_is_held() {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let slow = move |part: &Part| {
+        until("the test to go on", || held.load(Ordering::SeqCst));
+        served(part)
+    };
+    let (a, b, discovery) = two(slow.clone(), slow);
+    let dir = std::env::temp_dir().join(format!("curlewdeck-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let config = dir.join("config.json");
+    std::fs::write(&config, Bed::default().config(discovery.addr)).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_curlewdeck"))
+        .args(["serve", "--config"])
+        .arg(&config)
+        .current_dir(&dir)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The log tells which port it was given.
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let addr = loop {
+        let mut line = String::new();
+        assert!(std::io::BufRead::read_line(&mut log, &mut line).unwrap() > 0, "it ended early");
+        if let Some((_, addr)) = line.split_once(" serves at ") {
+            break addr.trim().parse().unwrap();
+        }
+    };
+    let rest = std::thread::spawn(move || std::io::read_to_string(log).unwrap());
+    until("health", || get(addr, "/_health").is_ok_and(|a| a.status == 200));
+    let idle = TcpStream::connect(addr).unwrap();
+    let asked = std::thread::spawn(move || query(addr, "tag-lookup", &[0, 1]).unwrap());
+    until("the parts", || a.parts().len() + b.parts().len() >= 2);
+    assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
+    until("the drain", || get(addr, "/_health").map_or(true, |a| a.status == 503));
+    release.store(true, Ordering::SeqCst);
+    assert_eq!(asked.join().unwrap().status, 200);
+    assert!(child.wait().unwrap().success());
+    assert!(rest.join().unwrap().contains("cdAnswersWhole 1"));
+    assert!(read_answer(&mut BufReader::new(idle)).is_err());
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+#[test]
+fn a_bad_configuration_ends_the_start_with_one_line() {
+    let run = |args: &[&str]| {
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_curlewdeck")).args(args).env_remove("LB_CONFIG").output();
+        let output = output.unwrap();
+        assert!(!output.status.success(), "{args:?}");
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(text.lines().count(), 1, "{text}");
+        text
+    };
+    assert!(run(&["serve"]).contains("LB_CONFIG"));
+    assert!(run(&["serve", "--config", "/nowhere"]).contains("/nowhere"));
+    assert!(run(&["check", "--config", "Cargo.toml"]).contains("not as expected"));
+    assert!(run(&["fly"]).contains("'fly'"));
+    assert!(run(&["version", "--loud"]).contains("--loud"));
+}
