Watch a pushed list unasked; keep connections of short idle limits in use

Found by reading: with discovery pushed the module never asks, so no watch was started; and with an idle limit under 2 s the margin left nothing of it, so each call would have opened a connection. A test for each.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -282,11 +282,6 @@
         self.servers.iter().filter(|s| s.phase == Phase::In).count()
     }
 
-    /// How long a client that is refused over the limit should stay away.
-    pub fn full_hold_off(&self) -> Nanos {
-        self.info.settings.max_hold_off.unwrap_or(0).min(self.info.settings.shortest_aim() / 4)
-    }
-
     /// Takes a query under an id that the embedder has not used before.
     ///
     /// # Errors
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -42,7 +42,8 @@
     pub node_write: Duration,
     /// A probe unanswered for this long has failed.
     pub probe: Duration,
-    /// Connections are not used this close to the time at which their data node closes them.
+    /// Connections are not used this close to the time at which their data node closes them, or within the
+    /// last quarter of it where that is short.
     pub idle_margin: Duration,
     /// The list's service must have begun to answer a call within this.
     pub list_answer: Duration,
@@ -104,11 +105,19 @@
     }
 }
 
+/// The last part of a short idle limit in which a connection is not used: one in so many.
+const IDLE_PART: u32 = 4;
+
 /// Descriptors kept for standard streams, the poller, the listeners and the list.
 const RESERVED: usize = 64;
 const LEAST_SOCKETS: usize = 128;
 
 impl Limits {
+    /// How long a connection may have been idle and still be used, if its data node closes it after `idle`.
+    pub fn usable_idle(&self, idle: Duration) -> Duration {
+        idle.saturating_sub(self.idle_margin.min(idle / IDLE_PART))
+    }
+
     /// The limits under a bound of descriptors: clients get what data nodes and the process leave.
     ///
     /// # Errors
@@ -128,6 +137,13 @@
 mod tests {
     use super::*;
 
+    /// Guards against never using a connection twice where idle ones are closed early.
+    #[test]
+    fn a_short_idle_limit_leaves_most_of_it() {
+        let usable = |ms| Limits::default().usable_idle(Duration::from_millis(ms)).as_millis();
+        assert_eq!((usable(30_000), usable(1000), usable(0)), (28_000, 750, 0));
+    }
+
     /// Guards against running out of descriptors: all kinds together stay below the bound.
     #[test]
     fn sockets_of_all_kinds_stay_below_the_bound() {
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -96,7 +96,7 @@
     /// Closes connections that the server has closed, or soon will.
     fn prune(&mut self) {
         let idle = Duration::from_nanos(self.context.connections.idle);
-        let most = idle.saturating_sub(self.context.limits.idle_margin);
+        let most = self.context.limits.usable_idle(idle);
         self.rested.retain(|r| r.1.elapsed() < most && !r.0.readable());
     }
 
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -82,10 +82,12 @@
     }
 }
 
-/// Starts the actor; each message asks for a watch. While one runs, further ones are dropped.
+/// Starts the actor; each message asks for a watch. While one runs, further ones are dropped. Where the
+/// module does not ask (`unasked`), the actor watches of itself, with a jittered pause after each failure.
 pub fn start(
     addr: SocketAddr,
     rev: u64,
+    unasked: bool,
     core: CoreMail,
     limits: Arc<Limits>,
     counters: Arc<Counters>,
@@ -94,17 +96,24 @@
     let words = limits.core_stack_words;
     spawn_vital("list", words, move || {
         let mut watch = Watch { addr, rev, core, limits, counters };
-        while inbox.recv().is_ok() {
+        while unasked || inbox.recv().is_ok() {
             let why = watch.follow();
             log::info!("the watch on the list has ended: {why}");
             Counters::add(&watch.counters.list_errors);
             empty(&inbox);
             watch.core.send(Msg::List(ListNews { kind: ListKind::Error, members: Vec::new() }));
+            if unasked {
+                may::coroutine::sleep(PAUSE * fastrand::u32(1..=PAUSES));
+            }
         }
     });
     mail
 }
 
+/// The pause after a failure is up to so many times this.
+const PAUSE: Duration = Duration::from_millis(100);
+const PAUSES: u32 = 8;
+
 fn empty(inbox: &Receiver<()>) {
     while inbox.try_recv().is_ok() {}
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -70,7 +70,7 @@
         let connections = context.connections;
         let links = Links::new(LinkLimits {
             multiplex: connections.multiplex,
-            idle: connections.idle.saturating_sub(nanos(context.limits.idle_margin)).max(1),
+            idle: nanos(context.limits.usable_idle(Duration::from_nanos(connections.idle))),
             probe: nanos(context.limits.probe),
             backlog: context.limits.node_backlog,
         });
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::api::ListKind;
+use crate::api::{Discovery, ListKind};
 use crate::config::{Config, Edge, NodeProtocol};
 use crate::counters::Counters;
 use crate::engine::Engine;
@@ -53,7 +53,8 @@
     let known = config.known.map_or(ListNews { kind: ListKind::Full, members: Vec::new() }, |known| {
         WireList { all: true, ..known }.news()
     });
-    let list = list::start(config.discovery, rev, mail.clone(), limits.clone(), counters.clone());
+    let unasked = info.settings.discovery == Discovery::Pushed;
+    let list = list::start(config.discovery, rev, unasked, mail.clone(), limits.clone(), counters.clone());
     let context = NodeContext {
         core: mail.clone(),
         limits: limits.clone(),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -108,6 +108,17 @@
     assert!(coordinator.core.counters.list_errors.load(Ordering::SeqCst) > 0);
 }
 
+/// Guards settings under which the module does not ask for the list: it is watched all the same.
+#[test]
+fn a_list_that_is_pushed_is_watched_unasked() {
+    let discovery = Discovery::start("127.0.0.1:0", Vec::new());
+    let coordinator = Bed { discovery: "pushed", ..Bed::default() }.start(discovery.addr, "");
+    until("the watch", || discovery.watches() == 1);
+    let a = DataNode::start(served);
+    discovery.add(member("a", 0, a.addr));
+    ready(&coordinator);
+}
+
 #[test]
 fn health_waits_for_a_data_node() {
     let discovery = Discovery::start("127.0.0.1:0", Vec::new());
