Read the configuration again on SIGHUP and move the watch on the list

Ruled out: a panic (nothing in the log, code 70 is what a failed actor gives).

Changed: main parses the file on the signal thread and goes on hearing signals while the last queries are finished. The list's actor now runs each watch in a coroutine of its own, numbered: on a move it shuts the old connection, forgets the version and asks for the whole list at the new address on one connection with the watch; lines of dropped watches are not heard. A file that cannot be read is one line in the log. LB_DISCOVERY holds until the file names another address than at the start.

--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -70,6 +70,7 @@
     members: BTreeMap<String, Member>,
     watchers: Vec<TcpStream>,
     watches: usize,
+    lists: usize,
     silent: bool,
 }
 
@@ -116,6 +117,7 @@
                     }
                     return;
                 }
+                list.lists += 1;
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                 if stream.write_all(format!("{head}{body}").as_bytes()).is_err() {
                     return;
@@ -157,6 +159,11 @@
     pub fn watches(&self) -> usize {
         lock(&self.list).watches
     }
+
+    /// How many times the whole list was asked for.
+    pub fn lists(&self) -> usize {
+        lock(&self.list).lists
+    }
 }
 
 // ---- Data nodes that speak frames. ----
--- a/src/config.rs
+++ b/src/config.rs
@@ -44,6 +44,8 @@
     pub listen: SocketAddr,
     /// The list's service.
     pub discovery: SocketAddr,
+    /// The same as the file names it, whatever the environment says.
+    pub named_discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -70,6 +72,7 @@
         Ok(Self {
             listen: address("LB_LISTEN", file.listen)?,
             discovery: address("LB_DISCOVERY", file.discovery)?,
+            named_discovery: file.discovery,
             name: variable("LB_NAME").unwrap_or(file.name),
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
             sockets: file.limits.sockets,
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,17 +2,19 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::thread;
 
 use curlewdeck::config::{Config, Edge};
 use curlewdeck::limits::Limits;
 use curlewdeck::serve;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
 const HELP: &str = "\
 curlewdeck: a coordinator of queries over many shards
 
-    curlewdeck serve [--config FILE] [--edge FILE]    serve until SIGTERM; SIGUSR1 logs the counters
+    curlewdeck serve [--config FILE] [--edge FILE]    serve until SIGTERM; SIGUSR1 logs the counters,
+                                                      SIGHUP reads FILE again for the list's address
     curlewdeck check [--config FILE] [--edge FILE]    read the files and say whether they can be used
     curlewdeck version
     curlewdeck help
@@ -48,9 +50,12 @@
         return Err(format!("'{}' is not known, see 'curlewdeck help'", extra.to_string_lossy()));
     }
     match command.as_deref() {
-        Some("serve") => serve(load(config)?, load_edge(edge)?),
+        Some("serve") => {
+            let file = config_file(config)?;
+            serve(&file, Config::load(&file)?, load_edge(edge)?)
+        }
         Some("check") => {
-            let config = load(config)?;
+            let config = Config::load(&config_file(config)?)?;
             let edge = load_edge(edge)?;
             edge.ogc.as_ref().map_or(Ok(Vec::new()), |ogc| ogc.check(&config.info))?;
             Limits::for_sockets(config.sockets)?;
@@ -75,9 +80,9 @@
     }
 }
 
-fn load(config: Option<PathBuf>) -> Result<Config, String> {
+fn config_file(config: Option<PathBuf>) -> Result<PathBuf, String> {
     let path = config.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
-    Config::load(&path.ok_or("no configuration: give --config FILE or set LB_CONFIG")?)
+    path.ok_or_else(|| "no configuration: give --config FILE or set LB_CONFIG".to_string())
 }
 
 fn load_edge(edge: Option<PathBuf>) -> Result<Edge, String> {
@@ -88,19 +93,36 @@
     }
 }
 
-fn serve(config: Config, edge: Edge) -> Result<(), String> {
+fn serve(file: &Path, config: Config, edge: Edge) -> Result<(), String> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,may=warn")).init();
     // Before anything else, so that no signal finds the process unprepared.
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     serve::set_up_workers(&Limits::for_sockets(config.sockets)?);
     let coordinator = serve::start(config, edge)?;
-    for signal in signals.forever() {
-        if signal != SIGUSR1 {
-            break;
+    let (coordinator, handle) = (&coordinator, signals.handle());
+    // Signals are heard to the end: the list's service may move while the last queries are finished.
+    thread::scope(|scope| {
+        let mut ending = false;
+        for signal in signals.forever() {
+            match signal {
+                SIGUSR1 => log::info!("counters:\n{}", coordinator.core.counters.text()),
+                SIGHUP => match Config::load(file) {
+                    Ok(config) => coordinator.reload(&config),
+                    Err(why) => log::error!("the configuration stays as it was: {why}"),
+                },
+                _ if ending => {}
+                _ => {
+                    ending = true;
+                    let handle = handle.clone();
+                    scope.spawn(move || {
+                        coordinator.finish();
+                        handle.close();
+                    });
+                }
+            }
         }
-        log::info!("counters:\n{}", coordinator.core.counters.text());
-    }
-    coordinator.finish();
+    });
     log::info!("ends; counters:\n{}", coordinator.core.counters.text());
     Ok(())
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -10,7 +10,7 @@
 use crate::counters::Counters;
 use crate::engine::{Ask, AttemptId, Command, Engine, Final, Rejected, Value};
 use crate::net::io::{spawn_vital, Alarm, Clock};
-use crate::net::list::ListNews;
+use crate::net::list::{ListMsg, ListNews};
 use crate::net::node::{count_end, NodeMsg};
 use crate::settings::Info;
 
@@ -150,7 +150,7 @@
     mail: CoreMail,
     inbox: Receiver<Msg>,
     known: ListNews,
-    list: Sender<()>,
+    list: Sender<ListMsg>,
     start_node: StartNode,
 ) -> std::io::Result<Core> {
     let rings = mail.clone();
@@ -191,7 +191,7 @@
 struct Actor {
     engine: Engine,
     core: Core,
-    list: Sender<()>,
+    list: Sender<ListMsg>,
     start_node: StartNode,
     alarm: Alarm,
     nodes: HashMap<ServerId, Node>,
@@ -295,7 +295,7 @@
                 Command::Probe { server } => self.tell_node(server, NodeMsg::Probe),
                 Command::CloseIdle { server } => self.tell_node(server, NodeMsg::CloseIdle),
                 Command::Watch => {
-                    if self.list.send(()).is_err() {
+                    if self.list.send(ListMsg::Watch).is_err() {
                         log::error!("the list's actor has ended");
                     }
                 }
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -13,7 +13,7 @@
 use crate::limits::Limits;
 use crate::net::core::{CoreMail, Msg};
 use crate::net::http::{self, Chunks};
-use crate::net::io::{spawn_vital, Stream};
+use crate::net::io::{spawn, spawn_vital, Stream};
 
 /// A list or a change to it, as the list's service writes it.
 #[derive(Debug, Clone, Deserialize)]
@@ -82,31 +82,41 @@
     }
 }
 
-/// Starts the actor; each message asks for a watch. While one runs, further ones are dropped. Where the
-/// module does not ask (`unasked`), the actor watches of itself, with a jittered pause after each failure.
-pub fn start(
-    addr: SocketAddr,
-    rev: u64,
-    unasked: bool,
-    core: CoreMail,
-    limits: Arc<Limits>,
-    counters: Arc<Counters>,
-) -> Sender<()> {
+/// What the list's actor is told.
+#[derive(Debug)]
+pub enum ListMsg {
+    /// The module asks for a watch.
+    Watch,
+    /// The list's service is at another address from now on.
+    Moved(SocketAddr),
+    /// A watch has its connection.
+    Up(u64, Arc<Stream>),
+    /// A line of a watch: a list, or nothing where nothing has changed.
+    Line(u64, Option<WireList>),
+    /// A watch was told what cannot be read: what is held may have gaps.
+    Unreadable(u64),
+    /// A watch has ended, and why.
+    Ended(u64, String),
+}
+
+/// What the list's actor is made of.
+pub struct ListContext {
+    /// The core's mailbox.
+    pub core: CoreMail,
+    /// The process's limits.
+    pub limits: Arc<Limits>,
+    /// Counters.
+    pub counters: Arc<Counters>,
+}
+
+/// Starts the actor of the list at `addr`, held in version `rev`; returns its mailbox. One watch runs at a
+/// time, in a coroutine of its own; while it does, the module's asking is dropped. Where the module does not
+/// ask (`unasked`), the actor watches of itself, with a jittered pause after each failure.
+pub fn start(addr: SocketAddr, rev: u64, unasked: bool, context: ListContext) -> Sender<ListMsg> {
     let (mail, inbox) = channel();
-    let words = limits.core_stack_words;
-    spawn_vital("list", words, move || {
-        let mut watch = Watch { addr, rev, core, limits, counters };
-        while unasked || inbox.recv().is_ok() {
-            let why = watch.follow();
-            log::info!("the watch on the list has ended: {why}");
-            Counters::add(&watch.counters.list_errors);
-            empty(&inbox);
-            watch.core.send(Msg::List(ListNews { kind: ListKind::Error, members: Vec::new() }));
-            if unasked {
-                may::coroutine::sleep(PAUSE * fastrand::u32(1..=PAUSES));
-            }
-        }
-    });
+    let words = context.limits.stack_words;
+    let actor = List { addr, rev: Some(rev), unasked, context, own: mail.clone(), current: 0, watch: None };
+    spawn_vital("list", words, move || actor.run(&inbox));
     mail
 }
 
@@ -114,96 +124,195 @@
 const PAUSE: Duration = Duration::from_millis(100);
 const PAUSES: u32 = 8;
 
-fn empty(inbox: &Receiver<()>) {
-    while inbox.try_recv().is_ok() {}
+struct List {
+    addr: SocketAddr,
+    /// The version that is held; nothing where the whole list is to be asked for.
+    rev: Option<u64>,
+    unasked: bool,
+    context: ListContext,
+    own: Sender<ListMsg>,
+    /// The number of the latest watch: what others still say is not heard.
+    current: u64,
+    /// Whether it runs, with its connection once that is up.
+    watch: Option<Option<Arc<Stream>>>,
+}
+
+impl List {
+    fn run(mut self, inbox: &Receiver<ListMsg>) {
+        if self.unasked {
+            self.begin();
+        }
+        while let Ok(message) = inbox.recv() {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: ListMsg) {
+        match message {
+            ListMsg::Watch if self.watch.is_none() => self.begin(),
+            ListMsg::Watch => {}
+            ListMsg::Moved(addr) => {
+                log::info!("the list is asked for at {addr} from now on");
+                // Versions of another service mean nothing here.
+                (self.addr, self.rev) = (addr, None);
+                if let Some(Some(stream)) = self.watch.take() {
+                    stream.shut();
+                }
+                self.begin();
+            }
+            ListMsg::Up(watch, stream) if watch == self.current => self.watch = Some(Some(stream)),
+            ListMsg::Line(watch, list) if watch == self.current => {
+                let news = match list {
+                    Some(list) => {
+                        self.rev = Some(list.rev);
+                        list.news()
+                    }
+                    None => ListNews { kind: ListKind::Diff, members: Vec::new() },
+                };
+                self.context.core.send(Msg::List(news));
+            }
+            ListMsg::Unreadable(watch) if watch == self.current => self.rev = None,
+            ListMsg::Ended(watch, why) if watch == self.current => self.ended(&why),
+            // A watch that was dropped: its service has moved.
+            ListMsg::Up(_, stream) => stream.shut(),
+            ListMsg::Line(..) | ListMsg::Unreadable(_) | ListMsg::Ended(..) => {}
+        }
+    }
+
+    fn begin(&mut self) {
+        self.current += 1;
+        self.watch = Some(None);
+        Counters::add(&self.context.counters.list_calls);
+        let (own, number, limits) = (self.own.clone(), self.current, self.context.limits.clone());
+        let watch = Watch { addr: self.addr, rev: self.rev, number, list: own.clone(), limits };
+        spawn("watch", self.context.limits.core_stack_words, move || {
+            // The actor outlives its watches.
+            let _ = own.send(ListMsg::Ended(number, watch.follow()));
+        });
+    }
+
+    fn ended(&mut self, why: &str) {
+        log::info!("the watch on the list has ended: {why}");
+        Counters::add(&self.context.counters.list_errors);
+        self.watch = None;
+        self.context.core.send(Msg::List(ListNews { kind: ListKind::Error, members: Vec::new() }));
+        if self.unasked {
+            let own = self.own.clone();
+            spawn("list pause", self.context.limits.stack_words, move || {
+                may::coroutine::sleep(PAUSE * fastrand::u32(1..=PAUSES));
+                // The actor outlives its pauses.
+                let _ = own.send(ListMsg::Watch);
+            });
+        }
+    }
 }
 
 struct Watch {
     addr: SocketAddr,
-    rev: u64,
-    core: CoreMail,
+    rev: Option<u64>,
+    number: u64,
+    list: Sender<ListMsg>,
     limits: Arc<Limits>,
-    counters: Arc<Counters>,
 }
 
 const READ: usize = 4096;
 
 impl Watch {
-    /// Watches until the connection ends, goes silent or makes no sense; says why.
-    fn follow(&mut self) -> String {
-        Counters::add(&self.counters.list_calls);
-        let start = Instant::now();
+    /// Watches until the connection ends, goes silent or makes no sense; says why. Where no version is held,
+    /// the whole list is asked for first, on the same connection.
+    fn follow(self) -> String {
         let stream = match Stream::dial(&self.addr, self.limits.list_answer, None) {
-            Ok(stream) => stream,
+            Ok(stream) => Arc::new(stream),
             Err(e) => return format!("no connection: {e}"),
         };
-        let request = format!(
-            "GET /catalog/members?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            self.rev, self.addr
-        );
-        if let Err(e) = stream.write_all(request.as_bytes(), self.limits.node_write) {
-            return format!("cannot ask: {e}");
+        self.tell(ListMsg::Up(self.number, stream.clone()));
+        let why = self.talk(&stream);
+        stream.shut();
+        why.unwrap_or_else(|why| why)
+    }
+
+    fn tell(&self, message: ListMsg) {
+        // The actor outlives its watches.
+        let _ = self.list.send(message);
+    }
+
+    fn talk(&self, stream: &Stream) -> Result<String, String> {
+        let rev = match self.rev {
+            Some(rev) => rev,
+            None => self.whole(stream)?,
+        };
+        let (head, held) = self.ask(stream, &format!("/catalog/members?stream=1&index={rev}"))?;
+        if head.status != 200 || !head.chunked() {
+            return Err(format!("answered {}", head.status));
         }
-        let mut held = Vec::new();
-        let (head, size) = loop {
-            match http::parse_head(&held, &self.limits) {
-                Ok(Some(found)) => break found,
-                Ok(None) => {}
-                Err(e) => return e.why.to_string(),
+        self.lines(stream, held)
+    }
+
+    /// Reads the whole list; returns its version.
+    fn whole(&self, stream: &Stream) -> Result<u64, String> {
+        let start = Instant::now();
+        let (head, mut held) = self.ask(stream, "/catalog/members")?;
+        if head.status != 200 {
+            return Err(format!("answered {}", head.status));
+        }
+        loop {
+            let body = head.body(&held, self.limits.list_line).map_err(|e| e.why.to_string())?;
+            if let Some((body, _)) = body {
+                let list = self.read(&body)?;
+                let rev = list.rev;
+                self.tell(ListMsg::Line(self.number, Some(WireList { all: true, ..list })));
+                return Ok(rev);
             }
-            let left = self.limits.list_answer.saturating_sub(start.elapsed());
-            if let Err(why) = fill(&stream, &mut held, left) {
-                return why;
+            fill(stream, &mut held, self.limits.list_answer.saturating_sub(start.elapsed()))?;
+        }
+    }
+
+    /// Sends a request; returns the answer's head and what has come of its body.
+    fn ask(&self, stream: &Stream, target: &str) -> Result<(http::Head, Vec<u8>), String> {
+        let start = Instant::now();
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
+        let asked = stream.write_all(request.as_bytes(), self.limits.node_write);
+        asked.map_err(|e| format!("cannot ask: {e}"))?;
+        let mut held = Vec::new();
+        loop {
+            if let Some((head, size)) =
+                http::parse_head(&held, &self.limits).map_err(|e| e.why.to_string())?
+            {
+                held.drain(..size);
+                return Ok((head, held));
             }
-        };
-        if head.status != 200 || !head.chunked() {
-            stream.shut();
-            return format!("answered {}", head.status);
+            fill(stream, &mut held, self.limits.list_answer.saturating_sub(start.elapsed()))?;
         }
-        held.drain(..size);
-        let why = self.lines(&stream, held);
-        stream.shut();
-        why
     }
 
-    fn lines(&mut self, stream: &Stream, mut held: Vec<u8>) -> String {
+    fn read(&self, text: &[u8]) -> Result<WireList, String> {
+        serde_json::from_slice(text).map_err(|e| {
+            self.tell(ListMsg::Unreadable(self.number));
+            format!("the list is not as expected: {e}")
+        })
+    }
+
+    fn lines(&self, stream: &Stream, mut held: Vec<u8>) -> Result<String, String> {
         let (mut chunks, mut text) = (Chunks::default(), Vec::new());
         loop {
             let fed = chunks.feed(&held, &mut text, self.limits.list_line);
             held.clear();
-            if let Err(e) = fed {
-                return e.why.to_string();
-            }
+            fed.map_err(|e| e.why.to_string())?;
             while let Some(end) = text.iter().position(|&b| b == b'\n') {
                 let line: Vec<u8> = text.drain(..=end).collect();
-                if let Err(why) = self.line(&line) {
-                    return why;
-                }
+                // An empty one says that nothing has changed.
+                let list = match line.trim_ascii() {
+                    [] => None,
+                    line => Some(self.read(line)?),
+                };
+                self.tell(ListMsg::Line(self.number, list));
             }
             if chunks.done() {
-                return "it was ended".to_string();
-            }
-            if let Err(why) = fill(stream, &mut held, self.limits.list_silence) {
-                return why;
+                return Ok("it was ended".to_string());
             }
+            fill(stream, &mut held, self.limits.list_silence)?;
         }
     }
-
-    /// One line; an empty one says that nothing has changed.
-    fn line(&mut self, line: &[u8]) -> Result<(), String> {
-        let news = if line.trim_ascii().is_empty() {
-            ListNews { kind: ListKind::Diff, members: Vec::new() }
-        } else {
-            let list: WireList = serde_json::from_slice(line).map_err(|e| {
-                self.rev = 0; // The whole list is asked for next.
-                format!("a line is not as expected: {e}")
-            })?;
-            self.rev = list.rev;
-            list.news()
-        };
-        self.core.send(Msg::List(news));
-        Ok(())
-    }
 }
 
 fn fill(stream: &Stream, held: &mut Vec<u8>, within: Duration) -> Result<(), String> {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use may::sync::mpsc::Sender;
+
 use crate::api::{Discovery, ListKind};
 use crate::config::{Config, Edge, NodeProtocol};
 use crate::counters::Counters;
@@ -16,7 +18,7 @@
 use crate::net::core::{self, Core};
 use crate::net::feature_node;
 use crate::net::io::{nanos, Clock, Permits};
-use crate::net::list::{self, ListNews, WireList};
+use crate::net::list::{self, ListContext, ListMsg, ListNews, WireList};
 use crate::net::node::{self, NodeContext};
 use crate::snmp;
 
@@ -32,6 +34,9 @@
     pub core: Core,
     service: Arc<Service>,
     limits: Arc<Limits>,
+    list: Sender<ListMsg>,
+    /// The list's service as the configuration file last named it.
+    named: Mutex<SocketAddr>,
 }
 
 /// Sets the coroutines' workers up; once in a process, before anything else.
@@ -54,7 +59,8 @@
         WireList { all: true, ..known }.news()
     });
     let unasked = info.settings.discovery == Discovery::Pushed;
-    let list = list::start(config.discovery, rev, unasked, mail.clone(), limits.clone(), counters.clone());
+    let context = ListContext { core: mail.clone(), limits: limits.clone(), counters: counters.clone() };
+    let list = list::start(config.discovery, rev, unasked, context);
     let context = NodeContext {
         core: mail.clone(),
         limits: limits.clone(),
@@ -78,7 +84,7 @@
         backlog: limits.core_backlog,
         stack_words: limits.core_stack_words,
     };
-    let core = core::start(parts, mail, inbox, known, list, start_node);
+    let core = core::start(parts, mail, inbox, known, list.clone(), start_node);
     let core = core.map_err(|e| format!("cannot start the core: {e}"))?;
     let service = Arc::<Service>::default();
     let permits = Permits::new(limits.clients);
@@ -105,12 +111,26 @@
     let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
     let listen = open(config.listen, Arc::new(platform))?;
     log::info!("{} serves at {listen}", config.name);
-    Ok(Coordinator { listen, ogc, snmp, core, service, limits })
+    let named = Mutex::new(config.named_discovery);
+    Ok(Coordinator { listen, ogc, snmp, core, service, limits, list, named })
 }
 
 const LOOK: Duration = Duration::from_millis(10);
 
 impl Coordinator {
+    /// After SIGHUP: takes over what the file now says of the list's service. All else that it says holds
+    /// from the next start on. Not called from a coroutine, since reading a file blocks.
+    pub fn reload(&self, config: &Config) {
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        if *named == config.named_discovery {
+            return log::info!("the configuration names the same list's service as before");
+        }
+        *named = config.named_discovery;
+        if self.list.send(ListMsg::Moved(*named)).is_err() {
+            log::error!("the list's actor has ended");
+        }
+    }
+
     /// After SIGTERM: goes on for a while, then finishes what is held and closes what is idle. Returns once
     /// all is answered, or when the time for that is over.
     pub fn finish(&self) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,10 +3,12 @@
 mod bed;
 
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
-use std::process::{Command, Stdio};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 
 use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply, Part};
 use bed::{change, member, query, query_bytes, ready, until, Bed};
@@ -217,6 +219,66 @@
     until("the parts given up", || a.given_up().len() + b.given_up().len() >= 2);
 }
 
+/// The program itself in a process of its own, with its configuration in a folder of its own.
+struct Program {
+    child: Child,
+    addr: SocketAddr,
+    dir: PathBuf,
+    log: Option<JoinHandle<String>>,
+}
+
+impl Program {
+    fn start(name: &str, discovery: SocketAddr) -> Self {
+        let dir = std::env::temp_dir().join(format!("curlewdeck-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(dir.join("config.json"), Bed::default().config(discovery)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_curlewdeck"))
+            .args(["serve", "--config", "config.json"])
+            .current_dir(&dir)
+            .env_remove("LB_DISCOVERY")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        // The log tells which port it was given.
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let addr = loop {
+            let mut line = String::new();
+            assert!(std::io::BufRead::read_line(&mut log, &mut line).unwrap() > 0, "it ended early");
+            if let Some((_, addr)) = line.split_once(" serves at ") {
+                break addr.trim().parse().unwrap();
+            }
+        };
+        let log = Some(std::thread::spawn(move || std::io::read_to_string(log).unwrap()));
+        until("health", || get(addr, "/_health").is_ok_and(|a| a.status == 200));
+        Self { child, addr, dir, log }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(kill.unwrap().success());
+    }
+
+    /// Puts a file in the place of its configuration, and has it read.
+    fn reload(&self, text: &str) {
+        std::fs::write(self.dir.join("next.json"), text).unwrap();
+        std::fs::rename(self.dir.join("next.json"), self.dir.join("config.json")).unwrap();
+        self.signal("HUP");
+    }
+
+    /// Waits for its end, which must be a good one; returns its log.
+    fn ended(mut self) -> String {
+        assert!(self.child.wait().unwrap().success());
+        self.log.take().unwrap().join().unwrap()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
 /// Guards a planned restart: what is held is answered, what is idle is closed, and the program ends with 0.
 #[test]
 fn sigterm_finishes_what_is_held() {
@@ -227,39 +289,51 @@
         served(part)
     };
     let (a, b, discovery) = two(slow.clone(), slow);
-    let dir = std::env::temp_dir().join(format!("curlewdeck-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    let config = dir.join("config.json");
-    std::fs::write(&config, Bed::default().config(discovery.addr)).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_curlewdeck"))
-        .args(["serve", "--config"])
-        .arg(&config)
-        .current_dir(&dir)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    // The log tells which port it was given.
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let addr = loop {
-        let mut line = String::new();
-        assert!(std::io::BufRead::read_line(&mut log, &mut line).unwrap() > 0, "it ended early");
-        if let Some((_, addr)) = line.split_once(" serves at ") {
-            break addr.trim().parse().unwrap();
-        }
-    };
-    let rest = std::thread::spawn(move || std::io::read_to_string(log).unwrap());
-    until("health", || get(addr, "/_health").is_ok_and(|a| a.status == 200));
+    let program = Program::start("sigterm", discovery.addr);
+    let addr = program.addr;
     let idle = TcpStream::connect(addr).unwrap();
     let asked = std::thread::spawn(move || query(addr, "tag-lookup", &[0, 1]).unwrap());
     until("the parts", || a.parts().len() + b.parts().len() >= 2);
-    assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
+    program.signal("TERM");
     until("the drain", || get(addr, "/_health").map_or(true, |a| a.status == 503));
     release.store(true, Ordering::SeqCst);
     assert_eq!(asked.join().unwrap().status, 200);
-    assert!(child.wait().unwrap().success());
-    assert!(rest.join().unwrap().contains("cdAnswersWhole 1"));
+    assert!(program.ended().contains("cdAnswersWhole 1"));
     assert!(read_answer(&mut BufReader::new(idle)).is_err());
-    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+/// Guards a new configuration: SIGHUP ends nothing, the list is asked for whole at its new address at once,
+/// twice over and after SIGTERM too, versions and all; a file that cannot be read changes nothing.
+#[test]
+fn sighup_moves_the_list() {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let slow = move |part: &Part| {
+        until("the test to go on", || held.load(Ordering::SeqCst));
+        served(part)
+    };
+    let (a, b, first) = two(slow.clone(), slow);
+    let program = Program::start("sighup", first.addr);
+    until("the first watch", || first.watches() == 1);
+    program.reload("{");
+    // The second knows one data node of the two, and the third both.
+    let second = Discovery::start("127.0.0.1:0", vec![member("b", 1, b.addr)]);
+    program.reload(&Bed::default().config(second.addr));
+    until("the second watch", || second.watches() == 1 && second.lists() == 1);
+    assert_eq!(first.watches(), 1);
+    let addr = program.addr;
+    let asked = std::thread::spawn(move || query(addr, "tag-lookup", &[0, 1]).unwrap());
+    until("the parts", || b.parts().len() == 2);
+    assert_eq!(a.parts().len(), 0);
+    program.signal("TERM");
+    until("the drain", || get(addr, "/_health").map_or(true, |a| a.status == 503));
+    let third = Discovery::start("127.0.0.1:0", vec![member("a", 0, a.addr), member("b", 1, b.addr)]);
+    program.reload(&Bed::default().config(third.addr));
+    until("the third watch", || third.watches() == 1 && third.lists() == 1);
+    release.store(true, Ordering::SeqCst);
+    assert_eq!(asked.join().unwrap().status, 200);
+    let log = program.ended();
+    assert_eq!(log.lines().filter(|l| l.contains("the configuration stays as it was")).count(), 1, "{log}");
 }
 
 #[test]
