Let client connections at rest make room, and turn bad requests away early

Ruled out: the module (queries refused by it take longer, and max_open was not reached) and the limit of memory (14 of 32 MB). Cause: limits.rs gave 256 descriptors 128 client places; server.rs kept each answered connection for 120 s and each silent one too, and accept() refused whoever came next.

Changed: an answered connection that has rested 2 s, else one without a whole request after 20 ms, makes room for a new one, which waits for it; never one with an open request or with unread bytes. A first request must be whole 2 s after the accept, with 408 or a close; errors are written before the close and what still comes is dropped. Requests are parsed incrementally, each byte once, and several or odd transfer codings are refused as a length beside a coding was. Weights must be shares that add up to 1, the id of an open query is 409, absurd time-outs 400. may's log of interrupted polls is off (a line for every signal).

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -24,6 +24,9 @@
 /// Sums of weights may fall this much short.
 const SLACK: f64 = 1e-4;
 
+/// So far from 1 may the weights of a query's parts add up: clients round them.
+const ROUNDING: f64 = 0.01;
+
 /// Rounds that one moment may take: each follows from the ends and parts that the one before made.
 const ROUNDS: usize = 16;
 
@@ -66,8 +69,11 @@
 pub enum Rejected {
     /// As many queries and parts are held as may be.
     Full,
-    /// It names no part, a shard that does not exist or one shard twice.
+    /// It names no part, a shard that does not exist or one shard twice, or its weights are no shares of one
+    /// whole.
     BadParts,
+    /// A query of this name is open: data nodes answer by name.
+    SameName,
     /// There is no such class.
     UnknownClass,
     /// Its time has run out already.
@@ -217,6 +223,8 @@
     servers: Vec<Server>,
     ids: HashMap<String, ServerId>,
     open: BTreeMap<QueryId, Open>,
+    /// The names of open queries.
+    names: HashSet<String>,
     parts: HashMap<PartId, Part>,
     attempts: HashMap<AttemptId, Attempt>,
     probes: HashMap<ServerId, Vec<Nanos>>,
@@ -244,6 +252,7 @@
             servers: Vec::new(),
             ids: HashMap::new(),
             open: BTreeMap::new(),
+            names: HashSet::new(),
             parts: HashMap::new(),
             attempts: HashMap::new(),
             probes: HashMap::new(),
@@ -293,11 +302,15 @@
             return Err(Rejected::UnknownClass);
         }
         let shards: HashSet<ShardId> = ask.parts.iter().map(|p| p.0).collect();
-        let weights = ask.parts.iter().all(|p| p.1.is_finite() && p.1 >= 0.0);
+        let sum: f64 = ask.parts.iter().map(|p| p.1).sum();
+        let weights = ask.parts.iter().all(|p| p.1 > 0.0) && (sum - 1.0).abs() <= ROUNDING;
         let known = shards.iter().all(|s| self.info.ranges == 0 || s.0 < self.info.ranges);
         if shards.is_empty() || shards.len() != ask.parts.len() || !known || !weights {
             return Err(Rejected::BadParts);
         }
+        if self.names.contains(&ask.name) {
+            return Err(Rejected::SameName);
+        }
         if ask.valid_until <= self.now {
             return Err(Rejected::Late);
         }
@@ -307,6 +320,7 @@
         let Ask { name, class, repeated, valid_until, parts, text } = ask;
         self.events.push(Event::Query { id, class, tenant: None, key: None::<KeyId>, repeated, valid_until });
         self.ends.push(Reverse((valid_until.saturating_add(self.backstop), id)));
+        self.names.insert(name.clone());
         let open =
             Open { name, class, valid_until, text, parts: Vec::new(), second: false, first_whole: false };
         self.open.insert(id, open);
@@ -616,6 +630,7 @@
 
     fn close(&mut self, id: QueryId) -> bool {
         let Some(open) = self.open.remove(&id) else { return false };
+        self.names.remove(&open.name);
         open.parts.into_iter().for_each(|p| self.drop_part(p));
         true
     }
@@ -669,7 +684,9 @@
     fn ask(class: usize, shards: &[u32], valid_until: Nanos) -> Ask {
         let weight = 1.0 / shards.len() as f64;
         let parts = shards.iter().map(|&s| (ShardId(s), weight)).collect();
-        Ask { name: "q".into(), class: ClassId(class), repeated: false, valid_until, parts, text: "t".into() }
+        static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+        let name = format!("q{}", NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        Ask { name, class: ClassId(class), repeated: false, valid_until, parts, text: "t".into() }
     }
 
     /// A query with its name, deadline and answers; what is out; what was given.
@@ -819,7 +836,26 @@
         assert_eq!(try_ask(&mut engine, 0, ask(0, &[1, 1], MS * 9)), Err(Rejected::BadParts));
         assert_eq!(try_ask(&mut engine, 0, ask(0, &[6], MS * 9)), Err(Rejected::BadParts));
         assert_eq!(try_ask(&mut engine, 0, ask(0, &[0], MS)), Err(Rejected::Late));
+        let weighted = |weights: &[f64]| {
+            let parts = (0..).zip(weights).map(|(s, &w)| (ShardId(s), w)).collect();
+            Ask { parts, ..ask(0, &[0], MS * 9) }
+        };
+        for bad in [&[0.5, 0.4][..], &[1.5, -0.5], &[0.0, 1.0], &[f64::NAN], &[f64::INFINITY], &[2.0]] {
+            assert_eq!(try_ask(&mut engine, 0, weighted(bad)), Err(Rejected::BadParts), "{bad:?}");
+        }
         let taken = (0..20).filter(|&id| try_ask(&mut engine, id, ask(0, &all, MS * 9)).is_ok()).count();
         assert_eq!(taken, 60 / 7);
     }
+
+    /// Guards against two open queries of one name, whose answers could not be told apart; rounded weights
+    /// are taken.
+    #[test]
+    fn a_name_is_taken_until_its_query_ends() {
+        let mut engine = engine();
+        let one = Ask { parts: (0..3).map(|s| (ShardId(s), 0.3333)).collect(), ..ask(0, &[0], MS * 9) };
+        assert_eq!(engine.ask(MS, QueryId(0), one.clone()), Ok(()));
+        assert_eq!(engine.ask(MS, QueryId(1), one.clone()), Err(Rejected::SameName));
+        engine.gone(QueryId(0));
+        assert_eq!(engine.ask(MS, QueryId(2), one), Ok(()));
+    }
 }
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -401,7 +401,9 @@
         Ok(Final::Failed) => Some(problem(504, "the data nodes did not answer in time")),
         Err(Rejected::Full) => Some(retry_after(problem(503, "over the limit, try again"), full_hold_off)),
         Err(Rejected::Late) => Some(problem(503, "no time is left")),
-        Err(Rejected::BadParts | Rejected::UnknownClass) => Some(problem(500, "the query cannot be asked")),
+        Err(Rejected::BadParts | Rejected::UnknownClass | Rejected::SameName) => {
+            Some(problem(500, "the query cannot be asked"))
+        }
     }
 }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -84,7 +84,8 @@
         Ok(Final::Failed) => Reply::text(504, "given up"),
         Err(Rejected::Full) => retry_after(Reply::text(503, "over the limit"), full_hold_off),
         Err(Rejected::Late) => Reply::text(503, "no time is left"),
-        Err(Rejected::BadParts) => Reply::text(400, "parts: at least one, each shard once"),
+        Err(Rejected::BadParts) => Reply::text(400, "parts: at least one, each shard once, their weights 1"),
+        Err(Rejected::SameName) => Reply::text(409, "X-Request-ID: a request of this id is open"),
         Err(Rejected::UnknownClass) => Reply::text(404, "unknown class"),
     }
 }
@@ -102,7 +103,9 @@
             return Err(Reply::text(400, "X-Request-ID: 1 to 128 visible characters are needed"));
         }
         let wait = match request.headers.get("x-timeout") {
-            Some(text) => timeout(text).ok_or_else(|| Reply::text(400, "X-Timeout: a number and m or u"))?,
+            Some(text) => timeout(text)
+                .filter(|t| *t <= self.limits.client_wait)
+                .ok_or_else(|| Reply::text(400, "X-Timeout: a number and m or u, an hour at most"))?,
             None => Duration::from_nanos(self.core.info.settings.classes[class.0].deadline),
         };
         let body: Body = serde_json::from_slice(&request.body)
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -4,37 +4,74 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 
-use crate::api::QueryId;
+use crate::api::{Nanos, QueryId};
 use crate::counters::Counters;
 use crate::limits::Limits;
 use crate::net::core::Core;
-use crate::net::http::{self, BadMessage, Request};
-use crate::net::io::{spawn, Permits, Stream};
+use crate::net::http::{self, BadMessage, Request, RequestReader};
+use crate::net::io::{nanos, spawn, Clock, Permit, Permits, Stream};
 
-/// Open connections, and whether each has a request that is not answered.
-type Connections = HashMap<u64, (Arc<Stream>, Arc<AtomicBool>)>;
+/// A client's connection, as those see it that look for room or end the process.
+struct Connection {
+    stream: Stream,
+    /// A request is read and not answered.
+    in_use: AtomicBool,
+    /// A whole request has come on it.
+    asked: AtomicBool,
+    /// Since when it rests; before the first request: when it was accepted.
+    since: AtomicU64,
+    /// It has been shut to make room.
+    given_up: AtomicBool,
+}
+
+impl Connection {
+    fn rested(&self, now: Nanos) -> Nanos {
+        now.saturating_sub(self.since.load(Ordering::Acquire))
+    }
+}
+
+/// What there is to say to a connection that needs room.
+#[derive(Debug, PartialEq, Eq)]
+enum Room {
+    /// Some will be soon.
+    Soon,
+    /// All connections have open requests.
+    None,
+}
 
 /// Whether the process serves, drains or closes: shared by all connections.
-#[derive(Debug, Default)]
 pub struct Service {
+    clock: Clock,
     /// SIGTERM has come.
     draining: AtomicBool,
     /// Connections are closed after their answers.
     closing: AtomicBool,
     /// Requests read and not yet answered.
     busy: AtomicUsize,
-    connections: Mutex<Connections>,
-    next: AtomicUsize,
+    connections: Mutex<HashMap<u64, Arc<Connection>>>,
+    next: AtomicU64,
 }
 
 impl Service {
+    /// Serves, and has no connection.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            draining: AtomicBool::default(),
+            closing: AtomicBool::default(),
+            busy: AtomicUsize::default(),
+            connections: Mutex::default(),
+            next: AtomicU64::default(),
+        }
+    }
+
     /// Whether SIGTERM has come.
     pub fn draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -54,16 +91,50 @@
     /// any more: no request, and nothing that has come and is not yet read.
     pub fn close_idle(&self) -> bool {
         self.closing.store(true, Ordering::Release);
-        let open = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
         let mut unread = false;
-        for (stream, _) in open.values().filter(|c| !c.1.load(Ordering::Acquire)) {
-            match stream.readable() {
+        for connection in self.connections().values().filter(|c| !c.in_use.load(Ordering::Acquire)) {
+            match connection.stream.readable() {
                 true => unread = true,
-                false => stream.shut(),
+                false => connection.stream.shut(),
             }
         }
         !unread && self.busy() == 0
     }
+
+    /// Shuts one connection so that a new one finds a place: the one that has rested longest after an
+    /// answer, else the one that has been longest without a whole request. None with an open request, and
+    /// none on which something has come that is not read yet.
+    fn make_room(&self, limits: &Limits) -> Room {
+        let (now, open) = (self.clock.now(), self.connections());
+        if open.values().any(|c| c.given_up.load(Ordering::Acquire)) {
+            return Room::Soon;
+        }
+        let free = || open.values().filter(|c| !c.in_use.load(Ordering::Acquire));
+        let over = |c: &&&Arc<Connection>| {
+            let asked = c.asked.load(Ordering::Acquire);
+            let least = if asked { limits.client_rest } else { limits.client_silent };
+            c.rested(now) >= nanos(least)
+        };
+        let rank = |c: &&&Arc<Connection>| (c.asked.load(Ordering::Acquire), c.rested(now));
+        let free: Vec<&Arc<Connection>> = free().collect();
+        let mut old: Vec<&&Arc<Connection>> = free.iter().filter(over).collect();
+        old.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
+        if let Some(connection) = old.into_iter().find(|c| !c.stream.readable()) {
+            connection.given_up.store(true, Ordering::Release);
+            connection.stream.shut();
+            return Room::Soon;
+        }
+        if free.is_empty() {
+            Room::None
+        } else {
+            Room::Soon
+        }
+    }
+
+    /// Held for a few instructions and never over a yield.
+    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<Connection>>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// What a front makes of a request.
@@ -121,12 +192,13 @@
 /// A request that is read and not yet answered or given up; counted until it is dropped.
 struct Busy {
     service: Arc<Service>,
-    in_use: Arc<AtomicBool>,
+    connection: Arc<Connection>,
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.in_use.store(false, Ordering::Release);
+        self.connection.since.store(self.service.clock.now(), Ordering::Release);
+        self.connection.in_use.store(false, Ordering::Release);
         self.service.busy.fetch_sub(1, Ordering::AcqRel);
     }
 }
@@ -169,7 +241,11 @@
     let local = listener.local_addr()?;
     spawn("accept", shared.limits.stack_words, move || loop {
         match listener.accept() {
-            Ok((stream, _)) => accept(stream, &front, &shared),
+            Ok((stream, _)) => {
+                accept(stream, &front, &shared);
+                // Under a flood of connections, those that are open are read all the same.
+                may::coroutine::yield_now();
+            }
             Err(e) => {
                 // Never a busy loop, whatever the cause.
                 log::warn!("accept: {e}");
@@ -180,9 +256,27 @@
     Ok(local)
 }
 
+/// A place for a new connection, for which one at rest may have to go.
+fn room(shared: &Shared) -> Option<Permit> {
+    let start = Instant::now();
+    loop {
+        if let Some(permit) = shared.permits.take() {
+            return Some(permit);
+        }
+        let none = shared.service.make_room(&shared.limits) == Room::None;
+        if none || start.elapsed() >= shared.limits.client_room {
+            return None;
+        }
+        may::coroutine::sleep(ROOM_PAUSE);
+    }
+}
+
+/// Between two looks for room.
+const ROOM_PAUSE: Duration = Duration::from_millis(1);
+
 fn accept(stream: may::net::TcpStream, front: &Arc<dyn Front>, shared: &Shared) {
     let counters = &shared.core.counters;
-    let Some(permit) = shared.permits.take() else {
+    let Some(permit) = room(shared) else {
         Counters::add(&counters.clients_refused);
         if let Ok(stream) = Stream::new(stream, None) {
             let reply = Reply::text(503, "too many connections").with("Retry-After", "1");
@@ -195,25 +289,33 @@
     Counters::add(&counters.clients_accepted);
     let Ok(stream) = Stream::new(stream, Some(permit)) else { return };
     let (front, shared) = (front.clone(), shared.clone());
+    let connection = Arc::new(Connection {
+        stream,
+        in_use: AtomicBool::default(),
+        asked: AtomicBool::default(),
+        since: AtomicU64::new(shared.service.clock.now()),
+        given_up: AtomicBool::default(),
+    });
+    let key = shared.service.next.fetch_add(1, Ordering::Relaxed);
+    shared.service.connections().insert(key, connection.clone());
     spawn("client", shared.limits.stack_words, move || {
-        let stream = Arc::new(stream);
-        let in_use = Arc::new(AtomicBool::new(false));
-        let key = shared.service.next.fetch_add(1, Ordering::Relaxed) as u64;
-        let entry = (stream.clone(), in_use.clone());
-        lock(&shared.service).insert(key, entry);
-        Client { stream, in_use, front, shared: shared.clone() }.run();
-        lock(&shared.service).remove(&key);
+        let listed = Listed(shared.service.clone(), key);
+        Client { connection, front, shared }.run();
+        drop(listed);
     });
 }
 
-/// Held for a few instructions and never over a yield.
-fn lock(service: &Service) -> std::sync::MutexGuard<'_, Connections> {
-    service.connections.lock().unwrap_or_else(PoisonError::into_inner)
+/// A connection's entry, taken out when its coroutine ends, or was never started.
+struct Listed(Arc<Service>, u64);
+
+impl Drop for Listed {
+    fn drop(&mut self) {
+        self.0.connections().remove(&self.1);
+    }
 }
 
 struct Client {
-    stream: Arc<Stream>,
-    in_use: Arc<AtomicBool>,
+    connection: Arc<Connection>,
     front: Arc<dyn Front>,
     shared: Shared,
 }
@@ -224,16 +326,17 @@
     fn run(&self) {
         let (writer, outbox) = channel::<Out>();
         let (done, answered) = channel::<bool>();
-        let (stream, within) = (self.stream.clone(), self.shared.limits.client_write);
+        let (connection, within) = (self.connection.clone(), self.shared.limits.client_write);
         let service = self.shared.service.clone();
         spawn("client writer", self.shared.limits.stack_words, move || {
             for out in outbox.iter() {
                 let open = out.keep_alive && !service.closing.load(Ordering::Acquire);
                 let r = &out.reply;
                 let bytes = http::response(r.status, r.kind, &r.more, &r.body, open, out.head);
-                let open = stream.write_all(&bytes, within).is_ok() && open;
-                if !open {
-                    stream.shut();
+                match connection.stream.write_all(&bytes, within) {
+                    Ok(()) if open => {}
+                    Ok(()) => connection.stream.end_writing(),
+                    Err(_) => connection.stream.shut(),
                 }
                 drop(out);
                 if done.send(open).is_err() {
@@ -241,84 +344,121 @@
                 }
             }
         });
-        self.read(&writer, || answered.try_recv().ok(), || answered.recv().unwrap_or(false));
+        let mut buf = vec![0; READ];
+        let lingers =
+            self.read(&mut buf, &writer, || answered.try_recv().ok(), || answered.recv().unwrap_or(false));
+        if lingers {
+            self.linger(&mut buf);
+        }
+        self.connection.stream.shut();
     }
 
-    /// Reads requests to the end of the connection. `poll` and `wait` tell of answers written, and whether
-    /// the connection stays open.
-    fn read(&self, writer: &Sender<Out>, poll: impl Fn() -> Option<bool>, wait: impl Fn() -> bool) {
+    /// Reads requests to the end of the connection; returns whether its last answer has been written, but its
+    /// client may still be sending. `poll` and `wait` tell of answers written, and whether the connection
+    /// stays open.
+    fn read(
+        &self,
+        buf: &mut [u8],
+        writer: &Sender<Out>,
+        poll: impl Fn() -> Option<bool>,
+        wait: impl Fn() -> bool,
+    ) -> bool {
         let limits = &self.shared.limits;
-        let mut held: Vec<u8> = Vec::new();
-        let mut buf = vec![0; READ];
+        let mut requests = RequestReader::default();
         let mut query: Option<QueryId> = None;
         let mut pending = false;
-        let mut since = Instant::now();
+        // When the request that is being read began; the first one begins with the connection.
+        let mut begun = Some(Instant::now());
         loop {
             if pending {
                 if let Some(open) = poll() {
                     (pending, query) = (false, None);
+                    begun = requests.begun().then(Instant::now);
                     if !open {
-                        return;
+                        return true;
                     }
                 }
             }
-            match if held.is_empty() { Ok(None) } else { http::parse_request(&held, limits) } {
-                Ok(Some((request, used))) => {
+            match requests.next(limits) {
+                Ok(Some(request)) => {
                     // Requests sent ahead wait for the answers before them.
                     if pending && !wait() {
-                        return;
+                        return true;
                     }
-                    held.drain(..used);
-                    since = Instant::now();
+                    begun = requests.begun().then(Instant::now);
                     (pending, query) = (true, self.serve(request, writer));
                     continue;
                 }
                 Ok(None) => {}
                 Err(bad) => {
                     if pending && !wait() {
-                        return;
+                        return true;
                     }
-                    Counters::add(&self.shared.core.counters.bad_requests);
-                    self.answer(writer, false, false).send(self.front.refuse(bad));
+                    self.turn_away(bad, writer);
                     wait();
-                    return;
+                    return true;
                 }
             }
-            let quiet = if held.is_empty() { limits.client_idle } else { limits.request_read };
-            match self.stream.read(&mut buf, quiet) {
+            let left = begun.map(|at| limits.request_read.saturating_sub(at.elapsed()));
+            if !pending && left.is_some_and(|l| l.is_zero()) {
+                if !requests.begun() {
+                    return false;
+                }
+                self.turn_away(http::TOO_SLOW, writer);
+                wait();
+                return true;
+            }
+            match self.connection.stream.read(buf, left.filter(|_| !pending).unwrap_or(limits.client_idle)) {
                 Ok(0) => break,
                 Ok(n) => {
-                    if held.is_empty() {
-                        since = Instant::now();
-                    }
-                    held.extend_from_slice(&buf[..n]);
+                    begun = begun.or_else(|| Some(Instant::now()));
+                    requests.push(&buf[..n]);
                 }
                 Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
-                    if !pending {
+                    if !pending && begun.is_none() {
                         break;
                     }
                 }
                 Err(_) => break,
             }
-            if !held.is_empty() && !pending && since.elapsed() > limits.request_read {
-                break;
-            }
         }
-        self.stream.shut();
+        self.connection.stream.shut();
         if let (true, Some(id), None) = (pending, query, poll()) {
             self.shared.core.gone(id);
         }
+        false
+    }
+
+    /// Answers what is no request; the connection is closed after it.
+    fn turn_away(&self, bad: BadMessage, writer: &Sender<Out>) {
+        Counters::add(&self.shared.core.counters.bad_requests);
+        self.answer(writer, false, false).send(self.front.refuse(bad));
+    }
+
+    /// Reads and drops what the client still sends. Closing with bytes unread would reset the connection,
+    /// and the client might lose the answer.
+    fn linger(&self, buf: &mut [u8]) {
+        let (start, limits) = (Instant::now(), &self.shared.limits);
+        let mut dropped = 0;
+        while dropped < limits.linger_bytes {
+            let left = limits.linger.saturating_sub(start.elapsed());
+            match self.connection.stream.read(buf, left) {
+                Ok(n) if n > 0 && !left.is_zero() => dropped += n,
+                _ => return,
+            }
+        }
     }
 
     fn answer(&self, writer: &Sender<Out>, keep_alive: bool, head: bool) -> Answer {
-        self.in_use.store(true, Ordering::Release);
+        self.connection.in_use.store(true, Ordering::Release);
+        self.connection.asked.store(true, Ordering::Release);
         let service = self.shared.service.clone();
         service.busy.fetch_add(1, Ordering::AcqRel);
         Answer {
             writer: writer.clone(),
             keep_alive,
             head,
-            busy: Busy { service, in_use: self.in_use.clone() },
+            busy: Busy { service, connection: self.connection.clone() },
         }
     }
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -32,10 +32,25 @@
     pub core_backlog: usize,
     /// Calls that may wait at one data node's actor.
     pub node_backlog: usize,
-    /// A client connection without a request is closed after this long.
+    /// A client connection that has been answered is closed once it has rested for this long.
     pub client_idle: Duration,
-    /// A request must be whole this long after its first byte.
+    /// One that has rested for this long is closed earlier where a new one needs its place.
+    pub client_rest: Duration,
+    /// One without a whole request yet may be closed for a new one after this long; what a client sends at
+    /// once has come by then.
+    pub client_silent: Duration,
+    /// A new connection waits so long for a place before it is turned away.
+    pub client_room: Duration,
+    /// The first request on a connection must be whole this long after it was accepted, a further one this
+    /// long after its first byte.
     pub request_read: Duration,
+    /// After a connection's last answer, what its client still sends is read and dropped for this long, so
+    /// that the answer is not lost to a reset.
+    pub linger: Duration,
+    /// And no more bytes than this.
+    pub linger_bytes: usize,
+    /// The longest time that a client may say it waits.
+    pub client_wait: Duration,
     /// An answer must be taken by its client's socket within this.
     pub client_write: Duration,
     /// A frame must be taken by the data node's socket within this.
@@ -84,8 +99,14 @@
             headers: 64,
             core_backlog: 4096,
             node_backlog: 512,
-            client_idle: Duration::from_secs(120),
-            request_read: Duration::from_secs(10),
+            client_idle: Duration::from_secs(15),
+            client_rest: Duration::from_secs(2),
+            client_silent: Duration::from_millis(20),
+            client_room: Duration::from_millis(500),
+            request_read: Duration::from_secs(2),
+            linger: Duration::from_secs(1),
+            linger_bytes: 4 * 1024 * 1024,
+            client_wait: Duration::from_secs(3600),
             client_write: Duration::from_secs(2),
             node_write: Duration::from_millis(500),
             probe: Duration::from_millis(250),
@@ -109,7 +130,7 @@
 const IDLE_PART: u32 = 4;
 
 /// Descriptors kept for standard streams, the poller, the listeners and the list.
-const RESERVED: usize = 64;
+const RESERVED: usize = 32;
 const LEAST_SOCKETS: usize = 128;
 
 impl Limits {
@@ -127,7 +148,7 @@
             return Err(format!("limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed"));
         }
         let mut limits = Self::default();
-        limits.node_sockets = limits.node_sockets.min(sockets / 4);
+        limits.node_sockets = limits.node_sockets.min(sockets / 5);
         limits.clients = limits.clients.min(sockets - RESERVED - limits.node_sockets);
         Ok(limits)
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -94,7 +94,11 @@
 }
 
 fn serve(file: &Path, config: Config, edge: Edge) -> Result<(), String> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,may=warn")).init();
+    // Each signal interrupts the poller, and may logs that as an error of its own each time.
+    env_logger::Builder::from_env(
+        env_logger::Env::default().default_filter_or("info,may=warn,may::io::event_loop=off"),
+    )
+    .init();
     // Before anything else, so that no signal finds the process unprepared.
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -17,6 +17,8 @@
 
 const MALFORMED: BadMessage = bad(400, "malformed HTTP");
 const TOO_LARGE: BadMessage = bad(413, "body too large");
+/// A request that does not become whole in time.
+pub const TOO_SLOW: BadMessage = bad(408, "the request did not come whole in time");
 
 /// A header's lines, names in lower case.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -31,7 +33,7 @@
     fn read(lines: &[httparse::Header]) -> Result<Self, BadMessage> {
         let read = |h: &httparse::Header| {
             let value = std::str::from_utf8(h.value).map_err(|_| MALFORMED)?;
-            Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
+            Ok((h.name.to_ascii_lowercase(), value.trim_matches([' ', '\t']).to_string()))
         };
         lines.iter().map(read).collect::<Result<_, _>>().map(Self)
     }
@@ -44,15 +46,18 @@
     fn framing(&self) -> Result<Framing, BadMessage> {
         let lengths: Vec<&str> =
             self.0.iter().filter(|h| h.0 == "content-length").map(|h| h.1.as_str()).collect();
-        let coded = self.get("transfer-encoding");
-        match (coded, lengths.as_slice()) {
-            (Some(c), []) if c.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-            (Some(_), []) => Err(bad(501, "transfer coding not known")),
-            (None, []) => Ok(Framing::None),
-            (None, [first, more @ ..]) if more.iter().all(|l| l == first) => {
+        let coded: Vec<&str> =
+            self.0.iter().filter(|h| h.0 == "transfer-encoding").map(|h| h.1.as_str()).collect();
+        match (coded.as_slice(), lengths.as_slice()) {
+            ([c], []) if c.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+            ([_], []) => Err(bad(501, "transfer coding not known")),
+            ([], []) => Ok(Framing::None),
+            ([], [first, more @ ..]) if more.iter().all(|l| l == first) => {
                 let digits = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
                 first.parse().ok().filter(|_| digits).map(Framing::Length).ok_or(MALFORMED)
             }
+            // A length beside a coding, or codings one after the other: where the body ends is in doubt, and
+            // what one reader takes for the body another may take for the next request.
             _ => Err(MALFORMED),
         }
     }
@@ -83,26 +88,127 @@
     pub keep_alive: bool,
 }
 
-/// The first request in `bytes` and how many of them it takes; nothing while it is not whole.
-///
-/// # Errors
-/// It is malformed or over a limit; the connection cannot be used any longer.
-pub fn parse_request(bytes: &[u8], limits: &Limits) -> Result<Option<(Request, usize)>, BadMessage> {
+/// Takes requests from the bytes of a connection as they come. Each byte is looked for the head's end once,
+/// and a body's bytes are gone through once, however they are cut.
+#[derive(Debug, Default)]
+pub struct RequestReader {
+    held: Vec<u8>,
+    /// Bytes of `held` in which no head ends.
+    scanned: usize,
+    /// The request whose body is on its way.
+    open: Option<(Request, Body)>,
+}
+
+#[derive(Debug)]
+enum Body {
+    Length(usize),
+    Chunked(Chunks),
+}
+
+impl RequestReader {
+    /// More bytes have come.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// Whether part of a request is held.
+    pub fn begun(&self) -> bool {
+        !self.held.is_empty() || self.open.is_some()
+    }
+
+    /// The next request, once it is whole.
+    ///
+    /// # Errors
+    /// It is malformed or over a limit; the connection cannot be used any longer.
+    pub fn next(&mut self, limits: &Limits) -> Result<Option<Request>, BadMessage> {
+        if self.open.is_none() {
+            self.head(limits)?;
+        }
+        let Some((request, body)) = &mut self.open else { return Ok(None) };
+        let (used, whole) = match body {
+            Body::Length(n) => {
+                let take = self.held.len().min(*n - request.body.len());
+                request.body.extend_from_slice(&self.held[..take]);
+                (take, request.body.len() == *n)
+            }
+            Body::Chunked(chunks) => {
+                let used = chunks.feed(&self.held, &mut request.body, limits.body)?;
+                (used, chunks.done())
+            }
+        };
+        self.held.drain(..used);
+        if !whole {
+            return Ok(None);
+        }
+        if self.held.is_empty() {
+            // A connection at rest holds no room for its largest request.
+            self.held = Vec::new();
+        }
+        Ok(self.open.take().map(|o| o.0))
+    }
+
+    /// Reads the head once its end is there; its first bytes are looked at at once, so that what is no
+    /// request is not waited for.
+    fn head(&mut self, limits: &Limits) -> Result<(), BadMessage> {
+        loop {
+            let first = self.scanned == 0 && !self.held.is_empty();
+            let end = head_end(&self.held, self.scanned);
+            self.scanned = end.unwrap_or(self.held.len());
+            if end.is_none() && !first {
+                break;
+            }
+            if let Some((request, framing, size)) = parse_request(&self.held, limits)? {
+                let body = match framing {
+                    Framing::Length(n) if n > limits.body => return Err(TOO_LARGE),
+                    Framing::Length(n) => Body::Length(n),
+                    Framing::Chunked => Body::Chunked(Chunks::default()),
+                    Framing::None | Framing::UntilEnd => Body::Length(0),
+                };
+                self.held.drain(..size);
+                self.scanned = 0;
+                self.open = Some((request, body));
+                return Ok(());
+            }
+            // An end that is none: empty lines ahead of the request.
+            if end.is_none() {
+                break;
+            }
+        }
+        if self.held.len() >= limits.head {
+            return Err(bad(431, "header too large"));
+        }
+        Ok(())
+    }
+}
+
+/// Where the first empty line ends, if one does behind `from`.
+fn head_end(bytes: &[u8], from: usize) -> Option<usize> {
+    (from..bytes.len())
+        .find(|&i| {
+            let line = &bytes[..i];
+            bytes[i] == b'\n' && (line.ends_with(b"\n") || line.ends_with(b"\n\r"))
+        })
+        .map(|i| i + 1)
+}
+
+/// The head of the first request in `bytes`, how its body comes and the head's size; nothing while it is not
+/// whole.
+fn parse_request(bytes: &[u8], limits: &Limits) -> Result<Option<(Request, Framing, usize)>, BadMessage> {
     let mut lines = vec![httparse::EMPTY_HEADER; limits.headers];
     let mut head = httparse::Request::new(&mut lines);
     let size = match head.parse(bytes) {
         Ok(httparse::Status::Complete(size)) if size <= limits.head => size,
-        Ok(httparse::Status::Partial) if bytes.len() < limits.head => return Ok(None),
+        Ok(httparse::Status::Partial) => return Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(bad(431, "header too large")),
         Err(_) => return Err(MALFORMED),
     };
     let headers = Headers::read(head.headers)?;
     let framing = headers.framing()?;
-    let Some((body, used)) = body(framing, &bytes[size..], limits.body)? else { return Ok(None) };
     let target = head.path.unwrap_or("/");
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let keep_alive = match head.version {
         Some(1) => !headers.has_token("connection", "close"),
+        _ if framing == Framing::Chunked => return Err(MALFORMED),
         _ => headers.has_token("connection", "keep-alive"),
     };
     let request = Request {
@@ -110,10 +216,10 @@
         path: path.to_string(),
         query: query.to_string(),
         headers,
-        body,
+        body: Vec::new(),
         keep_alive,
     };
-    Ok(Some((request, size + used)))
+    Ok(Some((request, framing, size)))
 }
 
 fn body(framing: Framing, bytes: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, BadMessage> {
@@ -276,6 +382,8 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         406 => "Not Acceptable",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
@@ -342,8 +450,11 @@
     const CHUNKED: &[u8] =
         b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: v\r\n\r\n";
 
+    /// The first request, and how many bytes were left over.
     fn parsed(bytes: &[u8]) -> Result<Option<(Request, usize)>, BadMessage> {
-        parse_request(bytes, &Limits::default())
+        let mut reader = RequestReader::default();
+        reader.push(bytes);
+        Ok(reader.next(&Limits::default())?.map(|r| (r, reader.held.len())))
     }
 
     /// Requests come in pieces: no prefix is an error or a request.
@@ -353,8 +464,8 @@
             for cut in 0..whole {
                 assert_eq!(parsed(&bytes[..cut]), Ok(None), "{cut}");
             }
-            let (request, used) = parsed(bytes).unwrap().unwrap();
-            assert_eq!((request.body.as_slice(), used), (b"abcd".as_slice(), whole));
+            let (request, left) = parsed(bytes).unwrap().unwrap();
+            assert_eq!((request.body.as_slice(), left), (b"abcd".as_slice(), bytes.len() - whole));
             assert!(request.keep_alive);
         }
         assert_eq!(parsed(POST).unwrap().unwrap().0.path, "/tag-lookup");
@@ -371,6 +482,16 @@
             (b"GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 400),
             (b"GET / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n", 400),
             (b"GET / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\ntransfer-ENCODING:Chunked\r\ncontent-LENGTH:4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: x\r\nContent-Length: 4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding:\r\n chunked\r\nContent-Length: 4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: \x0bchunked\r\nContent-Length: 4\r\n\r\n", 400),
+            (b"GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: 4, 4\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 400),
             (b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
             (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 400),
             (chunk, 413),
@@ -406,6 +527,28 @@
             let _ = Chunks::default().feed(&bytes, &mut Vec::new(), 64);
         }
 
+        /// However requests are cut, and whatever empty lines stand ahead, they come out the same, one by one.
+        #[test]
+        fn requests_do_not_depend_on_how_they_are_cut(
+            cuts in proptest::collection::vec(1..40usize, 0..40),
+            order in proptest::collection::vec(any::<bool>(), 1..6),
+        ) {
+            let whole = |chunked: &bool| if *chunked { CHUNKED } else { &POST[..POST.len() - 3] };
+            let text: Vec<u8> = order.iter().flat_map(|c| [b"\r\n\r\n", whole(c)].concat()).collect();
+            let (mut reader, mut rest, mut got) = (RequestReader::default(), &text[..], Vec::new());
+            for cut in cuts.into_iter().chain([text.len()]) {
+                let (piece, later) = rest.split_at(cut.min(rest.len()));
+                reader.push(piece);
+                rest = later;
+                while let Some(request) = reader.next(&Limits::default()).unwrap() {
+                    prop_assert_eq!(&request.body, b"abcd");
+                    got.push(request.headers.get("transfer-encoding").is_some());
+                }
+            }
+            prop_assert_eq!(got, order);
+            prop_assert!(!reader.begun());
+        }
+
         /// However a chunked body is cut, it comes out the same.
         #[test]
         fn chunks_do_not_depend_on_how_they_are_cut(cuts in proptest::collection::vec(1..9usize, 0..40)) {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -202,6 +202,12 @@
         Ok(())
     }
 
+    /// Ends the way out: the peer reads to the end of what was written.
+    pub fn end_writing(&self) {
+        // Shutting what the peer has reset already is no news.
+        let _ = self.inner.shutdown(std::net::Shutdown::Write);
+    }
+
     /// Ends both ways; a reader that waits is woken.
     pub fn shut(&self) {
         // Shutting what the peer has reset already is no news.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -86,7 +86,7 @@
     };
     let core = core::start(parts, mail, inbox, known, list.clone(), start_node);
     let core = core.map_err(|e| format!("cannot start the core: {e}"))?;
-    let service = Arc::<Service>::default();
+    let service = Arc::new(Service::new(clock));
     let permits = Permits::new(limits.clients);
     let shared = Shared { core: core.clone(), limits: limits.clone(), service: service.clone(), permits };
     let open = |addr, front: Arc<dyn Front>| {
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -22,18 +22,27 @@
     pub max_open: u32,
     pub deadline_s: u64,
     pub discovery: &'static str,
+    pub sockets: u32,
 }
 
 impl Default for Bed {
     fn default() -> Self {
-        Self { cells: 2, in_a_row: 2, ranges: 4, max_open: 400, deadline_s: 60, discovery: "on_request" }
+        Self {
+            cells: 2,
+            in_a_row: 2,
+            ranges: 4,
+            max_open: 400,
+            deadline_s: 60,
+            discovery: "on_request",
+            sockets: 1024,
+        }
     }
 }
 
 impl Bed {
     /// The configuration's text.
     pub fn config(&self, discovery: SocketAddr) -> String {
-        let Self { cells, in_a_row, ranges, max_open, deadline_s, discovery: how } = self;
+        let Self { cells, in_a_row, ranges, max_open, deadline_s, discovery: how, sockets } = self;
         let class = |name: &str| {
             format!(
                 r#"{{"name":"{name}","aim_ns":1000000000,"deadline_ns":{deadline_s}000000000,"effect":"idempotent","importance":1.0,"late_worth":0.3}}"#
@@ -42,7 +51,7 @@
         let classes = [class("tag-lookup"), class("plaza-ranking"), class("monthly-settle")].join(",");
         format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
             "settings":{{"balancers":1,"classes":[{classes}],"discovery":"{how}",
             "domain":{{"batch":1,"class_floor":[1.0,0.5,1.0],"class_partial":[0.9,0.8,0.9],"complete_from":[1.0,1.0,1.0],
             "in_a_row":{in_a_row},"overhead_ns":0,"positions":{cells},"ranges":{ranges},"second_step":[0,0,2]}},
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use curlewdeck::limits::Limits;
+
 use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply, Part};
 use bed::{change, member, query, query_bytes, ready, until, Bed};
 
@@ -169,7 +171,13 @@
         (post("/tag-lookup", "", r#"{"parts":[],"expr":"c4"}"#), 400),
         (post("/tag-lookup", "", r#"{"parts":[{"id":0,"w":1}]}"#), 400),
         (post("/tag-lookup", "", twice), 400),
+        (post("/tag-lookup", "", r#"{"parts":[{"id":0,"w":0.7}],"expr":"c4"}"#), 400),
+        (post("/tag-lookup", "", r#"{"parts":[{"id":0,"w":-1},{"id":1,"w":2}],"expr":"c4"}"#), 400),
+        (post("/tag-lookup", "", r#"{"parts":[{"id":9,"w":1}],"expr":"c4"}"#), 400),
         (post("/tag-lookup", "X-Timeout: soon\r\n", good), 400),
+        (post("/tag-lookup", "X-Timeout: -5m\r\n", good), 400),
+        (post("/tag-lookup", "X-Timeout: 1e300m\r\n", good), 400),
+        (post("/tag-lookup", "X-Timeout: 99999999999m\r\n", good), 400),
         (post("/tag-lookup", "X-Timeout: 0m\r\n", good), 503),
         (format!("POST /tag-lookup HTTP/1.1\r\nContent-Length: {}\r\n\r\n{good}", good.len()), 400),
         (post("/no-such-class", "", good), 404),
@@ -183,6 +191,108 @@
     }
 }
 
+/// Guards against passing on a request hidden in the body of one whose framing is in doubt.
+#[test]
+fn a_hidden_request_is_never_passed_on() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let hidden = String::from_utf8(query_bytes("tag-lookup", &[0], "60000m")).unwrap();
+    for (coding, length) in [("chunked", 5), ("Chunked", 5 + hidden.len()), ("identity", 5), ("", 5)] {
+        let text = format!(
+            "POST /tag-lookup HTTP/1.1\r\nX-Request-ID: a1\r\ntransfer-encoding: {coding}\r\ncontent-length: {length}\r\n\r\n0\r\n\r\n{hidden}"
+        );
+        let mut stream = TcpStream::connect(coordinator.listen).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut reader = BufReader::new(stream);
+        assert_eq!(read_answer(&mut reader).unwrap().status, 400);
+        assert!(read_answer(&mut reader).is_err(), "the connection stays open");
+    }
+    assert_eq!((a.parts(), b.parts()), (Vec::new(), Vec::new()));
+}
+
+/// Guards against two open requests of one id: the second is turned away, the first goes on.
+#[test]
+fn the_id_of_an_open_request_is_taken() {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let slow = move |part: &Part| {
+        until("the test to go on", || held.load(Ordering::SeqCst));
+        served(part)
+    };
+    let (a, b, discovery) = two(slow.clone(), slow);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let (addr, bytes) = (coordinator.listen, query_bytes("tag-lookup", &[1], "60000m"));
+    let same = bytes.clone();
+    let first = std::thread::spawn(move || exchange(addr, &bytes).unwrap());
+    until("the part", || a.parts().len() + b.parts().len() >= 1);
+    assert_eq!(exchange(addr, &same).unwrap().status, 409);
+    release.store(true, Ordering::SeqCst);
+    assert_eq!(first.join().unwrap().body, r#"{"exact":true,"rows":[{"id":1,"data":"v1"}]}"#);
+}
+
+/// Guards against clients that ask once and stay, or say nothing: they make room for new ones, and those with
+/// an open request are never closed for it.
+#[test]
+fn connections_at_rest_make_room() {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let slow = move |part: &Part| {
+        until("the test to go on", || part.shard != 3 || held.load(Ordering::SeqCst));
+        served(part)
+    };
+    let (_a, _b, discovery) = two(slow.clone(), slow);
+    let bed = Bed { sockets: 128, ..Bed::default() };
+    let coordinator = bed.start(discovery.addr, "");
+    ready(&coordinator);
+    let addr = coordinator.listen;
+    let open = std::thread::spawn(move || query(addr, "tag-lookup", &[3]).unwrap());
+    until("the open request", || coordinator.core.counters.queries_taken.load(Ordering::SeqCst) == 1);
+    let ask = || {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.write_all(&query_bytes("tag-lookup", &[0], "60000m")).unwrap();
+        assert_eq!(read_answer(&mut BufReader::new(stream.try_clone().unwrap())).unwrap().status, 200);
+        stream
+    };
+    // Twice as many as there are places say nothing, and others are served between them.
+    let places = Limits::for_sockets(128).unwrap().clients;
+    let mut silent = Vec::new();
+    for _ in 0..places {
+        silent.extend((0..2).map(|_| TcpStream::connect(addr).unwrap()));
+        ask();
+    }
+    drop(silent);
+    // All places but one are taken by those that asked once; rested, they make room.
+    let stay: Vec<TcpStream> = (1..places).map(|_| ask()).collect();
+    std::thread::sleep(Limits::default().client_rest);
+    for _ in 0..places {
+        ask();
+    }
+    drop(stay);
+    release.store(true, Ordering::SeqCst);
+    assert_eq!(open.join().unwrap().status, 200);
+    assert_eq!(coordinator.core.counters.clients_refused.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against clients that hold a place for nothing: who says nothing is closed, who sends half a request
+/// is told, and an error reaches also those who go on sending.
+#[test]
+fn silent_and_endless_clients_are_sent_away() {
+    let (_a, _b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let silent = TcpStream::connect(coordinator.listen).unwrap();
+    let mut half = TcpStream::connect(coordinator.listen).unwrap();
+    half.write_all(b"POST /tag-lookup HTTP/1.1\r\nContent-Length: 9\r\n\r\n{").unwrap();
+    let mut endless = TcpStream::connect(coordinator.listen).unwrap();
+    endless.write_all(b"POST /tag-lookup HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").unwrap();
+    endless.write_all(&vec![b'x'; 1024 * 1024]).unwrap();
+    assert_eq!(read_answer(&mut BufReader::new(endless)).unwrap().status, 413);
+    assert_eq!(read_answer(&mut BufReader::new(half)).unwrap().status, 408);
+    assert!(read_answer(&mut BufReader::new(silent)).is_err());
+}
+
 /// Guards against holding more than the settings allow: the client is told when to come back.
 #[test]
 fn queries_over_the_limit_are_refused_with_advice() {
