Close a connection whose answers are spoilt at once, without blaming its data node

Causes, by reading against that: - node.rs read_frames waited without limit for the rest of noise that read as a length, and link.rs choose kept putting calls on that connection, so all timed out; an unknown id was passed over, its own part out to its time-out; - frame.rs answer wanted four fields split at each blank, so a report with blanks spoilt a good answer; - policy.rs judged each part cut with a connection as a broken connection of its data node (doubt up to the most, its bound, and cold from the next pass on), and two of one query as that query's own fault.

Changed: what can never be a frame is an error at once, a frame must be whole in 250 ms, what comes in one piece is taken together, unknown ids spoil the connection, late answers to given-up parts and second copies are told apart. All that is out ends at once with an outcome of its own, Spoilt, which only puts peers first; what was not written yet goes over another connection. Names are not taken again for 10 s, since late answers bear them. Feature servers: bytes behind an answer end the connection's use.

--- a/src/api.rs
+++ b/src/api.rs
@@ -340,6 +340,8 @@
     NoRoute,
     /// The connection broke; it may have run.
     Cut,
+    /// What came on its connection could not be read, and it was closed from this side: it may have run.
+    Spoilt,
     /// Called off; it may have run.
     Undone,
     /// Not sent; it never ran.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -7,7 +7,7 @@
 //! nodes gave, is marked whole only when it is, and is never given below the class's floor.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use crate::api::{
@@ -72,7 +72,7 @@
     /// It names no part, a shard that does not exist or one shard twice, or its weights are no shares of one
     /// whole.
     BadParts,
-    /// A query of this name is open: data nodes answer by name.
+    /// A query of this name is open, or was a short while ago: data nodes answer by name.
     SameName,
     /// There is no such class.
     UnknownClass,
@@ -223,8 +223,11 @@
     servers: Vec<Server>,
     ids: HashMap<String, ServerId>,
     open: BTreeMap<QueryId, Open>,
-    /// The names of open queries.
+    /// The names of open queries, and of those that ended a short while ago.
     names: HashSet<String>,
+    /// The latter, and until when.
+    rested: VecDeque<(Nanos, String)>,
+    name_rest: Nanos,
     parts: HashMap<PartId, Part>,
     attempts: HashMap<AttemptId, Attempt>,
     probes: HashMap<ServerId, Vec<Nanos>>,
@@ -239,11 +242,11 @@
 
 impl Engine {
     /// An engine that knows no data node yet. A query that the module leaves open is ended `backstop`
-    /// after its time.
+    /// after its time, and its name is not taken again for `name_rest`.
     ///
     /// # Errors
     /// Settings that cannot be used are named.
-    pub fn new(info: Info, seed: u64, backstop: Nanos) -> Result<Self, SettingsError> {
+    pub fn new(info: Info, seed: u64, backstop: Nanos, name_rest: Nanos) -> Result<Self, SettingsError> {
         Ok(Self {
             policy: Policy::new(info.settings.clone(), seed)?,
             info,
@@ -253,6 +256,8 @@
             ids: HashMap::new(),
             open: BTreeMap::new(),
             names: HashSet::new(),
+            rested: VecDeque::new(),
+            name_rest,
             parts: HashMap::new(),
             attempts: HashMap::new(),
             probes: HashMap::new(),
@@ -308,12 +313,16 @@
         if shards.is_empty() || shards.len() != ask.parts.len() || !known || !weights {
             return Err(Rejected::BadParts);
         }
-        if self.names.contains(&ask.name) {
-            return Err(Rejected::SameName);
-        }
         if ask.valid_until <= self.now {
             return Err(Rejected::Late);
         }
+        while let Some((_, name)) = self.rested.front().filter(|r| r.0 <= self.now) {
+            self.names.remove(name);
+            self.rested.pop_front();
+        }
+        if self.names.contains(&ask.name) {
+            return Err(Rejected::SameName);
+        }
         if self.open.len() + self.parts.len() + 1 + ask.parts.len() > settings.max_open {
             return Err(Rejected::Full);
         }
@@ -630,7 +639,7 @@
 
     fn close(&mut self, id: QueryId) -> bool {
         let Some(open) = self.open.remove(&id) else { return false };
-        self.names.remove(&open.name);
+        self.rested.push_back((self.now.saturating_add(self.name_rest), open.name));
         open.parts.into_iter().for_each(|p| self.drop_part(p));
         true
     }
@@ -650,6 +659,7 @@
 
     const MS: Nanos = 1_000_000;
     const BACKSTOP: Nanos = 6 * MS;
+    const NAME_REST: Nanos = 3 * MS;
 
     fn engine() -> Engine {
         let class = |name: &str| {
@@ -667,7 +677,7 @@
             class("b"),
             class("c")
         );
-        Engine::new(settings::read(&text).unwrap(), 7, BACKSTOP).unwrap()
+        Engine::new(settings::read(&text).unwrap(), 7, BACKSTOP, NAME_REST).unwrap()
     }
 
     fn member(n: u32, phase: Phase) -> Member {
@@ -856,6 +866,8 @@
         assert_eq!(engine.ask(MS, QueryId(0), one.clone()), Ok(()));
         assert_eq!(engine.ask(MS, QueryId(1), one.clone()), Err(Rejected::SameName));
         engine.gone(QueryId(0));
-        assert_eq!(engine.ask(MS, QueryId(2), one), Ok(()));
+        // Late answers may still come.
+        assert_eq!(engine.ask(2 * MS, QueryId(2), one.clone()), Err(Rejected::SameName));
+        assert_eq!(engine.ask(MS + NAME_REST, QueryId(3), one), Ok(()));
     }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -24,6 +24,15 @@
     pub body: usize,
     /// Bytes of a frame from a data node.
     pub frame: usize,
+    /// Bytes of the line that begins an answer in a frame.
+    pub frame_line: usize,
+    /// A frame that has begun to come must be whole within this.
+    pub frame_read: Duration,
+    /// Parts given up, and parts answered, that one connection remembers: their answers may come late or
+    /// twice.
+    pub past_parts: usize,
+    /// The name of a query is not taken again for so long after its end: late answers bear it.
+    pub name_rest: Duration,
     /// Bytes of one line of the list.
     pub list_line: usize,
     /// Header lines of a request or an answer.
@@ -95,6 +104,10 @@
             head: 16 * 1024,
             body: 64 * 1024,
             frame: 256 * 1024,
+            frame_line: 1024,
+            frame_read: Duration::from_millis(250),
+            past_parts: 128,
+            name_rest: Duration::from_secs(10),
             list_line: 1024 * 1024,
             headers: 64,
             core_backlog: 4096,
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -89,7 +89,7 @@
                 self.rested.extend(stream.map(|s| (s, Instant::now())));
             }
             // Only actors that speak frames send these.
-            NodeMsg::Link(_) | NodeMsg::Up(..) => {}
+            NodeMsg::Link(_) | NodeMsg::Read(..) | NodeMsg::Up(..) => {}
         }
     }
 
@@ -269,9 +269,11 @@
             match http::parse_head(&held, &self.context.limits) {
                 Ok(Some((head, size))) => {
                     let body = head.body(&held[size..], most).map_err(|e| self.unusable(e.why))?;
-                    if let Some((body, _)) = body {
+                    if let Some((body, used)) = body {
                         let text = String::from_utf8(body).map_err(|_| self.unusable("it is not text"))?;
-                        return Ok((head.status, text, head.keep_alive()));
+                        // What follows belongs to no request: the answer is kept, the connection is not.
+                        let alone = held.len() == size + used;
+                        return Ok((head.status, text, head.keep_alive() && alone));
                     }
                 }
                 Ok(None) => {}
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -69,20 +69,37 @@
     frame(b'I', b"")
 }
 
-/// The first frame in `bytes` and how many of them it takes; nothing while it is not whole.
+/// Bounds of frames from data nodes.
+#[derive(Debug, Clone, Copy)]
+pub struct FrameLimits {
+    /// Bytes of a frame.
+    pub frame: usize,
+    /// Bytes of the line that begins an answer.
+    pub line: usize,
+}
+
+/// The first frame in `bytes` and how many of them it takes; nothing while it is not whole. What can never
+/// become a frame is an error as soon as that shows, since its rest may never come.
 ///
 /// # Errors
-/// The frame is empty, longer than `most` or of no known form.
-pub fn parse(bytes: &[u8], most: usize) -> Result<Option<(Reply, usize)>, BadFrame> {
+/// The frame is empty, over a limit or of no known form.
+pub fn parse(bytes: &[u8], limits: FrameLimits) -> Result<Option<(Reply, usize)>, BadFrame> {
     let Some(head) = bytes.first_chunk::<HEAD>() else { return Ok(None) };
     let length = u32::from_le_bytes(*head) as usize;
-    if length == 0 || length > most {
+    if length == 0 || length > limits.frame {
         return Err(BadFrame("its length is out of range"));
     }
-    let Some(body) = bytes.get(HEAD..HEAD + length) else { return Ok(None) };
-    let rest = &body[1..];
-    let reply = match body[0] {
-        b'O' => answer(rest)?,
+    let come = &bytes[HEAD..bytes.len().min(HEAD + length)];
+    let Some((&letter, rest)) = come.split_first() else { return Ok(None) };
+    let whole = come.len() == length;
+    let reply = match letter {
+        b'O' => match answer(rest, limits.line)? {
+            Some((name, end, data)) if whole => end.reply(name, data)?,
+            None if whole => return Err(BadFrame("an answer has no line")),
+            _ => return Ok(None),
+        },
+        b'I' | b'U' if rest.len() > limits.line => return Err(BadFrame("a probe's answer is too long")),
+        b'I' | b'U' | b'Z' if !whole => return Ok(None),
         b'I' | b'U' => Reply::Probed(if rest == b"500" { Outcome::Fault } else { Outcome::Pass }),
         b'Z' => Reply::Refused(String::from_utf8_lossy(rest).into_owned()),
         _ => return Err(BadFrame("its letter is not known")),
@@ -90,28 +107,49 @@
     Ok(Some((reply, HEAD + length)))
 }
 
-fn answer(rest: &[u8]) -> Result<Reply, BadFrame> {
-    let end = rest.iter().position(|&b| b == b'\n').ok_or(BadFrame("an answer has no line"))?;
-    let line = std::str::from_utf8(&rest[..end]).map_err(|_| BadFrame("an answer's line is not text"))?;
-    let fields: Vec<&str> = line.split(' ').collect();
-    let [name, end_code, score, _report] = fields[..] else {
-        return Err(BadFrame("an answer's line has not four fields"));
+/// How an answer ended: with a score where it passed.
+enum End {
+    Passed(u64),
+    Failed(Outcome),
+}
+
+impl End {
+    fn reply(self, name: &str, data: &[u8]) -> Result<Reply, BadFrame> {
+        let (outcome, value) = match self {
+            Self::Failed(outcome) => (outcome, None),
+            Self::Passed(score) => {
+                let data = std::str::from_utf8(data).map_err(|_| BadFrame("a value is not text"))?;
+                (Outcome::Pass, Some(Value { score, data: Arc::from(data) }))
+            }
+        };
+        Ok(Reply::Answer { name: name.to_string(), outcome, value })
+    }
+}
+
+/// An answer's name, end and value.
+type Answer<'a> = (&'a str, End, &'a [u8]);
+
+/// An answer, as far as that has come; nothing while its line is not whole. The load
+/// report, the line's last field, is not read: whatever it holds, the answer is as good.
+fn answer(rest: &[u8], most: usize) -> Result<Option<Answer<'_>>, BadFrame> {
+    let Some(end) = rest.iter().take(most).position(|&b| b == b'\n') else {
+        return if rest.len() < most { Ok(None) } else { Err(BadFrame("an answer's line does not end")) };
     };
-    let outcome = match end_code {
-        "200" => Outcome::Pass,
-        "500" => Outcome::Fault,
-        "503" => Outcome::NoRoom,
-        _ => return Err(BadFrame("an answer's end is not known")),
+    let fields: Vec<&[u8]> = rest[..end].splitn(4, |&b| b == b' ').collect();
+    let [name, code, score, _report] = fields[..] else {
+        return Err(BadFrame("an answer's line has not four fields"));
     };
-    let value = match outcome {
-        Outcome::Pass => {
-            let score = score.parse().map_err(|_| BadFrame("an answer's score is no number"))?;
-            let data = std::str::from_utf8(&rest[end + 1..]).map_err(|_| BadFrame("a value is not text"))?;
-            Some(Value { score, data: Arc::from(data) })
+    let text = |field| std::str::from_utf8(field).map_err(|_| BadFrame("an answer's line is not text"));
+    let end_code = match code {
+        b"200" => {
+            let score = text(score)?.parse().map_err(|_| BadFrame("an answer's score is no number"))?;
+            End::Passed(score)
         }
-        _ => None,
+        b"500" => End::Failed(Outcome::Fault),
+        b"503" => End::Failed(Outcome::NoRoom),
+        _ => return Err(BadFrame("an answer's end is not known")),
     };
-    Ok(Reply::Answer { name: name.to_string(), outcome, value })
+    Ok(Some((text(name)?, end_code, &rest[end + 1..])))
 }
 
 #[cfg(test)]
@@ -121,6 +159,8 @@
     use crate::engine::{AttemptId, PartText};
     use proptest::prelude::*;
 
+    const LIMITS: FrameLimits = FrameLimits { frame: 1024, line: 100 };
+
     fn dispatch(after: Option<(Vec<ShardId>, bool)>) -> Dispatch {
         let part = PartText { name: "9b1f.3".into(), shard: ShardId(3), text: "c41e77d0".into(), after };
         Dispatch { attempt: AttemptId(1), part: Arc::new(part), until: 250 * MILLI }
@@ -144,9 +184,9 @@
     fn a_split_answer_is_waited_for() {
         let bytes = frame(b'O', b"9b1f.3 200 1840277719 inflight=7,util=0.61\n5be2a07c");
         for cut in 0..bytes.len() {
-            assert_eq!(parse(&bytes[..cut], 1024), Ok(None));
+            assert_eq!(parse(&bytes[..cut], LIMITS), Ok(None));
         }
-        let (reply, used) = parse(&bytes, 1024).unwrap().unwrap();
+        let (reply, used) = parse(&bytes, LIMITS).unwrap().unwrap();
         let value = Some(Value { score: 1_840_277_719, data: "5be2a07c".into() });
         assert_eq!(reply, Reply::Answer { name: "9b1f.3".into(), outcome: Outcome::Pass, value });
         assert_eq!(used, bytes.len());
@@ -155,20 +195,43 @@
     /// Oversized and malformed frames are named, so that their connection is closed.
     #[test]
     fn bad_frames_are_errors() {
-        assert!(parse(&[0, 0, 0, 0], 1024).is_err());
-        assert!(parse(&[255, 255, 255, 255, b'O'], 1024).is_err());
+        assert!(parse(&[0, 0, 0, 0], LIMITS).is_err());
+        assert!(parse(&[255, 255, 255, 255, b'O'], LIMITS).is_err());
         for rest in ["no line", "a 200 1\n", "a 299 1 -\n", "a 200 x -\nv"] {
-            assert!(parse(&frame(b'O', rest.as_bytes()), 1024).is_err(), "{rest}");
+            assert!(parse(&frame(b'O', rest.as_bytes()), LIMITS).is_err(), "{rest}");
+        }
+        assert!(parse(&frame(b'Q', b""), LIMITS).is_err());
+        assert!(parse(&frame(b'O', b"a 200 1 -\n\xff"), LIMITS).is_err());
+    }
+
+    /// Guards against a good answer lost for its load report, which may hold anything but a line's end.
+    #[test]
+    fn an_unreadable_report_does_not_spoil_an_answer() {
+        for report in [&b""[..], b"-", b"qps=1 x=2", b"\xff\xfe", b"qps=", b"{} \t\0"] {
+            let bytes = frame(b'O', &[b"a.1 200 7 ", report, b"\nv"].concat());
+            let value = Some(Value { score: 7, data: "v".into() });
+            let reply = Reply::Answer { name: "a.1".into(), outcome: Outcome::Pass, value };
+            assert_eq!(parse(&bytes, LIMITS), Ok(Some((reply, bytes.len()))), "{report:?}");
+        }
+    }
+
+    /// Guards against waiting for the rest of what can never be a frame.
+    #[test]
+    fn what_can_never_be_a_frame_is_an_error_at_once() {
+        let long = frame(b'O', &[b'a'; 200]);
+        assert_eq!(parse(&long[..50], LIMITS), Ok(None));
+        let huge = 3_000_000_000_u32.to_le_bytes();
+        let line = [&1000_u32.to_le_bytes()[..], b"Oa 299 1 -\n"].concat();
+        for bad in [&long[..105], &frame(b'Q', &[0; 200])[..5], &huge, &line] {
+            assert!(parse(bad, LIMITS).is_err(), "{bad:?}");
         }
-        assert!(parse(&frame(b'Q', b""), 1024).is_err());
-        assert!(parse(&frame(b'O', b"a 200 1 -\n\xff"), 1024).is_err());
     }
 
     proptest! {
         /// Nothing that a data node sends may panic.
         #[test]
         fn any_bytes_are_parsed_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..64)) {
-            let _ = parse(&bytes, 32);
+            let _ = parse(&bytes, FrameLimits { frame: 32, line: 16 });
         }
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -38,6 +38,10 @@
     WriteFailed(LinkId),
     /// A frame has come.
     Frame(LinkId, Reply),
+    /// Part of a frame has come.
+    Begun(LinkId),
+    /// What has come cannot be read: the connection is of no more use, its data node may be.
+    Spoilt(LinkId),
     /// Nothing more will come.
     ReadEnded(LinkId),
     /// Time has passed.
@@ -70,6 +74,8 @@
     pub probe: Nanos,
     /// Parts that may wait for a connection or a write.
     pub backlog: usize,
+    /// Parts that are over and whose names a connection remembers.
+    pub past: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -93,9 +99,18 @@
     writing: Option<Item>,
     /// Parts written whole, by name.
     out: Vec<(String, AttemptId)>,
+    /// Names of parts that are over: given up or answered. Their answers may come late or twice.
+    past: VecDeque<(String, Past)>,
     probes: VecDeque<Nanos>,
     used: Nanos,
     read_ended: bool,
+    spoilt: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Past {
+    GivenUp,
+    Answered,
 }
 
 impl Link {
@@ -104,6 +119,22 @@
         self.out.len() + self.waiting.iter().chain(&self.writing).map(calls).sum::<usize>()
     }
 
+    fn is_over(&mut self, name: String, how: Past, most: usize) {
+        if self.past.len() >= most {
+            self.past.pop_front();
+        }
+        self.past.push_back((name, how));
+    }
+
+    /// How what is out on it ends with it.
+    fn lost(&self) -> Outcome {
+        if self.spoilt {
+            Outcome::Spoilt
+        } else {
+            Outcome::Cut
+        }
+    }
+
     fn at_rest(&self) -> bool {
         self.out.is_empty() && self.waiting.is_empty() && self.writing.is_none() && self.probes.is_empty()
     }
@@ -159,6 +190,14 @@
             Input::Written(id) => self.written(id),
             Input::WriteFailed(id) => self.write_failed(id),
             Input::Frame(id, reply) => self.frame(id, reply),
+            // Nothing is owed on a connection at rest, but for late answers.
+            Input::Begun(id) => {
+                let owed = |l: &Link| !l.at_rest() || l.past.iter().any(|p| p.1 == Past::GivenUp);
+                if self.links.get(&id).is_some_and(|l| !owed(l)) {
+                    self.spoilt(id);
+                }
+            }
+            Input::Spoilt(id) => self.spoilt(id),
             Input::ReadEnded(id) => {
                 if let Some(link) = self.links.get_mut(&id) {
                     link.read_ended = true;
@@ -193,9 +232,11 @@
             waiting: VecDeque::new(),
             writing: None,
             out: Vec::new(),
+            past: VecDeque::new(),
             probes: VecDeque::new(),
             used: self.now,
             read_ended: false,
+            spoilt: false,
         };
         self.links.insert(id, link);
         self.outputs.push(Output::Dial(id));
@@ -254,6 +295,7 @@
     }
 
     fn drop_attempt(&mut self, id: AttemptId) {
+        let most = self.limits.past;
         for (&link_id, link) in &mut self.links {
             for item in &mut link.waiting {
                 if let Item::Call(call) = item {
@@ -271,6 +313,7 @@
                 }
             }
             if let Some(name) = name {
+                link.is_over(name.clone(), Past::GivenUp, most);
                 if link.state == State::Up {
                     link.waiting.push_back(Item::GiveUp(name));
                     self.pump(link_id);
@@ -300,9 +343,10 @@
         link.used = self.now;
         if let Some(Item::Call(call)) = link.writing.take() {
             let closing = link.state == State::Closing;
+            let lost = link.lost();
             for d in call {
                 match closing {
-                    true => self.outputs.push(Output::End(d.attempt, Outcome::Cut, None)),
+                    true => self.outputs.push(Output::End(d.attempt, lost, None)),
                     false => link.out.push((d.part.name.clone(), d.attempt)),
                 }
             }
@@ -313,8 +357,10 @@
 
     fn write_failed(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else { return };
+        // A frame cut off by closing what was spoilt never ran, and says nothing of its data node.
+        let unsent = if link.spoilt { Outcome::StaleSend } else { Outcome::NoRoute };
         if let Some(Item::Call(call)) = link.writing.take() {
-            call.iter().for_each(|d| self.end(d.attempt, Outcome::NoRoute, None));
+            call.iter().for_each(|d| self.end(d.attempt, unsent, None));
         }
         self.broken(id);
     }
@@ -326,14 +372,39 @@
             link.state = State::Closing;
             let (out, waiting) = (std::mem::take(&mut link.out), std::mem::take(&mut link.waiting));
             let probes = std::mem::take(&mut link.probes);
+            let (lost, spoilt) = (link.lost(), link.spoilt);
             self.outputs.push(Output::Shut(id));
-            out.iter().for_each(|o| self.end(o.1, Outcome::Cut, None));
-            probes.iter().for_each(|_| self.outputs.push(Output::Probed(Outcome::Cut)));
-            self.fail_waiting(waiting);
+            out.iter().for_each(|o| self.end(o.1, lost, None));
+            probes.iter().for_each(|_| self.outputs.push(Output::Probed(lost)));
+            if spoilt {
+                self.move_waiting(waiting);
+            } else {
+                self.fail_waiting(waiting);
+            }
         }
         self.forget(id);
     }
 
+    fn spoilt(&mut self, id: LinkId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.spoilt |= link.state == State::Up;
+        }
+        self.broken(id);
+    }
+
+    /// What was not written yet goes over another connection: the data node is not to blame.
+    fn move_waiting(&mut self, waiting: VecDeque<Item>) {
+        for item in waiting {
+            let parts = match &item {
+                Item::Call(call) => call.len(),
+                Item::Probe => 0,
+                Item::GiveUp(_) => continue,
+            };
+            let link = self.choose(parts);
+            self.put(link, item);
+        }
+    }
+
     fn forget(&mut self, id: LinkId) {
         let over = |l: &Link| l.state == State::Closing && l.read_ended && l.writing.is_none();
         if self.links.get(&id).is_some_and(over) {
@@ -342,27 +413,38 @@
     }
 
     fn frame(&mut self, id: LinkId, reply: Reply) {
+        let most = self.limits.past;
         let Some(link) = self.links.get_mut(&id).filter(|l| l.state == State::Up) else { return };
         link.used = self.now;
         match reply {
             Reply::Answer { name, outcome, value } => {
-                // An answer to a part that was given up crosses the word of it.
+                let mut attempt = None;
                 if let Some(at) = link.out.iter().position(|o| o.0 == name) {
-                    let (_, attempt) = link.out.remove(at);
-                    self.end(attempt, outcome, value);
+                    attempt = Some(link.out.remove(at).1);
                 } else if let Some(Item::Call(call)) = &mut link.writing {
                     // It may overtake the word that its frame was written.
                     if let Some(at) = call.iter().position(|d| d.part.name == name) {
-                        let attempt = call.remove(at).attempt;
-                        self.end(attempt, outcome, value);
+                        attempt = Some(call.remove(at).attempt);
                     }
                 }
-            }
-            Reply::Probed(outcome) => {
-                if link.probes.pop_front().is_some() {
-                    self.outputs.push(Output::Probed(outcome));
+                if let Some(attempt) = attempt {
+                    link.is_over(name, Past::Answered, most);
+                    return self.end(attempt, outcome, value);
+                }
+                match link.past.iter().position(|p| p.0 == name).map(|at| (at, link.past[at].1)) {
+                    // It crosses the word that the part is given up.
+                    Some((at, Past::GivenUp)) => link.past[at].1 = Past::Answered,
+                    // A second copy costs the connection, but no part that is out on it.
+                    Some((_, Past::Answered)) if !link.at_rest() => {}
+                    Some((_, Past::Answered)) | None => self.spoilt(id),
                 }
             }
+            Reply::Probed(outcome) => match link.probes.pop_front() {
+                Some(_) => self.outputs.push(Output::Probed(outcome)),
+                // It comes late, or was never asked for.
+                None if !link.at_rest() => {}
+                None => self.spoilt(id),
+            },
             Reply::Refused(_) => self.broken(id),
         }
     }
@@ -402,7 +484,7 @@
     const WAIT: Nanos = 400;
 
     fn links() -> Links {
-        Links::new(LinkLimits { multiplex: MULTIPLEX, idle: IDLE, probe: PROBE, backlog: 64 })
+        Links::new(LinkLimits { multiplex: MULTIPLEX, idle: IDLE, probe: PROBE, backlog: 64, past: 8 })
     }
 
     fn part(id: u64, until: Nanos) -> Dispatch {
@@ -431,6 +513,7 @@
         dialing: Vec<LinkId>,
         up: Vec<LinkId>,
         shut: Vec<LinkId>,
+        spoilt: Vec<LinkId>,
         writing: Vec<(LinkId, Vec<u64>)>,
         takes_new: bool,
         now: Nanos,
@@ -448,9 +531,13 @@
                 Input::WriteFailed(id) => self.end_write(*id, false),
                 _ => {}
             }
-            for output in links.step(self.now, input) {
-                self.check(output);
-            }
+            let spoils = match &input {
+                Input::Spoilt(id) | Input::Begun(id) | Input::Frame(id, _) => Some(*id),
+                _ => None,
+            };
+            let outputs = links.step(self.now, input);
+            self.spoilt.extend(spoils.filter(|&id| outputs.contains(&Output::Shut(id))));
+            outputs.into_iter().for_each(|o| self.check(o));
             let most =
                 self.up.iter().map(|u| self.attempts.iter().filter(|a| a.0 == At::Written(*u)).count());
             assert!(most.max().unwrap_or(0) <= MULTIPLEX, "more parts than a connection carries");
@@ -495,9 +582,13 @@
                 Output::End(id, outcome, _) => {
                     let at = std::mem::replace(&mut self.attempts[id.0 as usize].0, At::Over);
                     let right = match outcome {
-                        Outcome::StaleSend => at == At::Waiting,
+                        // Handed over, but cut off by closing what was spoilt.
+                        Outcome::StaleSend => match at {
+                            At::Handed(link) => self.spoilt.contains(&link),
+                            at => at == At::Waiting,
+                        },
                         Outcome::NoRoute => matches!(at, At::Waiting | At::Handed(_)),
-                        Outcome::Cut => matches!(at, At::Written(_)),
+                        Outcome::Cut | Outcome::Spoilt => matches!(at, At::Written(_)),
                         Outcome::Pass => matches!(at, At::Written(_) | At::Handed(_)),
                         _ => false,
                     };
@@ -537,6 +628,26 @@
                         }
                     }
                 }
+                17 => {
+                    if let Some(id) = one(&self.up) {
+                        self.step(links, Input::Spoilt(id));
+                        assert!(!self.up.contains(&id), "a spoilt connection stays open");
+                    }
+                }
+                18 => {
+                    // An answer that nobody waits for, or that was waited for before.
+                    let over: Vec<u64> = (0..self.attempts.len() as u64 + 1).collect();
+                    if let (Some(id), Some(&part)) = (one(&self.up), over.get(pick % over.len())) {
+                        if self.attempts.get(part as usize).is_none_or(|a| a.0 == At::Over) {
+                            self.step(links, Input::Frame(id, answer(part)));
+                        }
+                    }
+                }
+                19 => {
+                    if let Some(id) = one(&self.up) {
+                        self.step(links, Input::Begun(id));
+                    }
+                }
                 13 => {
                     if let Some(id) = one(&self.up) {
                         self.up.retain(|&u| u != id);
@@ -600,7 +711,7 @@
         /// says, nothing is handed to a data node that takes nothing new, and no connection is left over.
         #[test]
         fn every_attempt_ends_once_and_as_it_went(
-            steps in proptest::collection::vec((0..17u8, any::<usize>()), 0..200),
+            steps in proptest::collection::vec((0..20u8, any::<usize>()), 0..200),
         ) {
             let (mut links, mut model) = (links(), Model::default());
             model.step(&mut links, Input::TakesNew(true));
@@ -631,6 +742,70 @@
         assert_eq!(links.step(2 * IDLE, Input::Tick), [Output::Shut(LinkId(0))]);
     }
 
+    /// A connection with these parts written, the first answered.
+    fn used(written: u64) -> Links {
+        let mut links = links();
+        links.step(0, Input::TakesNew(true));
+        links.step(0, Input::Call(vec![part(0, WAIT)]));
+        links.step(0, Input::Up(LinkId(0)));
+        links.step(0, Input::Written(LinkId(0)));
+        for id in 1..written {
+            links.step(0, Input::Call(vec![part(id, WAIT)]));
+            links.step(0, Input::Written(LinkId(0)));
+        }
+        let ended = links.step(1, Input::Frame(LinkId(0), answer(0)));
+        assert!(matches!(ended[..], [Output::End(AttemptId(0), Outcome::Pass, _)]), "{ended:?}");
+        links
+    }
+
+    /// Guards against waiting on a connection whose answers cannot be matched: what is out ends at once, what
+    /// waits goes over another, and nothing more is sent on it.
+    #[test]
+    fn an_unknown_answer_costs_its_connection_only() {
+        let mut links = used(2);
+        links.step(1, Input::Call(vec![part(2, WAIT)]));
+        links.step(1, Input::Call(vec![part(3, WAIT)]));
+        let outputs = links.step(2, Input::Frame(LinkId(0), answer(99)));
+        let expected = [
+            Output::Shut(LinkId(0)),
+            Output::End(AttemptId(1), Outcome::Spoilt, None),
+            Output::Dial(LinkId(1)),
+        ];
+        assert_eq!(outputs, expected);
+        assert_eq!(
+            links.step(3, Input::WriteFailed(LinkId(0))),
+            [Output::End(AttemptId(2), Outcome::StaleSend, None)]
+        );
+        let moved = links.step(4, Input::Up(LinkId(1)));
+        assert!(matches!(moved[..], [Output::Write(LinkId(1), _)]), "{moved:?}");
+    }
+
+    /// Guards against taking a late answer to a part that was given up for an unknown one.
+    #[test]
+    fn a_late_answer_is_dropped_and_its_connection_kept() {
+        let mut links = used(3);
+        links.step(1, Input::Drop(AttemptId(1)));
+        links.step(1, Input::Written(LinkId(0)));
+        assert_eq!(links.step(2, Input::Begun(LinkId(0))), []);
+        assert_eq!(links.step(2, Input::Frame(LinkId(0), answer(1))), []);
+        let ended = links.step(3, Input::Frame(LinkId(0), answer(2)));
+        assert!(matches!(ended[..], [Output::End(AttemptId(2), Outcome::Pass, _)]), "{ended:?}");
+    }
+
+    /// Guards against going on with a connection that brings more than belongs to its answers.
+    #[test]
+    fn what_comes_unasked_at_rest_closes_the_connection() {
+        for unasked in [
+            Input::Begun(LinkId(0)),
+            Input::Frame(LinkId(0), answer(0)),
+            Input::Frame(LinkId(0), Reply::Probed(Outcome::Pass)),
+        ] {
+            assert_eq!(used(1).step(2, unasked), [Output::Shut(LinkId(0))]);
+        }
+        // A second copy costs no other part.
+        assert_eq!(used(2).step(2, Input::Frame(LinkId(0), answer(0))), []);
+    }
+
     /// Guards the drain rule for calls that waited behind a dial or a write.
     #[test]
     fn a_call_that_waited_past_a_drain_is_stale() {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use std::sync::mpsc::RecvTimeoutError;
 
@@ -14,7 +14,7 @@
 use crate::engine::{AttemptId, Dispatch};
 use crate::limits::Limits;
 use crate::net::core::{CoreMail, Gate, Msg};
-use crate::net::frame;
+use crate::net::frame::{self, FrameLimits};
 use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
 use crate::settings::Connections;
@@ -34,12 +34,30 @@
     CloseIdle,
     /// News of a connection.
     Link(Input),
+    /// What came on a connection in one piece.
+    Read(LinkId, Come),
     /// A connection is up: its stream, and the mailbox of its writer.
     Up(LinkId, Arc<Stream>, Sender<Vec<u8>>),
     /// An attempt's connection, if it can be used again.
     Rested(AttemptId, Option<Arc<Stream>>),
 }
 
+/// What came on a connection in one piece: taken together, so that nothing new is sent on one that turns out
+/// to be spoilt.
+#[derive(Debug)]
+pub struct Come {
+    frames: Vec<frame::Reply>,
+    /// How what follows them looks.
+    rest: Rest,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Rest {
+    Nothing,
+    Begun,
+    Spoilt,
+}
+
 /// What every actor of a data node needs.
 #[derive(Clone)]
 pub struct NodeContext {
@@ -73,6 +91,7 @@
             idle: nanos(context.limits.usable_idle(Duration::from_nanos(connections.idle))),
             probe: nanos(context.limits.probe),
             backlog: context.limits.node_backlog,
+            past: context.limits.past_parts,
         });
         Node { id, gate, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
     });
@@ -123,6 +142,16 @@
                 }
                 self.step(input);
             }
+            NodeMsg::Read(id, come) => {
+                for reply in come.frames {
+                    self.step(Input::Frame(id, reply));
+                }
+                match come.rest {
+                    Rest::Nothing => {}
+                    Rest::Begun => self.step(Input::Begun(id)),
+                    Rest::Spoilt => self.step(Input::Spoilt(id)),
+                }
+            }
             NodeMsg::Up(id, stream, writer) => {
                 self.open.insert(id, (stream, writer));
                 self.step(Input::Up(id));
@@ -200,16 +229,32 @@
     });
     // Nobody is left to be told once the actor has ended.
     let _ = node.send(NodeMsg::Up(id, stream.clone(), frames));
-    read_frames(&stream, context, |reply| tell(Input::Frame(id, reply)));
+    read_frames(&stream, context, |come| {
+        // Nobody is left to be told once the actor has ended.
+        let _ = node.send(NodeMsg::Read(id, come));
+    });
     stream.shut();
     tell(Input::ReadEnded(id));
 }
 
-fn read_frames(stream: &Stream, context: &NodeContext, tell: impl Fn(frame::Reply)) {
+fn read_frames(stream: &Stream, context: &NodeContext, tell: impl Fn(Come)) {
+    let limits = &context.limits;
+    let bounds = FrameLimits { frame: limits.frame, line: limits.frame_line };
+    let spoilt = |frames, why| {
+        log::warn!("a data node's answers cannot be read: {why}");
+        Counters::add(&context.counters.bad_frames);
+        tell(Come { frames, rest: Rest::Spoilt });
+    };
     let mut held: Vec<u8> = Vec::new();
     let mut buf = vec![0; READ];
+    // When the frame began that is not yet whole.
+    let mut begun: Option<Instant> = None;
     loop {
-        match stream.read(&mut buf, LOOK * 120) {
+        let left = begun.map_or(LOOK * 120, |at| limits.frame_read.saturating_sub(at.elapsed()));
+        if left.is_zero() {
+            return spoilt(Vec::new(), "a frame stopped midway");
+        }
+        match stream.read(&mut buf, left) {
             Ok(0) => return,
             Ok(n) => held.extend_from_slice(&buf[..n]),
             Err(e) if matches!(e.kind(), std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock) => {
@@ -217,25 +262,29 @@
             }
             Err(_) => return,
         }
-        let mut taken = 0;
+        let (mut taken, mut frames) = (0, Vec::new());
         loop {
-            match frame::parse(&held[taken..], context.limits.frame) {
+            match frame::parse(&held[taken..], bounds) {
                 Ok(Some((reply, used))) => {
                     taken += used;
                     if let frame::Reply::Refused(words) = &reply {
                         log::warn!("a data node could not use a frame: {words}");
                     }
-                    tell(reply);
+                    frames.push(reply);
                 }
                 Ok(None) => break,
-                Err(bad) => {
-                    log::warn!("bad frame from a data node: {}", bad.0);
-                    Counters::add(&context.counters.bad_frames);
-                    return;
-                }
+                Err(bad) => return spoilt(frames, bad.0),
             }
         }
         held.drain(..taken);
+        begun = match (held.is_empty(), begun) {
+            (true, _) => None,
+            // The rest of the frame that began before.
+            (false, Some(at)) if taken == 0 => Some(at),
+            (false, _) => Some(Instant::now()),
+        };
+        let rest = if held.is_empty() { Rest::Nothing } else { Rest::Begun };
+        tell(Come { frames, rest });
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -728,6 +728,14 @@
         if outcome == Outcome::StaleSend || outcome == Outcome::Undone && !long {
             return;
         }
+        // Any server's answer may come spoilt: peers go first for a moment, and nothing more is held against
+        // it. It did not break the connection, so it has not restarted either.
+        if outcome == Outcome::Spoilt {
+            if s.doubt.get(now) < DOUBTED {
+                self.doubt(id, pending.class, DOUBTED);
+            }
+            return;
+        }
         let (zone, doubt) = (s.zone, s.doubt.get(now));
         let timely = outcome == Outcome::Pass && !long;
         let stale = !self.way_bad(zone) && self.judge_idle(&pending, outcome, latency);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -52,7 +52,8 @@
     let limits = Arc::new(Limits::for_sockets(config.sockets)?);
     let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
     let info = Arc::new(config.info.clone());
-    let engine = Engine::new(config.info, config.seed, nanos(limits.backstop)).map_err(|e| e.to_string())?;
+    let engine = Engine::new(config.info, config.seed, nanos(limits.backstop), nanos(limits.name_rest))
+        .map_err(|e| e.to_string())?;
     let (mail, inbox) = core::mailbox();
     let rev = config.known.as_ref().map_or(0, |k| k.rev);
     let known = config.known.map_or(ListNews { kind: ListKind::Full, members: Vec::new() }, |known| {
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -307,3 +307,26 @@
     let odd = Sent { part: PartId(1 << 40), server: ServerId(0) };
     assert!(sends(&bed.round(vec![bed.ended_after(&odd, 3, Outcome::Pass, u64::MAX)])).is_empty());
 }
+
+/// Guards against holding spoilt answers, which may come from any server, against one: it is neither shunned
+/// nor taken for restarted, and its queries are sent on.
+#[test]
+fn a_server_whose_answers_come_spoilt_stays_in_use() {
+    let mut bed = Bed::new(settings(), 3);
+    bed.warm_up(20);
+    for _ in 0..6 {
+        let (query, _, actions) = bed.query(0, 3);
+        let first = sends(&actions);
+        // One connection, with three parts of one query out.
+        let again = bed.round(first.iter().map(|s| bed.ended(s, 0, Outcome::Spoilt)).collect());
+        let retried = sends(&again);
+        assert_eq!(retried.len(), 3, "{again:?}");
+        bed.now += 100 * MS;
+        let done = bed.round(retried.iter().map(|s| bed.ended(s, 1, Outcome::Pass)).collect());
+        assert!(done.contains(&Action::Answer { query, whole: true }));
+        bed.pass(2000 * MS);
+        let used: std::collections::BTreeSet<ServerId> =
+            serve(&mut bed, 6, 0, |_| false).into_iter().collect();
+        assert_eq!(used.len(), 3);
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -85,6 +85,47 @@
     }
 }
 
+/// Guards against answers that are spoilt, or bring more than belongs to them: the query is served all the
+/// same, long before its time is up, and other data nodes' connections are kept.
+#[test]
+fn spoilt_answers_cost_one_connection_each() {
+    let frame = |letter: u8, rest: &[u8]| {
+        let length = (rest.len() as u32 + 1).to_le_bytes();
+        [&length[..], &[letter], rest].concat()
+    };
+    let good = move |part: &Part, report: &[u8], more: &[u8]| {
+        let name = part.id.split_once('.').unwrap().1;
+        let line = [part.id.as_bytes(), b" 200 1 ", report, b"\nv", name.as_bytes()].concat();
+        NodeReply::Raw([frame(b'O', &line), more.to_vec()].concat())
+    };
+    type Fault = Box<dyn Fn(&Part) -> NodeReply + Send + Sync>;
+    let raw = |bytes: Vec<u8>| -> Fault { Box::new(move |_: &Part| NodeReply::Raw(bytes.clone())) };
+    let faults: Vec<Fault> = vec![
+        raw(frame(b'O', b"unknown.1 200 1 -\nv")),
+        raw(frame(b'O', b"no line")),
+        raw(frame(b'Q', b"")),
+        raw(3_000_000_000_u32.to_le_bytes().to_vec()),
+        // It stops midway, or never gets to its line.
+        raw(frame(b'O', b"a.1 200 1 -\nvalue")[..9].to_vec()),
+        raw([&[0, 1, 0, 0, b'O'][..], &[b'a'; 200]].concat()),
+        Box::new(move |p: &Part| good(p, b"\xff what = ever", b"")),
+        Box::new(move |p: &Part| good(p, b"-", b"\x09\0\0\0noise")),
+        Box::new(move |p: &Part| good(p, b"-", &frame(b'O', format!("{} 200 1 -\nv1", p.id).as_bytes()))),
+    ];
+    for (n, fault) in faults.into_iter().enumerate() {
+        let (a, b, discovery) = two(fault, served);
+        let coordinator = Bed::default().start(discovery.addr, "");
+        ready(&coordinator);
+        until("a part at the faulty data node", || {
+            let answer = exchange(coordinator.listen, &query_bytes("tag-lookup", &[1], "20000m")).unwrap();
+            assert_eq!(answer.body, r#"{"exact":true,"rows":[{"id":1,"data":"v1"}]}"#, "{n}");
+            !a.parts().is_empty()
+        });
+        let bad = coordinator.core.counters.bad_frames.load(Ordering::SeqCst);
+        assert!(b.connections() <= 1 && bad <= a.parts().len() as u64, "{n}");
+    }
+}
+
 /// Guards the drain rule: once the list's word is here, not one frame goes to that data node.
 #[test]
 fn nothing_new_reaches_a_data_node_that_drains() {
