Take a lost connection for no more than that, and send nothing over silent ones

Causes, by reading against that: - policy.rs judge counted each part cut as a broken connection of its server, as strain (which shrinks the room for all), and its next pass as a restart, cold; - policy.rs kills ended a query at its second lost connection whichever parts they were, so that queries with many parts rarely lived; - link.rs write_failed reported a kept connection that had been reset as a data node without a route; - link.rs choose took the first open connection, however long it had been silent, and given-up parts made it look at rest. Ruled out: memory, descriptors and processor time, all far from their bounds.

Changed: a lost connection adds little doubt, once, and no strain; its server counts as restarted only if nothing passed for the time in which a cold one falls over; a query is its own fault once one of its parts lost two connections. One that is silent for 100 ms with parts out gets nothing new, and ends once another overtakes it.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -31,6 +31,9 @@
     /// Parts given up, and parts answered, that one connection remembers: their answers may come late or
     /// twice.
     pub past_parts: usize,
+    /// Nothing new goes over a connection that has been silent for this long with parts out on it: a machine
+    /// that has vanished, and a connection that has died unseen, say nothing.
+    pub link_silence: Duration,
     /// The name of a query is not taken again for so long after its end: late answers bear it.
     pub name_rest: Duration,
     /// Bytes of one line of the list.
@@ -107,6 +110,7 @@
             frame_line: 1024,
             frame_read: Duration::from_millis(250),
             past_parts: 128,
+            link_silence: Duration::from_millis(100),
             name_rest: Duration::from_secs(10),
             list_line: 1024 * 1024,
             headers: 64,
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -92,6 +92,7 @@
             probe: nanos(context.limits.probe),
             backlog: context.limits.node_backlog,
             past: context.limits.past_parts,
+            silence: nanos(context.limits.link_silence),
         });
         Node { id, gate, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
     });
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,9 +50,11 @@
 /// below one part, which paces (one part, then a pause).
 const LIMIT_LEAST: f64 = 2.0;
 /// Doubt of a server: what one outcome adds to it, and what a timely pass leaves of it. A lone failure puts
-/// peers first (`DOUBTED`), a broken connection or a second failure leaves it out while peers are sound.
+/// peers first (`DOUBTED`), no route or a second failure leaves it out while peers are sound. Connections
+/// break and answers come spoilt at sound servers too: one is counted once, whatever was out on it.
 const DOUBT_FAILED: f64 = 1.0;
 const DOUBT_BROKEN: f64 = 2.0;
+const DOUBT_LOST: f64 = 0.4;
 const DOUBT_SLOW: f64 = 0.5;
 const DOUBT_MOST: f64 = 4.0;
 const DOUBT_CLEARED: f64 = 0.25;
@@ -77,8 +79,8 @@
 /// A few are enough, and opening one is cheap, so suspicion begins early.
 const IDLE_STEP: f64 = 0.25;
 const IDLE_BAD: f64 = 0.15;
-/// Broken connections within one query, none of its parts in, that show it to be their cause; one marked as
-/// a repeat, whose first try may have broken elsewhere, sends one part ahead and ends at the first.
+/// Connections lost by one part, none of its query's in, that show the query to be their cause. One marked as
+/// a repeat, whose first try may have broken elsewhere, sends one part ahead.
 const KILLS: u32 = 2;
 /// Part of a cold server's bound that one mixer uses: beside its peers, and of one core's work.
 const COLD_AS_PEERS: f64 = 0.5;
@@ -474,7 +476,7 @@
         let q = &self.queries[&id];
         let class = &self.set.classes[q.class.0];
         let least = if class.floor < class.need { class.floor - SLACK } else { self.need(q) };
-        let kills = q.passes == 0 && q.broken >= if q.scout { 1 } else { KILLS };
+        let kills = self.kills(id);
         self.weight(q, |p| p.done || p.is_out() || !kills && self.may_resend(p, q.class)) < least
     }
 
@@ -702,8 +704,9 @@
         let Some(a) = part.attempts.get_mut(n as usize) else { return };
         let was_cancelled = a.fate == Fate::Cancelled;
         a.fate = Fate::Ended { never_ran: outcome.never_ran() };
-        let cut = u32::from(outcome == Outcome::Cut);
-        self.queries.entry(query).and_modify(|q| q.broken += cut);
+        part.broken += u32::from(outcome == Outcome::Cut);
+        let broken = part.broken;
+        self.queries.entry(query).and_modify(|q| q.broken = q.broken.max(broken));
         if outcome == Outcome::Pass && self.queries.get(&query).is_some_and(|q| q.stage == Stage::Running) {
             self.answered(id);
         } else if !was_cancelled {
@@ -728,23 +731,18 @@
         if outcome == Outcome::StaleSend || outcome == Outcome::Undone && !long {
             return;
         }
-        // Any server's answer may come spoilt: peers go first for a moment, and nothing more is held against
-        // it. It did not break the connection, so it has not restarted either.
-        if outcome == Outcome::Spoilt {
-            if s.doubt.get(now) < DOUBTED {
-                self.doubt(id, pending.class, DOUBTED);
-            }
-            return;
-        }
         let (zone, doubt) = (s.zone, s.doubt.get(now));
         let timely = outcome == Outcome::Pass && !long;
         let stale = !self.way_bad(zone) && self.judge_idle(&pending, outcome, latency);
-        if !stale && outcome != Outcome::NoRoom && outcome != Outcome::Cut {
+        if !stale && !matches!(outcome, Outcome::NoRoom | Outcome::Cut | Outcome::Spoilt) {
             self.judge_way(zone, !timely);
         }
         if stale || !timely && self.way_bad(zone) {
             return;
         }
+        if matches!(outcome, Outcome::Cut | Outcome::Spoilt) {
+            return self.lost(id, pending.class, outcome);
+        }
         if doubt < DOUBTED {
             self.judge_load(timely);
         }
@@ -757,7 +755,7 @@
         self.seen.opened.add(outcome == Outcome::NoRoute, step);
         let amount = match outcome {
             Outcome::NoRoute if self.seen.opened.share() > WAY_BAD => return self.pause(id),
-            Outcome::NoRoute | Outcome::Cut => DOUBT_BROKEN,
+            Outcome::NoRoute => DOUBT_BROKEN,
             Outcome::Fault => DOUBT_FAILED,
             Outcome::Undone | Outcome::TooSlow if overdue => DOUBT_FAILED * shared,
             Outcome::Pass if slow => DOUBT_SLOW * shared,
@@ -788,7 +786,7 @@
         if outcome == Outcome::NoRoom {
             s.limit = (s.limit.min(1.0) / 2.0).max(least);
             s.next_at = s.next_at.max(now + (pause / s.limit * (0.5 + jitter)) as Nanos);
-        } else if long && !matches!(outcome, Outcome::Cut | Outcome::NoRoute | Outcome::Fault) {
+        } else if long && !matches!(outcome, Outcome::NoRoute | Outcome::Fault) {
             if pending.sent >= s.limit_cut_at {
                 s.limit = (s.limit * LIMIT_CUT).max(least);
                 s.limit_cut_at = now;
@@ -811,12 +809,28 @@
         for doubt in [&mut s.doubt, &mut s.class_doubt[class.0]] {
             doubt.set(now, (doubt.get(now) + amount).min(DOUBT_MOST), half);
         }
-        s.broke |= amount >= DOUBT_BROKEN;
+        if amount >= DOUBT_BROKEN {
+            s.broke = true;
+            s.broke_at.get_or_insert(now);
+        }
         if s.broke {
             self.pause(id);
         }
     }
 
+    /// A connection is lost, with all that was out on it. Only one that broke may mean that its server has
+    /// died, and that shows at the next that does not come up.
+    fn lost(&mut self, id: ServerId, class: ClassId, outcome: Outcome) {
+        let now = self.now;
+        let Some(s) = self.fleet.servers.get_mut(&id) else { return };
+        if outcome == Outcome::Cut {
+            s.broke_at.get_or_insert(now);
+        }
+        if std::mem::replace(&mut s.cut_at, now) != now {
+            self.doubt(id, class, DOUBT_LOST);
+        }
+    }
+
     fn pause(&mut self, id: ServerId) {
         let until = self.now + self.set.shortest_aim() / TRIAL_SHARE;
         self.fleet.servers.entry(id).and_modify(|s| s.next_at = s.next_at.max(until));
@@ -828,7 +842,9 @@
         s.failures = 0;
         s.doubt.scale(now, DOUBT_CLEARED);
         s.class_doubt[class.0].scale(now, DOUBT_CLEARED);
-        if std::mem::take(&mut s.broke) {
+        s.broke = false;
+        // One that is back within the time in which a cold one falls over has not been away.
+        if s.broke_at.take().is_some_and(|at| now.saturating_sub(at) >= self.set.cold.fall) {
             s.cold_since = Some(now);
             self.start_cold(id, 1.0);
         }
@@ -903,11 +919,9 @@
         silent && rested && shares(&self.seen.idle, self.seen.fresh.share(), IDLE_BAD)
     }
 
-    /// Whether the query's own parts look like the cause: nothing more of it is sent. After one broken
-    /// connection it waits for the parts still out, unless one has passed.
+    /// Whether the query's own parts look like the cause: nothing more of it is sent.
     fn kills(&self, id: QueryId) -> bool {
-        let Some(q) = self.queries.get(&id).filter(|q| q.passes == 0 && q.broken > 0) else { return false };
-        q.broken >= KILLS || q.scout || q.parts.iter().any(|p| self.parts[p].is_out())
+        self.queries.get(&id).is_some_and(|q| q.passes == 0 && q.broken >= KILLS)
     }
 
     // ---- The list, drains and cold servers. ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,13 +52,15 @@
     pub(crate) weight: f64,
     pub(crate) done: bool,
     pub(crate) attempts: Vec<Attempt>,
+    /// Attempts whose connection broke.
+    pub(crate) broken: u32,
 }
 
 impl Part {
     /// A weight that is no number counts nothing.
     pub(crate) fn new(query: QueryId, shard: ShardId, weight: f64) -> Self {
         let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
-        Self { query, shard, weight, done: false, attempts: Vec::new() }
+        Self { query, shard, weight, done: false, attempts: Vec::new(), broken: 0 }
     }
 
     pub(crate) fn out(&self) -> impl Iterator<Item = (u32, &Attempt)> {
@@ -119,7 +121,7 @@
     pub(crate) parts: Vec<PartId>,
     /// Copies that answered parts have released and no sibling has taken yet.
     pub(crate) released: u32,
-    /// Attempts whose connection broke, and parts that came in.
+    /// Most connections that one part lost, and parts that came in.
     pub(crate) broken: u32,
     pub(crate) passes: u32,
     /// One part goes ahead, the rest once it is in.
@@ -213,8 +215,11 @@
     pub(crate) doubt: Decaying,
     pub(crate) class_doubt: Vec<Decaying>,
     pub(crate) failures: u32,
-    /// Its connection broke and nothing has passed since.
+    /// It could not be reached and nothing has passed since.
     pub(crate) broke: bool,
+    /// When a connection broke or did not come up, if nothing has passed since; when the last one was lost.
+    pub(crate) broke_at: Option<Nanos>,
+    pub(crate) cut_at: Nanos,
 }
 
 impl Server {
@@ -235,6 +240,8 @@
             class_doubt: vec![Decaying::default(); classes],
             failures: 0,
             broke: false,
+            broke_at: None,
+            cut_at: 0,
         }
     }
 
@@ -243,6 +250,7 @@
         self.limit = limit;
         self.failures = 0;
         self.broke = false;
+        self.broke_at = None;
         self.used_at = None;
         self.doubt = Decaying::default();
         self.class_doubt.fill(Decaying::default());
