Look whether a part is still wanted right before its frame is written

Checked, by reading the way of a copy that goes out in the moment in which its sibling's answer comes: the core hands Call to the data node's mailbox, then Drop, and the answer to the client's writer; the node's actor hands the frame to its own writer before it takes Drop, and that writer runs after the client's. At fault: node.rs "link writer" wrote whatever it was handed. Ruled out: the engine (the property test shows no Send after a Finish).

Changed: each attempt carries a flag that the engine clears when the attempt has ended for it, ahead of any answer; the writer, and feature nodes before each page, look at it with nothing that yields between that and the first byte.

A connection's silence is measured by the shortest aim, 400 ms at 2 s.

--- a/src/api.rs
+++ b/src/api.rs
@@ -185,6 +185,8 @@
     pub tick: Nanos,
     /// How many zones there are; 0 where zones are not known.
     pub zones: u32,
+    /// The zone that this instance is in, where that is known.
+    pub home: Option<ZoneId>,
     /// Whether clients mark the queries that they repeat.
     pub marks_retry: bool,
     /// Connections are closed once idle for this long, where that is known.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use crate::api::{
@@ -93,6 +94,34 @@
     pub after: Option<(Vec<ShardId>, bool)>,
 }
 
+/// Whether an attempt is still wanted. The engine clears it the moment that the attempt has ended for it, ahead
+/// of the query's answer; it is looked at right before a frame's first byte, so that nothing is sent on for a
+/// query that has its answer, whatever waits in whichever mailbox.
+#[derive(Debug, Clone, Default)]
+pub struct Wanted(Arc<AtomicBool>);
+
+impl Wanted {
+    /// Wanted until it is cleared.
+    pub fn new() -> Self {
+        Self(Arc::new(AtomicBool::new(true)))
+    }
+
+    /// Whether it still is.
+    pub fn yes(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+
+    fn clear(&self) {
+        self.0.store(false, Ordering::Release);
+    }
+}
+
+impl PartialEq for Wanted {
+    fn eq(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
+
 /// An attempt on its way to a data node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Dispatch {
@@ -102,6 +131,8 @@
     pub part: Arc<PartText>,
     /// Until when its answer is waited for.
     pub until: Nanos,
+    /// Whether it is still wanted.
+    pub wanted: Wanted,
 }
 
 /// A value from a data node.
@@ -168,6 +199,11 @@
         /// Which.
         server: ServerId,
     },
+    /// Forget a data node: it has left the list, and nothing of it is out.
+    Retire {
+        /// Which.
+        server: ServerId,
+    },
     /// Subscribe to the list.
     Watch,
     /// Give a query its final answer.
@@ -205,6 +241,7 @@
     number: u32,
     server: ServerId,
     sent: Nanos,
+    wanted: Wanted,
 }
 
 struct Server {
@@ -220,7 +257,8 @@
     /// How long after a query's time the engine itself ends it.
     backstop: Nanos,
     now: Nanos,
-    servers: Vec<Server>,
+    servers: BTreeMap<ServerId, Server>,
+    next_server: u32,
     ids: HashMap<String, ServerId>,
     open: BTreeMap<QueryId, Open>,
     /// The names of open queries, and of those that ended a short while ago.
@@ -252,7 +290,8 @@
             info,
             backstop,
             now: 0,
-            servers: Vec::new(),
+            servers: BTreeMap::new(),
+            next_server: 0,
             ids: HashMap::new(),
             open: BTreeMap::new(),
             names: HashSet::new(),
@@ -278,7 +317,7 @@
 
     /// The data node's name.
     pub fn server_name(&self, id: ServerId) -> &str {
-        self.servers.get(id.0 as usize).map_or("", |s| &s.name)
+        self.servers.get(&id).map_or("", |s| &s.name)
     }
 
     /// Queries held.
@@ -293,7 +332,12 @@
 
     /// Data nodes in service, as the list has it.
     pub fn in_service(&self) -> usize {
-        self.servers.iter().filter(|s| s.phase == Phase::In).count()
+        self.servers.values().filter(|s| s.phase == Phase::In).count()
+    }
+
+    /// Data nodes that are not forgotten.
+    pub fn known(&self) -> usize {
+        self.servers.len()
     }
 
     /// Takes a query under an id that the embedder has not used before.
@@ -362,12 +406,15 @@
     /// The list of data nodes, or a change to it. Names that leave a full list are gone.
     pub fn list(&mut self, kind: ListKind, members: &[Member]) {
         if kind == ListKind::Full {
-            self.servers.iter_mut().for_each(|s| s.phase = Phase::Out);
+            self.servers.values_mut().for_each(|s| s.phase = Phase::Out);
         }
         let mut entries = Vec::with_capacity(members.len());
         for m in members {
+            if m.phase == Phase::Out && !self.ids.contains_key(&m.name) {
+                continue;
+            }
             let server = self.intern(&m.name);
-            let known = &mut self.servers[server.0 as usize];
+            let Some(known) = self.servers.get_mut(&server) else { continue };
             known.cell = m.cell;
             known.phase = m.phase;
             let zone = m.zone.as_ref().and_then(|z| self.info.zones.iter().position(|n| n == z));
@@ -381,15 +428,40 @@
             });
         }
         self.events.push(Event::List { kind, entries });
+        self.retire();
+    }
+
+    /// Forgets the data nodes that have left the list, once nothing of them is out: those that replace them
+    /// have other names.
+    fn retire(&mut self) {
+        if self.servers.values().all(|s| s.phase != Phase::Out) {
+            return;
+        }
+        let used: HashSet<ServerId> = self.attempts.values().map(|a| a.server).collect();
+        let over = |(id, s): &(&ServerId, &Server)| s.phase == Phase::Out && !used.contains(id);
+        let over: Vec<ServerId> = self.servers.iter().filter(over).map(|(&id, _)| id).collect();
+        for server in over {
+            if let Some(gone) = self.servers.remove(&server) {
+                self.ids.remove(&gone.name);
+            }
+            self.probes.remove(&server);
+            self.commands.push(Command::Retire { server });
+        }
+    }
+
+    /// The id of a data node that is known.
+    pub fn id(&self, name: &str) -> Option<ServerId> {
+        self.ids.get(name).copied()
     }
 
-    /// The id of a data node; ids are given in the order in which names are met.
+    /// The id of a data node; ids are given in the order in which names are met, and never again.
     pub fn intern(&mut self, name: &str) -> ServerId {
         if let Some(&id) = self.ids.get(name) {
             return id;
         }
-        let id = ServerId(self.servers.len() as u32);
-        self.servers.push(Server { name: name.to_string(), cell: u32::MAX, phase: Phase::Out });
+        let id = ServerId(self.next_server);
+        self.next_server += 1;
+        self.servers.insert(id, Server { name: name.to_string(), cell: u32::MAX, phase: Phase::Out });
         self.ids.insert(name.to_string(), id);
         id
     }
@@ -398,6 +470,7 @@
     pub fn ended(&mut self, now: Nanos, id: AttemptId, outcome: Outcome, value: Option<Value>) {
         self.now = self.now.max(now);
         let Some(a) = self.attempts.remove(&id) else { return };
+        a.wanted.clear();
         // A pass without a value serves nobody.
         let outcome = if outcome == Outcome::Pass && value.is_none() { Outcome::Fault } else { outcome };
         if let Some(part) = self.parts.get_mut(&a.part) {
@@ -513,8 +586,10 @@
                 self.finish(query, Final::Failed);
             }
             Action::Probe { server } => {
-                self.probes.entry(server).or_default().push(self.now);
-                self.commands.push(Command::Probe { server });
+                if self.servers.contains_key(&server) {
+                    self.probes.entry(server).or_default().push(self.now);
+                    self.commands.push(Command::Probe { server });
+                }
             }
             Action::Close { server } => self.commands.push(Command::CloseIdle { server }),
             Action::Watch => self.commands.push(Command::Watch),
@@ -525,7 +600,7 @@
     /// Whether a data node's cell holds a shard.
     fn holds(&self, server: ServerId, shard: ShardId) -> bool {
         let layout = self.info.settings.layout;
-        let Some(server) = self.servers.get(server.0 as usize) else { return false };
+        let Some(server) = self.servers.get(&server) else { return false };
         let distance = u64::from(server.cell) + u64::from(layout.cells);
         let distance = (distance - u64::from(shard.0 % layout.cells)) % u64::from(layout.cells);
         server.cell < layout.cells && distance < u64::from(layout.in_a_row)
@@ -541,8 +616,10 @@
         let (shard, text) = (part.shard, part.text.clone());
         let Some(query) = self.open.get(&part.query) else { return };
         let until = query.valid_until.min(self.now.saturating_add(within));
-        self.attempts.insert(id, Attempt { part: part_id, number, server, sent: self.now });
-        let phase = self.servers.get(server.0 as usize).map(|s| s.phase);
+        let wanted = Wanted::new();
+        let attempt = Attempt { part: part_id, number, server, sent: self.now, wanted: wanted.clone() };
+        self.attempts.insert(id, attempt);
+        let phase = self.servers.get(&server).map(|s| s.phase);
         if number >= max || until <= self.now || phase != Some(Phase::In) || !self.holds(server, shard) {
             return self.ended(self.now, id, Outcome::StaleSend, None);
         }
@@ -550,7 +627,7 @@
             part.out.push((number, id));
         }
         self.limits.push(Reverse((until, id)));
-        let call = vec![Dispatch { attempt: id, part: text, until }];
+        let call = vec![Dispatch { attempt: id, part: text, until, wanted }];
         self.commands.push(Command::Send { server, call });
     }
 
@@ -726,7 +803,8 @@
                         }
                     }
                     Command::Drop { attempt, .. } => {
-                        self.out.remove(&attempt);
+                        let dropped = self.out.remove(&attempt);
+                        assert!(dropped.is_none_or(|o| !o.1.wanted.yes()), "sent on after its end");
                     }
                     Command::Finish { query, answer } => {
                         *self.finals.entry(query).or_default() += 1;
@@ -739,9 +817,16 @@
                             assert!(rows.iter().all(|r| *r.data == *format!("v{}", r.shard.0)));
                         }
                     }
+                    Command::Retire { server } => {
+                        assert!(self.out.values().all(|o| o.0 != server), "forgotten with parts out");
+                        assert_eq!(engine.server_name(server), "");
+                    }
                     Command::Probe { .. } | Command::CloseIdle { .. } | Command::Watch => {}
                 }
             }
+            for (_, d) in self.out.values() {
+                assert!(d.wanted.yes(), "an attempt that is out is wanted");
+            }
             let out: HashSet<AttemptId> = self.out.keys().copied().collect();
             assert_eq!(engine.out(), out.len(), "attempts without an end");
         }
@@ -759,6 +844,7 @@
                 3..=8 => {
                     let Some((&id, _)) = self.out.iter().nth(pick % self.out.len().max(1)) else { return };
                     let (_, dispatch) = self.out.remove(&id).unwrap();
+                    assert!(dispatch.wanted.yes());
                     let outcomes =
                         [Outcome::Pass, Outcome::Pass, Outcome::Pass, Outcome::Fault, Outcome::Cut];
                     let outcome = outcomes[pick / 7 % outcomes.len()];
@@ -836,6 +922,36 @@
         assert_eq!((finals.count(), engine.held(), engine.out()), (1, 0, 0));
     }
 
+    /// Guards against growth over a long day on which data nodes are replaced: each is forgotten once it is
+    /// gone and nothing of it is out, and its id is not given again.
+    #[test]
+    fn data_nodes_that_are_gone_are_forgotten() {
+        let mut engine = engine();
+        let held = || ask(0, &[0], 1000 * MS);
+        for n in 0..100 {
+            engine.list(ListKind::Diff, &[member(3 * n, Phase::In)]);
+            engine.ask(MS, QueryId(u64::from(n)), held()).unwrap();
+            let sent = engine.run(MS);
+            let Some(Command::Send { server, call }) =
+                sent.iter().find(|c| matches!(c, Command::Send { .. }))
+            else {
+                panic!("{sent:?}")
+            };
+            assert_eq!(*server, ServerId(n));
+            engine.list(ListKind::Diff, &[member(3 * n, Phase::Out)]);
+            assert!(engine.run(MS).iter().all(|c| !matches!(c, Command::Retire { .. })), "a part is out");
+            engine.ended(MS, call[0].attempt, Outcome::Fault, None);
+            engine.gone(QueryId(u64::from(n)));
+            engine.run(MS);
+            // A change that does not name it, and one that does: it is not met again.
+            engine.list(ListKind::Diff, &[]);
+            engine.list(ListKind::Diff, &[member(3 * n, Phase::Out)]);
+            assert!(engine.run(MS).contains(&Command::Retire { server: *server }));
+            assert_eq!(engine.known(), 0);
+        }
+        assert_eq!(engine.policy.servers(), 0);
+    }
+
     #[test]
     fn what_cannot_be_taken_is_rejected() {
         let mut engine = engine();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -31,9 +31,12 @@
     /// Parts given up, and parts answered, that one connection remembers: their answers may come late or
     /// twice.
     pub past_parts: usize,
-    /// Nothing new goes over a connection that has been silent for this long with parts out on it: a machine
-    /// that has vanished, and a connection that has died unseen, say nothing.
+    /// Nothing new goes over a connection that has been silent for this long with parts out on it, or for
+    /// one in `link_silence_part` of the shortest aim if that is longer: a machine that has vanished, and a
+    /// connection that has died unseen, say nothing.
     pub link_silence: Duration,
+    /// See there.
+    pub link_silence_part: u32,
     /// The name of a query is not taken again for so long after its end: late answers bear it.
     pub name_rest: Duration,
     /// Bytes of one line of the list.
@@ -111,6 +114,7 @@
             frame_read: Duration::from_millis(250),
             past_parts: 128,
             link_silence: Duration::from_millis(100),
+            link_silence_part: 5,
             name_rest: Duration::from_secs(10),
             list_line: 1024 * 1024,
             headers: 64,
@@ -156,6 +160,11 @@
         idle.saturating_sub(self.idle_margin.min(idle / IDLE_PART))
     }
 
+    /// After how long a silence a connection with parts out gets nothing new.
+    pub fn silence(&self, shortest_aim: Duration) -> Duration {
+        self.link_silence.max(shortest_aim / self.link_silence_part)
+    }
+
     /// The limits under a bound of descriptors: clients get what data nodes and the process leave.
     ///
     /// # Errors
@@ -182,6 +191,13 @@
         assert_eq!((usable(30_000), usable(1000), usable(0)), (28_000, 750, 0));
     }
 
+    /// Guards against taking connections for dead where parts take long.
+    #[test]
+    fn silence_is_measured_by_the_aim() {
+        let silence = |ms| Limits::default().silence(Duration::from_millis(ms)).as_millis();
+        assert_eq!((silence(2000), silence(500), silence(10)), (400, 100, 100));
+    }
+
     /// Guards against running out of descriptors: all kinds together stay below the bound.
     #[test]
     fn sockets_of_all_kinds_stay_below_the_bound() {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -265,6 +265,13 @@
         }
         let members: Vec<_> = news.members.iter().map(|m| m.0.clone()).collect();
         for (member, addr) in &news.members {
+            if member.phase == Phase::Out {
+                // One that is not known needs no actor to be gone.
+                if let Some(node) = self.engine.id(&member.name).and_then(|id| self.nodes.get(&id)) {
+                    node.gate.set(false);
+                }
+                continue;
+            }
             let id = self.engine.intern(&member.name);
             let start = &mut self.start_node;
             let node = self.nodes.entry(id).or_insert_with(|| {
@@ -292,6 +299,11 @@
                     Counters::add(&self.core.counters.attempts_dropped);
                     self.tell_node(server, NodeMsg::Drop(attempt));
                 }
+                Command::Retire { server } => {
+                    if let Some(node) = self.nodes.remove(&server) {
+                        tell(&node.mail, NodeMsg::Retire);
+                    }
+                }
                 Command::Probe { server } => self.tell_node(server, NodeMsg::Probe),
                 Command::CloseIdle { server } => self.tell_node(server, NodeMsg::CloseIdle),
                 Command::Watch => {
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -14,7 +14,7 @@
 
 use crate::api::{Nanos, Outcome, ServerId};
 use crate::counters::Counters;
-use crate::engine::{AttemptId, Dispatch, Value};
+use crate::engine::{AttemptId, Dispatch, Value, Wanted};
 use crate::net::core::{Gate, Msg};
 use crate::net::features::{self, RangeQuery};
 use crate::net::http;
@@ -59,6 +59,7 @@
     fn run(mut self, inbox: &Receiver<NodeMsg>) {
         loop {
             match inbox.recv_timeout(LOOK) {
+                Ok(NodeMsg::Retire) => return,
                 Ok(message) => self.take(message),
                 Err(RecvTimeoutError::Timeout) => self.prune(),
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -89,7 +90,7 @@
                 self.rested.extend(stream.map(|s| (s, Instant::now())));
             }
             // Only actors that speak frames send these.
-            NodeMsg::Link(_) | NodeMsg::Read(..) | NodeMsg::Up(..) => {}
+            NodeMsg::Link(_) | NodeMsg::Read(..) | NodeMsg::Up(..) | NodeMsg::Retire => {}
         }
     }
 
@@ -121,6 +122,7 @@
             gate: self.gate.clone(),
             job,
             until: dispatch.until,
+            wanted: dispatch.wanted.clone(),
             asked: false,
         };
         let (own, rested) = (self.own.clone(), self.rested());
@@ -143,7 +145,16 @@
         spawn("feature probe", context.limits.core_stack_words, move || {
             let core = context.core.clone();
             let probe = |addr| {
-                let mut fetch = Fetch { addr, context, range_name, gate, job, until, asked: false };
+                let mut fetch = Fetch {
+                    addr,
+                    context,
+                    range_name,
+                    gate,
+                    job,
+                    until,
+                    wanted: Wanted::new(),
+                    asked: false,
+                };
                 match fetch.connect(None).and_then(|s| fetch.page(&s, "/")) {
                     Ok((200, ..)) => Outcome::Pass,
                     Ok(_) => Outcome::Fault,
@@ -163,6 +174,7 @@
     gate: Gate,
     job: Arc<Job>,
     until: Nanos,
+    wanted: Wanted,
     /// A request was written whole: the attempt may have run.
     asked: bool,
 }
@@ -215,7 +227,8 @@
 
     /// Whether the next page may be asked for. The first that may not never ran.
     fn may_ask(&self) -> Result<(), Outcome> {
-        let over = self.job.dropped.load(Ordering::Acquire) || self.left().is_zero();
+        let dropped = self.job.dropped.load(Ordering::Acquire) || !self.wanted.yes();
+        let over = dropped || self.left().is_zero();
         if over || !self.gate.open() {
             return Err(if self.asked { Outcome::Fault } else { Outcome::StaleSend });
         }
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -41,8 +41,31 @@
     bytes
 }
 
+/// A frame to be written.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Frame {
+    /// A call as of this time.
+    Call(Vec<Dispatch>, Nanos),
+    /// Any other, whole.
+    Whole(Vec<u8>),
+}
+
+impl Frame {
+    /// Its bytes as of now: parts of a call that are not wanted any more are left out. Nothing if it has
+    /// none left.
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        match self {
+            Self::Call(parts, now) => {
+                let wanted: Vec<&Dispatch> = parts.iter().filter(|d| d.wanted.yes()).collect();
+                (!wanted.is_empty()).then(|| call(&wanted, *now))
+            }
+            Self::Whole(bytes) => Some(bytes.clone()),
+        }
+    }
+}
+
 /// One call.
-pub fn call(parts: &[Dispatch], now: Nanos) -> Vec<u8> {
+fn call(parts: &[&Dispatch], now: Nanos) -> Vec<u8> {
     let mut rest = Vec::new();
     for d in parts {
         let wait = (d.until.saturating_sub(now) / MILLI).max(1);
@@ -156,29 +179,39 @@
 mod tests {
     use super::*;
     use crate::api::ShardId;
-    use crate::engine::{AttemptId, PartText};
+    use crate::engine::{AttemptId, PartText, Wanted};
     use proptest::prelude::*;
 
     const LIMITS: FrameLimits = FrameLimits { frame: 1024, line: 100 };
 
     fn dispatch(after: Option<(Vec<ShardId>, bool)>) -> Dispatch {
         let part = PartText { name: "9b1f.3".into(), shard: ShardId(3), text: "c41e77d0".into(), after };
-        Dispatch { attempt: AttemptId(1), part: Arc::new(part), until: 250 * MILLI }
+        Dispatch { attempt: AttemptId(1), part: Arc::new(part), until: 250 * MILLI, wanted: Wanted::new() }
     }
 
     /// The protocol's own example, and the lists of a second step.
     #[test]
     fn calls_are_written_as_the_protocol_shows() {
-        let bytes = call(&[dispatch(None)], 10 * MILLI);
+        let bytes = call(&[&dispatch(None)], 10 * MILLI);
         assert_eq!(bytes[..5], [26, 0, 0, 0, b'D']);
         assert_eq!(&bytes[5..], b"9b1f.3 3 d=240 8\nc41e77d0");
         let second = dispatch(Some((vec![ShardId(3), ShardId(5)], true)));
-        let text = String::from_utf8(call(&[second], 10 * MILLI)[5..].to_vec()).unwrap();
+        let text = String::from_utf8(call(&[&second], 10 * MILLI)[5..].to_vec()).unwrap();
         assert_eq!(text, "9b1f.3 3 d=240,from=3+5,whole=1 8\nc41e77d0");
         assert_eq!(give_up("a.1"), b"\x04\0\0\0Ka.1");
         assert_eq!(probe(), b"\x01\0\0\0I");
     }
 
+    /// Guards against sending on a part whose query has its answer while its frame waits to be written.
+    #[test]
+    fn parts_not_wanted_any_more_are_left_out() {
+        let (kept, mut over) = (dispatch(None), dispatch(None));
+        over.wanted = Wanted::default();
+        let both = Frame::Call(vec![over.clone(), kept.clone()], 10 * MILLI);
+        assert_eq!(both.bytes(), Frame::Call(vec![kept], 10 * MILLI).bytes());
+        assert_eq!(Frame::Call(vec![over], 10 * MILLI).bytes(), None);
+    }
+
     /// Answers come in pieces: no prefix is an error or a frame.
     #[test]
     fn a_split_answer_is_waited_for() {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -9,7 +9,7 @@
 
 use crate::api::{Nanos, Outcome};
 use crate::engine::{AttemptId, Dispatch, Value};
-use crate::net::frame::{self, Reply};
+use crate::net::frame::{self, Frame, Reply};
 
 /// A connection, numbered for the life of its data node's actor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -54,7 +54,7 @@
     /// Open a connection: ends in `Up` or `DialFailed`.
     Dial(LinkId),
     /// Write a frame: ends in `Written` or `WriteFailed`.
-    Write(LinkId, Vec<u8>),
+    Write(LinkId, Frame),
     /// Close a connection: it ends in `ReadEnded`.
     Shut(LinkId),
     /// An attempt has ended.
@@ -292,16 +292,16 @@
                     if sent.is_empty() {
                         continue;
                     }
-                    let bytes = frame::call(&sent, now);
+                    let bytes = Frame::Call(sent.clone(), now);
                     (Item::Call(sent, moved), bytes)
                 }
                 Item::GiveUp(name) => {
-                    let bytes = frame::give_up(&name);
+                    let bytes = Frame::Whole(frame::give_up(&name));
                     (Item::GiveUp(name), bytes)
                 }
                 Item::Probe => {
                     link.probes.push_back(self.now);
-                    (Item::Probe, frame::probe())
+                    (Item::Probe, Frame::Whole(frame::probe()))
                 }
             };
             link.writing = Some(item);
@@ -519,7 +519,7 @@
     use std::sync::Arc;
 
     use crate::api::ShardId;
-    use crate::engine::PartText;
+    use crate::engine::{PartText, Wanted};
     use proptest::prelude::*;
 
     const MULTIPLEX: usize = 3;
@@ -541,7 +541,7 @@
 
     fn part(id: u64, until: Nanos) -> Dispatch {
         let text = PartText { name: format!("q.{id}"), shard: ShardId(0), text: "t".into(), after: None };
-        Dispatch { attempt: AttemptId(id), part: Arc::new(text), until }
+        Dispatch { attempt: AttemptId(id), part: Arc::new(text), until, wanted: Wanted::new() }
     }
 
     fn answer(id: u64) -> Reply {
@@ -611,7 +611,8 @@
                     self.probes -= 1;
                     assert!(self.probes >= 0, "a probe ended twice");
                 }
-                Output::Write(id, bytes) => {
+                Output::Write(id, frame) => {
+                    let bytes = frame.bytes().unwrap();
                     assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
                     let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
                     let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -14,7 +14,7 @@
 use crate::engine::{AttemptId, Dispatch};
 use crate::limits::Limits;
 use crate::net::core::{CoreMail, Gate, Msg};
-use crate::net::frame::{self, FrameLimits};
+use crate::net::frame::{self, Frame, FrameLimits};
 use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
 use crate::settings::Connections;
@@ -37,7 +37,9 @@
     /// What came on a connection in one piece.
     Read(LinkId, Come),
     /// A connection is up: its stream, and the mailbox of its writer.
-    Up(LinkId, Arc<Stream>, Sender<Vec<u8>>),
+    Up(LinkId, Arc<Stream>, Sender<Frame>),
+    /// It has left the list, and nothing of it is out: the actor ends.
+    Retire,
     /// An attempt's connection, if it can be used again.
     Rested(AttemptId, Option<Arc<Stream>>),
 }
@@ -67,6 +69,8 @@
     pub limits: Arc<Limits>,
     /// Figures of connections.
     pub connections: Connections,
+    /// The shortest aim of all classes.
+    pub shortest_aim: Duration,
     /// Sockets that data nodes may hold together.
     pub permits: Permits,
     /// Counters.
@@ -92,7 +96,7 @@
             probe: nanos(context.limits.probe),
             backlog: context.limits.node_backlog,
             past: context.limits.past_parts,
-            silence: nanos(context.limits.link_silence),
+            silence: nanos(context.limits.silence(context.shortest_aim)),
         });
         Node { id, gate, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
     });
@@ -106,7 +110,7 @@
     own: Sender<NodeMsg>,
     links: Links,
     addr: Option<SocketAddr>,
-    open: HashMap<LinkId, (Arc<Stream>, Sender<Vec<u8>>)>,
+    open: HashMap<LinkId, (Arc<Stream>, Sender<Frame>)>,
 }
 
 impl Node {
@@ -114,11 +118,13 @@
         loop {
             let look = if self.links.probing() { LOOK_PROBING } else { LOOK };
             match inbox.recv_timeout(look) {
+                Ok(NodeMsg::Retire) => break,
                 Ok(message) => self.take(message),
                 Err(RecvTimeoutError::Timeout) => self.step(Input::Tick),
-                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => break,
             }
         }
+        self.open.values().for_each(|o| o.0.shut());
     }
 
     fn take(&mut self, message: NodeMsg) {
@@ -157,8 +163,8 @@
                 self.open.insert(id, (stream, writer));
                 self.step(Input::Up(id));
             }
-            // Only actors of feature servers send this.
-            NodeMsg::Rested(..) => {}
+            // Only actors of feature servers send the one, and the loop takes the other.
+            NodeMsg::Rested(..) | NodeMsg::Retire => {}
         }
     }
 
@@ -169,8 +175,8 @@
         for output in outputs {
             match output {
                 Output::Dial(id) => self.dial(id),
-                Output::Write(id, bytes) => {
-                    let sent = self.open.get(&id).is_some_and(|o| o.1.send(bytes).is_ok());
+                Output::Write(id, frame) => {
+                    let sent = self.open.get(&id).is_some_and(|o| o.1.send(frame).is_ok());
                     if !sent {
                         // The mailbox outlives the actor's own loop.
                         let _ = self.own.send(NodeMsg::Link(Input::WriteFailed(id)));
@@ -218,18 +224,20 @@
             return tell(Input::DialFailed(id));
         }
     };
-    let (frames, to_write) = channel::<Vec<u8>>();
+    let (frames, to_write) = channel::<Frame>();
     let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
     spawn("link writer", context.limits.stack_words, move || {
-        for bytes in to_write.iter() {
-            let written = writer_stream.write_all(&bytes, within);
+        for frame in to_write.iter() {
+            // Nothing yields between this look and the first byte.
+            let written = frame.bytes().map_or(Ok(()), |bytes| writer_stream.write_all(&bytes, within));
             let news = if written.is_ok() { Input::Written(id) } else { Input::WriteFailed(id) };
             // Nobody is left to be told once the actor has ended.
             let _ = writer_node.send(NodeMsg::Link(news));
         }
     });
-    // Nobody is left to be told once the actor has ended.
-    let _ = node.send(NodeMsg::Up(id, stream.clone(), frames));
+    if node.send(NodeMsg::Up(id, stream.clone(), frames)).is_err() {
+        return; // The actor has ended, and nobody else would close this.
+    }
     read_frames(&stream, context, |come| {
         // Nobody is left to be told once the actor has ended.
         let _ = node.send(NodeMsg::Read(id, come));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -171,6 +171,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// How many servers it remembers.
+    pub fn servers(&self) -> usize {
+        self.fleet.servers.len()
+    }
+
     fn take(&mut self, event: Event) {
         match event {
             Event::List { kind, entries } => self.take_list(kind, entries),
@@ -204,14 +209,15 @@
         self.seen.quartile = self.latencies.quantile(self.now, 0.25, OFFSET_LEAST / 2).unwrap_or(0);
     }
 
-    /// The replica with the fewest of our calls out, ties in turn; `None` when all are barred or full.
+    /// The replica with the fewest of our calls out, ties at home first, then in turn; `None` when all are
+    /// barred or full.
     /// Exceptions that act before that count: paced servers are barred, doubted ones come after
     /// the others, and a server at its bound of parts out takes no more.
     fn pick(&self, part: &Part, again: bool, planned: &Planned, worst: u8) -> Option<ServerId> {
         let class = self.queries.get(&part.query)?.class;
         let layout = self.set.layout;
         let mut sound = false;
-        let mut best: Option<((u8, u32, u32, u64), ServerId)> = None;
+        let mut best: Option<(Rank, ServerId)> = None;
         for &id in self.fleet.holders(part.shard, layout) {
             let server = &self.fleet.servers[&id];
             let extra = planned.sent(id);
@@ -228,7 +234,8 @@
                 continue;
             }
             let join = layout.batch - planned.mates(id).min(layout.batch);
-            let rank = (tier, calls, 2 * join + u32::from(!self.open(server)), server.last_turn);
+            let away = self.set.home.is_some() && server.zone != self.set.home;
+            let rank = (tier, calls, 2 * join + u32::from(!self.open(server)), away, server.last_turn);
             if best.is_none_or(|(b, _)| rank < b) {
                 best = Some((rank, id));
             }
@@ -997,6 +1004,9 @@
     }
 }
 
+/// Replicas by tier, calls out, connection, way and turn: the least comes first.
+type Rank = (u8, u32, u32, bool, u64);
+
 /// Whether bad outcomes share what `tally` counts: many there, few elsewhere.
 fn shares(tally: &Tally, elsewhere: f64, least: f64) -> bool {
     tally.share() > least && tally.share() > 2.0 * elsewhere
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -66,6 +66,7 @@
         core: mail.clone(),
         limits: limits.clone(),
         connections: info.connections,
+        shortest_aim: Duration::from_nanos(info.settings.shortest_aim()),
         permits: Permits::new(limits.node_sockets),
         counters: counters.clone(),
         clock,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings object, as the simulator's first message and the configuration file carry it, to the
 //! module's settings and the figures that sockets need. One parser for both programs.
 
-use crate::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant};
+use crate::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 
 /// The settings, with the names that the wire uses for classes, tenants and zones.
@@ -55,6 +55,8 @@
     tick_ns: Nanos,
     #[serde(default)]
     zones: Vec<String>,
+    #[serde(default)]
+    locality: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -154,6 +156,7 @@
         "on_request" => Discovery::OnRequest { must_ask_in: rules.must_ask_in_ns.unwrap_or(u64::MAX) },
         _ => Discovery::Pushed,
     };
+    let home = info.locality.as_ref().and_then(|own| info.zones.iter().position(|z| z == own));
     let settings = Settings {
         mixers: info.balancers,
         classes,
@@ -181,6 +184,7 @@
         },
         tick: info.tick_ns,
         zones: info.zones.len() as u32,
+        home: home.map(|z| ZoneId(z as u32)),
         marks_retry: info.client_habits.is_some_and(|h| h.marks_retry),
         idle: info.limits.conn_idle_ns,
     };
--- a/src/state.rs
+++ b/src/state.rs
@@ -199,6 +199,8 @@
 pub(crate) struct Server {
     pub(crate) cell: u32,
     pub(crate) listed: bool,
+    /// It has left the list.
+    pub(crate) gone: bool,
     /// Since when it counts as cold; nothing once warm.
     pub(crate) cold_since: Option<Nanos>,
     pub(crate) started_at: Nanos,
@@ -227,6 +229,7 @@
         Self {
             cell: 0,
             listed: false,
+            gone: false,
             cold_since: None,
             started_at: 0,
             pending: Vec::new(),
@@ -363,19 +366,21 @@
         mut fresh: impl FnMut() -> Server,
     ) -> Vec<ServerId> {
         if kind == ListKind::Full {
-            self.servers.values_mut().for_each(|s| s.listed = false);
+            self.servers.values_mut().for_each(|s| (s.listed, s.gone) = (false, true));
         }
         let mut started = Vec::new();
         for entry in entries {
             let s = self.servers.entry(entry.server).or_insert_with(&mut fresh);
             s.cell = entry.cell;
             s.zone = entry.zone;
-            s.listed = entry.phase == Phase::In;
+            (s.listed, s.gone) = (entry.phase == Phase::In, entry.phase == Phase::Out);
             if entry.started_at > s.started_at {
                 s.started_at = entry.started_at;
                 started.push(entry.server);
             }
         }
+        // A server that is replaced never comes back under its id.
+        self.servers.retain(|_, s| !s.gone || !s.pending.is_empty());
         self.cells.iter_mut().for_each(Vec::clear);
         self.listed = self.servers.values().filter(|s| s.listed).count();
         for (&id, s) in &self.servers {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,6 +40,7 @@
         cold: ColdRule { share: 0.2, warm_after: 16_000 * MS, multiple: 2.0, fall: 2000 * MS },
         tick: 5 * MS,
         zones: 0,
+        home: None,
         marks_retry: false,
         idle: None,
     }
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -342,3 +342,18 @@
         assert_eq!(used.len(), 3);
     }
 }
+
+/// Guards against paying for the way between zones where nothing is gained by it; fewest parts out comes
+/// before that.
+#[test]
+fn ties_go_to_the_own_zone_first() {
+    let mut bed = Bed::new(Settings { zones: 2, home: Some(ZoneId(1)), ..settings() }, 0);
+    let line = |s| ListEntry { zone: Some(ZoneId(s % 2)), ..entry(s, Phase::In) };
+    bed.round(vec![Event::List { kind: ListKind::Full, entries: (0..4).map(line).collect() }]);
+    serve(&mut bed, 20, 0, |_| false);
+    let (_, _, actions) = bed.query(0, 4);
+    let mut zones: Vec<u32> = sends(&actions).iter().map(|s| s.server.0 % 2).collect();
+    assert_eq!(zones[..2], [1, 1], "{zones:?}");
+    zones.sort_unstable();
+    assert_eq!(zones, [0, 0, 1, 1]);
+}
