Count parts that were out together as one failure, and halve a full server's bound once

At fault, in policy.rs: judge added doubt for each of a server's overdue parts though one stall delays them all, and doubled its span with each; adapt_limit cut the bound to half a part for each part turned away.

Changed: what was sent before the last failure was seen belongs to it; a full server halves its bound, once for what was sent before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -769,7 +769,10 @@
             Outcome::Pass => return self.cleared(id, pending.class),
             _ => return,
         };
-        self.doubt(id, pending.class, amount);
+        // What was sent before the last failure was seen belongs to that.
+        if self.fleet.servers.get(&id).is_some_and(|s| pending.sent >= s.doubted_at) {
+            self.doubt(id, pending.class, amount);
+        }
     }
 
     /// Strain and the bound of all parts out. Not by outcomes with another known cause.
@@ -791,7 +794,11 @@
         let pause = self.seen.median.max(self.set.shortest_aim() / TRIAL_SHARE) as f64;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
         if outcome == Outcome::NoRoom {
-            s.limit = (s.limit.min(1.0) / 2.0).max(least);
+            // What was sent before the bound was lowered was turned away for the same reason.
+            if pending.sent >= s.limit_cut_at {
+                s.limit = (s.limit / 2.0).max(least);
+                s.limit_cut_at = now;
+            }
             s.next_at = s.next_at.max(now + (pause / s.limit * (0.5 + jitter)) as Nanos);
         } else if long && !matches!(outcome, Outcome::NoRoute | Outcome::Fault) {
             if pending.sent >= s.limit_cut_at {
@@ -813,6 +820,7 @@
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
         let half = base << s.failures.min(DOUBLINGS);
         s.failures += 1;
+        s.doubted_at = now;
         for doubt in [&mut s.doubt, &mut s.class_doubt[class.0]] {
             doubt.set(now, (doubt.get(now) + amount).min(DOUBT_MOST), half);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -217,6 +217,8 @@
     pub(crate) doubt: Decaying,
     pub(crate) class_doubt: Vec<Decaying>,
     pub(crate) failures: u32,
+    /// When doubt was last added.
+    pub(crate) doubted_at: Nanos,
     /// It could not be reached and nothing has passed since.
     pub(crate) broke: bool,
     /// When a connection broke or did not come up, if nothing has passed since; when the last one was lost.
@@ -242,6 +244,7 @@
             doubt: Decaying::default(),
             class_doubt: vec![Decaying::default(); classes],
             failures: 0,
+            doubted_at: 0,
             broke: false,
             broke_at: None,
             cut_at: 0,
