Never serve a request on a connection that is being shut to make room or to end

Ruled out for connections with an open request: in_use kept them.

Changed: give_up and take_up each say first what they do and then look at the other's word, so that one of the two yields.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -27,11 +27,30 @@
     asked: AtomicBool,
     /// Since when it rests; before the first request: when it was accepted.
     since: AtomicU64,
-    /// It has been shut to make room.
+    /// It has been shut, or is about to be, though its client did nothing wrong.
     given_up: AtomicBool,
 }
 
 impl Connection {
+    /// Shuts it, unless a request has come. Others may do so while its reader reads: each of the two says
+    /// first what it does and then looks at the other's word, so that never a request is served whose
+    /// answer cannot be written.
+    fn give_up(&self) -> bool {
+        self.given_up.store(true, Ordering::SeqCst);
+        if self.in_use.load(Ordering::SeqCst) || self.stream.readable() {
+            self.given_up.store(false, Ordering::SeqCst);
+            return false;
+        }
+        self.stream.shut();
+        true
+    }
+
+    /// A request has been read; returns whether it may be served.
+    fn take_up(&self) -> bool {
+        self.in_use.store(true, Ordering::SeqCst);
+        !self.given_up.load(Ordering::SeqCst)
+    }
+
     fn rested(&self, now: Nanos) -> Nanos {
         now.saturating_sub(self.since.load(Ordering::Acquire))
     }
@@ -93,10 +112,7 @@
         self.closing.store(true, Ordering::Release);
         let mut unread = false;
         for connection in self.connections().values().filter(|c| !c.in_use.load(Ordering::Acquire)) {
-            match connection.stream.readable() {
-                true => unread = true,
-                false => connection.stream.shut(),
-            }
+            unread |= !connection.given_up.load(Ordering::SeqCst) && !connection.give_up();
         }
         !unread && self.busy() == 0
     }
@@ -119,9 +135,7 @@
         let free: Vec<&Arc<Connection>> = free().collect();
         let mut old: Vec<&&Arc<Connection>> = free.iter().filter(over).collect();
         old.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
-        if let Some(connection) = old.into_iter().find(|c| !c.stream.readable()) {
-            connection.given_up.store(true, Ordering::Release);
-            connection.stream.shut();
+        if old.into_iter().any(|c| c.give_up()) {
             return Room::Soon;
         }
         if free.is_empty() {
@@ -385,6 +399,9 @@
                     if pending && !wait() {
                         return true;
                     }
+                    if !self.connection.take_up() {
+                        return false;
+                    }
                     begun = requests.begun().then(Instant::now);
                     (pending, query) = (true, self.serve(request, writer));
                     continue;
@@ -470,3 +487,41 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+
+    fn connection() -> (Connection, std::net::TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let connection = Connection {
+            stream: Stream::new(listener.accept().unwrap().0, None).unwrap(),
+            in_use: AtomicBool::default(),
+            asked: AtomicBool::default(),
+            since: AtomicU64::default(),
+            given_up: AtomicBool::default(),
+        };
+        (connection, client)
+    }
+
+    /// Guards against serving a request on a connection that is being shut, whose answer would be lost, and
+    /// against shutting one on which a request has come.
+    #[test]
+    fn a_connection_is_either_shut_or_served() {
+        let (shut, _client) = connection();
+        assert!(shut.give_up());
+        assert!(!shut.take_up(), "served after it was shut");
+        let (served, _client) = connection();
+        assert!(served.take_up());
+        assert!(!served.give_up(), "shut with a request open");
+        assert!(served.take_up(), "the next request is served");
+        let (unread, mut client) = connection();
+        client.write_all(b"x").unwrap();
+        while !unread.stream.readable() {
+            std::thread::yield_now();
+        }
+        assert!(!unread.give_up(), "shut with a request on its way");
+    }
+}
