Let connections at rest for less than two seconds make room where nothing else can

So accept stood still: its clients ask once on a new connection each and stay, some 110 a second, and room() in server.rs waited up to 500 ms for one to have rested 2 s, with all others behind it. Ruled out: max_open and the module (14 refused).

Changed: where nothing has rested for 2 s and none is without a request, the one that has rested longest goes. The protocol allows closing between requests.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -118,20 +118,25 @@
     }
 
     /// Shuts one connection so that a new one finds a place: the one that has rested longest after an
-    /// answer, else the one that has been longest without a whole request. None with an open request, and
-    /// none on which something has come that is not read yet.
+    /// answer, if for long; else the one that has been longest without a whole request; else the one that
+    /// has rested longest. None with an open request, and none on which something has come that is not read
+    /// yet.
     fn make_room(&self, limits: &Limits) -> Room {
         let (now, open) = (self.clock.now(), self.connections());
         if open.values().any(|c| c.given_up.load(Ordering::Acquire)) {
             return Room::Soon;
         }
         let free = || open.values().filter(|c| !c.in_use.load(Ordering::Acquire));
-        let over = |c: &&&Arc<Connection>| {
-            let asked = c.asked.load(Ordering::Acquire);
-            let least = if asked { limits.client_rest } else { limits.client_silent };
-            c.rested(now) >= nanos(least)
+        let over = |c: &&&Arc<Connection>| c.rested(now) >= nanos(limits.client_silent);
+        let rank = |c: &&&Arc<Connection>| {
+            let rested = c.rested(now);
+            let kind = match c.asked.load(Ordering::Acquire) {
+                true if rested >= nanos(limits.client_rest) => 2,
+                true => 0,
+                false => 1,
+            };
+            (kind, rested)
         };
-        let rank = |c: &&&Arc<Connection>| (c.asked.load(Ordering::Acquire), c.rested(now));
         let free: Vec<&Arc<Connection>> = free().collect();
         let mut old: Vec<&&Arc<Connection>> = free.iter().filter(over).collect();
         old.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -51,8 +51,8 @@
     pub client_idle: Duration,
     /// One that has rested for this long is closed earlier where a new one needs its place.
     pub client_rest: Duration,
-    /// One without a whole request yet may be closed for a new one after this long; what a client sends at
-    /// once has come by then.
+    /// After this long one without a whole request yet may be closed for a new one, since what a client sends
+    /// at once has come by then; and, where there is none, one that has rested for less than `client_rest`.
     pub client_silent: Duration,
     /// A new connection waits so long for a place before it is turned away.
     pub client_room: Duration,
