After SIGTERM take requests for as long as they can still be answered in time

At fault: serve.rs finish, which ended 0.5 s after SIGTERM whatever the deadlines (limits.rs term_accept). Ruled out: the way back, since each was ready at once.

Changed: requests are taken until 0.9 s before the time by which all must be answered, which is the longest deadline (3 s at most) and 0.4 s after SIGTERM; both fronts cut a request's own time to that, so that SIGKILL finds none.

--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -16,7 +16,7 @@
 use crate::api::{ClassId, Nanos, ShardId};
 use crate::counters::Counters;
 use crate::engine::{Ask, Final, Rejected, Row};
-use crate::front::server::{Answer, Front, Reply, Served};
+use crate::front::server::{Answer, Front, Reply, Served, Service};
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::features::{self, Cursor};
@@ -85,6 +85,7 @@
 pub struct Ogc {
     core: Core,
     limits: Arc<Limits>,
+    service: Arc<Service>,
     base: Option<String>,
     collections: Vec<(CollectionConfig, ClassId)>,
     ranges: u32,
@@ -174,12 +175,19 @@
     ///
     /// # Errors
     /// As [`OgcConfig::check`].
-    pub fn new(config: &OgcConfig, core: Core, limits: Arc<Limits>, seed: u64) -> Result<Self, String> {
+    pub fn new(
+        config: &OgcConfig,
+        core: Core,
+        limits: Arc<Limits>,
+        service: Arc<Service>,
+        seed: u64,
+    ) -> Result<Self, String> {
         let (ranges, collections) = (core.info.ranges, config.check(&core.info)?);
         let base = config.base.as_ref().map(|b| b.trim_end_matches('/').to_string());
         Ok(Self {
             core,
             limits,
+            service,
             base,
             collections,
             ranges,
@@ -341,7 +349,7 @@
             name: format!("{number:016x}"),
             class,
             repeated: false,
-            valid_until: self.core.clock.now().saturating_add(wait),
+            valid_until: self.core.clock.now().saturating_add(wait).min(self.service.answered_by()),
             parts: ranges.into_iter().map(|r| (ShardId(r), share)).collect(),
             text: text.into(),
         };
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -115,7 +115,7 @@
             name: name.to_string(),
             class,
             repeated: request.headers.get("x-retried") == Some("1"),
-            valid_until: self.core.clock.now().saturating_add(wait),
+            valid_until: self.core.clock.now().saturating_add(wait).min(self.service.answered_by()),
             parts: body.parts.iter().map(|p| (ShardId(p.id), p.w)).collect(),
             text: body.expr.into(),
         })
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -70,6 +70,8 @@
     clock: Clock,
     /// SIGTERM has come.
     draining: AtomicBool,
+    /// By when all must be answered.
+    answered_by: AtomicU64,
     /// Connections are closed after their answers.
     closing: AtomicBool,
     /// Requests read and not yet answered.
@@ -84,6 +86,7 @@
         Self {
             clock,
             draining: AtomicBool::default(),
+            answered_by: AtomicU64::new(Nanos::MAX),
             closing: AtomicBool::default(),
             busy: AtomicUsize::default(),
             connections: Mutex::default(),
@@ -96,11 +99,17 @@
         self.draining.load(Ordering::Acquire)
     }
 
-    /// SIGTERM has come: health says so, everything else goes on.
-    pub fn drain(&self) {
+    /// SIGTERM has come: health says so, and all is answered within this time; everything else goes on.
+    pub fn drain(&self, within: Duration) {
+        self.answered_by.store(self.clock.now().saturating_add(nanos(within)), Ordering::Release);
         self.draining.store(true, Ordering::Release);
     }
 
+    /// By when a request must be answered, whatever time its client gives it.
+    pub fn answered_by(&self) -> Nanos {
+        self.answered_by.load(Ordering::Acquire)
+    }
+
     /// Requests read and not yet answered.
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::Acquire)
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -83,7 +83,15 @@
     pub answer_margin: Duration,
     /// A query that the module leaves open is ended this long after its time, margin included.
     pub backstop: Duration,
-    /// New connections are taken this long after SIGTERM.
+    /// SIGKILL follows SIGTERM no sooner than the longest deadline, or this if it is shorter...
+    pub term_longest: Duration,
+    /// ...and this.
+    pub term_kill: Duration,
+    /// What is held is answered this long before that.
+    pub term_margin: Duration,
+    /// New requests are taken until this long before what is held is answered...
+    pub term_last: Duration,
+    /// ...or for this long after SIGTERM, if that is more.
     pub term_accept: Duration,
     /// What is held may take this long after that.
     pub term_finish: Duration,
@@ -136,6 +144,10 @@
             list_silence: Duration::from_millis(3000),
             answer_margin: Duration::from_millis(12),
             backstop: Duration::from_millis(6),
+            term_longest: Duration::from_secs(3),
+            term_kill: Duration::from_millis(700),
+            term_margin: Duration::from_millis(300),
+            term_last: Duration::from_millis(900),
             term_accept: Duration::from_millis(500),
             term_finish: Duration::from_secs(10),
             pages: 64,
@@ -160,6 +172,13 @@
         idle.saturating_sub(self.idle_margin.min(idle / IDLE_PART))
     }
 
+    /// After SIGTERM: how long new requests are taken, and by when all are answered.
+    pub fn term(&self, longest_deadline: Duration) -> (Duration, Duration) {
+        let kill = longest_deadline.min(self.term_longest) + self.term_kill;
+        let answered = kill.saturating_sub(self.term_margin);
+        (answered.saturating_sub(self.term_last).max(self.term_accept), answered)
+    }
+
     /// After how long a silence a connection with parts out gets nothing new.
     pub fn silence(&self, shortest_aim: Duration) -> Duration {
         self.link_silence.max(shortest_aim / self.link_silence_part)
@@ -191,6 +210,15 @@
         assert_eq!((usable(30_000), usable(1000), usable(0)), (28_000, 750, 0));
     }
 
+    /// Guards against ending long before one has to, and against holding a request when SIGKILL comes.
+    #[test]
+    fn a_planned_restart_leaves_time_to_answer() {
+        let term = |ms| Limits::default().term(Duration::from_millis(ms));
+        assert_eq!(term(2000), (Duration::from_millis(1500), Duration::from_millis(2400)));
+        assert_eq!(term(8000), (Duration::from_millis(2500), Duration::from_millis(3400)));
+        assert_eq!(term(100), (Duration::from_millis(500), Duration::from_millis(500)));
+    }
+
     /// Guards against taking connections for dead where parts take long.
     #[test]
     fn silence_is_measured_by_the_aim() {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -97,7 +97,7 @@
     };
     let ogc = match &edge.ogc {
         Some(ogc) => {
-            let front = Ogc::new(ogc, core.clone(), limits.clone(), config.seed)?;
+            let front = Ogc::new(ogc, core.clone(), limits.clone(), service.clone(), config.seed)?;
             Some(open(ogc.listen, Arc::new(front))?)
         }
         None => None,
@@ -136,8 +136,11 @@
     /// After SIGTERM: goes on for a while, then finishes what is held and closes what is idle. Returns once
     /// all is answered, or when the time for that is over.
     pub fn finish(&self) {
-        self.service.drain();
-        std::thread::sleep(self.limits.term_accept);
+        let classes = &self.core.info.settings.classes;
+        let longest = classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let (accept, answered) = self.limits.term(Duration::from_nanos(longest));
+        self.service.drain(answered);
+        std::thread::sleep(accept);
         let start = Instant::now();
         let mut at_rest = 0;
         // Twice, so that what came while connections were closed is seen.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -449,6 +449,26 @@
     assert!(read_answer(&mut BufReader::new(idle)).is_err());
 }
 
+/// Guards against holding a request when the process must end: what comes after SIGTERM is answered in time
+/// for that, though its client would wait for longer and no data node answers.
+#[test]
+fn what_comes_after_sigterm_is_answered_before_the_end() {
+    let (_a, _b, discovery) = two(|_| NodeReply::Silence, |_| NodeReply::Silence);
+    let program = Program::start("sigterm-late", discovery.addr);
+    let addr = program.addr;
+    program.signal("TERM");
+    until("the drain", || get(addr, "/_health").map_or(true, |a| a.status == 503));
+    let answer = query(addr, "tag-lookup", &[0, 1]);
+    let log = program.ended();
+    let counter = |name: &str| -> u64 {
+        let line = log.lines().find_map(|l| l.trim().strip_prefix(name)).unwrap();
+        line.trim().parse().unwrap()
+    };
+    let answered = counter("cdQueriesRefused ") + counter("cdQueriesFailed ");
+    assert_eq!(counter("cdQueriesTaken "), answered, "{log}");
+    assert_eq!(answered, u64::from(answer.is_ok()));
+}
+
 /// Guards a new configuration: SIGHUP ends nothing, the list is asked for whole at its new address at once,
 /// twice over and after SIGTERM too, versions and all; a file that cannot be read changes nothing.
 #[test]
