--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -19,6 +19,17 @@
     NodeReply::Answer(200, u64::from(part.shard), format!("v{}", part.id.split_once('.').unwrap().1))
 }
 
+/// A data node that serves once the test says so.
+fn held_back() -> (Arc<AtomicBool>, impl Fn(&Part) -> NodeReply + Clone + Send + Sync + 'static) {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let slow = move |part: &Part| {
+        until("the test to go on", || held.load(Ordering::SeqCst));
+        served(part)
+    };
+    (release, slow)
+}
+
 /// Two data nodes that hold every shard, and their list.
 fn two(
     first: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
@@ -255,12 +266,7 @@
 /// Guards against two open requests of one id: the second is turned away, the first goes on.
 #[test]
 fn the_id_of_an_open_request_is_taken() {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let slow = move |part: &Part| {
-        until("the test to go on", || held.load(Ordering::SeqCst));
-        served(part)
-    };
+    let (release, slow) = held_back();
     let (a, b, discovery) = two(slow.clone(), slow);
     let coordinator = Bed::default().start(discovery.addr, "");
     ready(&coordinator);
@@ -429,12 +435,7 @@
 /// Guards a planned restart: what is held is answered, what is idle is closed, and the program ends with 0.
 #[test]
 fn sigterm_finishes_what_is_held() {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let slow = move |part: &Part| {
-        until("the test to go on", || held.load(Ordering::SeqCst));
-        served(part)
-    };
+    let (release, slow) = held_back();
     let (a, b, discovery) = two(slow.clone(), slow);
     let program = Program::start("sigterm", discovery.addr);
     let addr = program.addr;
@@ -473,12 +474,7 @@
 /// twice over and after SIGTERM too, versions and all; a file that cannot be read changes nothing.
 #[test]
 fn sighup_moves_the_list() {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let slow = move |part: &Part| {
-        until("the test to go on", || held.load(Ordering::SeqCst));
-        served(part)
-    };
+    let (release, slow) = held_back();
     let (a, b, first) = two(slow.clone(), slow);
     let program = Program::start("sighup", first.addr);
     until("the first watch", || first.watches() == 1);
