Make the repository a workspace and untie the modules of the network

Need: what grows beside the coordinator needs pure crates below it, and net::core, net::list and net::node imported each other in a circle. Change: crates/core holds api, policy, state, window, settings and engine, moved as they were; the root package re-exports their names. What the actors share (messages, the core's mailbox, the gate, the list's form) stands in net::mail and net::members below them.

--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small bed for module tests: settings, lists and queries in few words.
 #![allow(dead_code)]
 
-use curlewdeck::api::*;
-use curlewdeck::Policy;
+use curlewdeck_core::api::*;
+use curlewdeck_core::Policy;
 
 pub const MS: Nanos = 1_000_000;
 pub const START: Nanos = 1_000_000 * MS;
--- a/tests/further.rs
+++ b/crates/core/tests/further.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use curlewdeck::api::*;
+use curlewdeck_core::api::*;
 
 /// Settings with one class that may be answered from half of its parts.
 fn partial(late_worth: f64) -> Settings {
--- a/tests/grown.rs
+++ b/crates/core/tests/grown.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use curlewdeck::api::*;
-use curlewdeck::Policy;
+use curlewdeck_core::api::*;
+use curlewdeck_core::Policy;
 
 /// Servers with these zones, all holding shard 0.
 fn zoned(set: Settings, zones: &[u32]) -> Bed {
--- a/tests/module.rs
+++ b/crates/core/tests/module.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use curlewdeck::api::*;
-use curlewdeck::Policy;
+use curlewdeck_core::api::*;
+use curlewdeck_core::Policy;
 
 #[test]
 fn first_sends_go_to_the_replica_with_fewest_parts_out() {
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::{entry, settings, MS, START};
-use curlewdeck::api::*;
-use curlewdeck::Policy;
+use curlewdeck_core::api::*;
+use curlewdeck_core::Policy;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 use serde_json::value::RawValue;
 
 use crate::front::ogc::OgcConfig;
-use crate::net::list::WireList;
+use crate::net::members::WireList;
 use crate::settings::{self, Info};
 use crate::snmp::SnmpConfig;
 
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -337,7 +337,7 @@
     }
 
     /// Hands a feature query to the core: a part for each of these ranges.
-    fn ask(&self, at: usize, text: &str, from: ShardId, reply: crate::net::core::Reply) -> Served {
+    fn ask(&self, at: usize, text: &str, from: ShardId, reply: crate::net::mail::Reply) -> Served {
         let class = self.collections[at].1;
         let settings = &self.core.info.settings;
         let wait = settings.classes[class.0].deadline.min(nanos(self.limits.ogc_wait));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,18 +5,12 @@
 //! the guarantees; [`net`] and [`front`] are the adapters round it.
 #![doc = include_str!("../README.md")]
 
-pub mod api;
 pub mod config;
 pub mod counters;
-pub mod engine;
 pub mod front;
 pub mod limits;
 pub mod net;
-pub mod policy;
 pub mod serve;
-pub mod settings;
 pub mod snmp;
-mod state;
-mod window;
 
-pub use policy::Policy;
+pub use curlewdeck_core::{api, engine, policy, settings, Policy};
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -4,48 +4,16 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 
-use may::sync::mpsc::{channel, Receiver, Sender};
+use may::sync::mpsc::{Receiver, Sender};
 
-use crate::api::{Discovery, ListKind, Nanos, Outcome, Phase, QueryId, ServerId};
+use crate::api::{Discovery, ListKind, Nanos, Phase, QueryId, ServerId};
 use crate::counters::Counters;
-use crate::engine::{Ask, AttemptId, Command, Engine, Final, Rejected, Value};
+use crate::engine::{Ask, Command, Engine, Final, Rejected};
 use crate::net::io::{spawn_vital, Alarm, Clock};
-use crate::net::list::{ListMsg, ListNews};
-use crate::net::node::{count_end, NodeMsg};
+use crate::net::mail::{count_end, CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply};
+use crate::net::members::ListNews;
 use crate::settings::Info;
 
-/// How a query ends, for its front: called once.
-pub type Reply = Box<dyn FnOnce(Result<Final, Rejected>) + Send>;
-
-/// What the core is told.
-pub enum Msg {
-    /// A query.
-    Ask(QueryId, Ask, Reply),
-    /// A query's client has left.
-    Gone(QueryId),
-    /// News of the list.
-    List(ListNews),
-    /// An attempt has ended.
-    Ended(AttemptId, Outcome, Option<Value>),
-    /// A probe has ended.
-    Probed(ServerId, Outcome),
-    /// The alarm has rung.
-    Rung,
-}
-
-/// The core's mailbox.
-#[derive(Clone)]
-pub struct CoreMail(Sender<Msg>);
-
-impl CoreMail {
-    /// Hands a message in.
-    pub fn send(&self, message: Msg) {
-        if self.0.send(message).is_err() {
-            log::error!("the core has ended");
-        }
-    }
-}
-
 /// What the fronts see of the core.
 #[derive(Clone)]
 pub struct Core {
@@ -112,35 +80,12 @@
 /// Starts the actor of a data node; new work is looked at against the gate right before it goes out.
 pub type StartNode = Box<dyn FnMut(ServerId, Gate) -> Sender<NodeMsg> + Send>;
 
-/// Whether a data node may be sent anything new. The list's news shuts it at once, whatever waits in the
-/// mailbox of the data node's actor.
-#[derive(Debug, Clone, Default)]
-pub struct Gate(Arc<AtomicBool>);
-
-impl Gate {
-    /// Opens or shuts it.
-    pub fn set(&self, open: bool) {
-        self.0.store(open, Ordering::Release);
-    }
-
-    /// Whether it is open.
-    pub fn open(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
-}
-
 /// A data node's actor, as the core knows it.
 struct Node {
     mail: Sender<NodeMsg>,
     gate: Gate,
 }
 
-/// The core's mailbox before its actor runs: data nodes and the list need it first.
-pub fn mailbox() -> (CoreMail, Receiver<Msg>) {
-    let (mail, inbox) = channel();
-    (CoreMail(mail), inbox)
-}
-
 /// Starts the actor.
 ///
 /// # Errors
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -15,11 +15,11 @@
 use crate::api::{Nanos, Outcome, ServerId};
 use crate::counters::Counters;
 use crate::engine::{AttemptId, Dispatch, Value, Wanted};
-use crate::net::core::{Gate, Msg};
 use crate::net::features::{self, RangeQuery};
 use crate::net::http;
 use crate::net::io::{nanos, spawn, spawn_vital, Stream};
-use crate::net::node::{NodeContext, NodeMsg};
+use crate::net::mail::{Gate, Msg, NodeMsg};
+use crate::net::node::NodeContext;
 
 /// How often connections at rest are looked at.
 const LOOK: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/src/net/mail.rs
@@ -0,0 +1,144 @@
+//! What the core, the list and the data nodes tell each other: their messages, the core's mailbox and the gate
+//! before a data node. It stands below all of their actors, which do not know each other.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use may::sync::mpsc::{channel, Receiver, Sender};
+
+use crate::api::{Outcome, QueryId, ServerId};
+use crate::counters::Counters;
+use crate::engine::{Ask, AttemptId, Dispatch, Final, Rejected, Value};
+use crate::net::frame::{self, Frame};
+use crate::net::io::Stream;
+use crate::net::link::{Input, LinkId};
+use crate::net::members::{ListNews, WireList};
+
+/// How a query ends, for its front: called once.
+pub type Reply = Box<dyn FnOnce(Result<Final, Rejected>) + Send>;
+
+/// What the core is told.
+pub enum Msg {
+    /// A query.
+    Ask(QueryId, Ask, Reply),
+    /// A query's client has left.
+    Gone(QueryId),
+    /// News of the list.
+    List(ListNews),
+    /// An attempt has ended.
+    Ended(AttemptId, Outcome, Option<Value>),
+    /// A probe has ended.
+    Probed(ServerId, Outcome),
+    /// The alarm has rung.
+    Rung,
+}
+
+/// The core's mailbox.
+#[derive(Clone)]
+pub struct CoreMail(Sender<Msg>);
+
+impl CoreMail {
+    /// Hands a message in.
+    pub fn send(&self, message: Msg) {
+        if self.0.send(message).is_err() {
+            log::error!("the core has ended");
+        }
+    }
+}
+
+/// The core's mailbox before its actor runs: data nodes and the list need it first.
+pub fn mailbox() -> (CoreMail, Receiver<Msg>) {
+    let (mail, inbox) = channel();
+    (CoreMail(mail), inbox)
+}
+
+/// Whether a data node may be sent anything new. The list's news shuts it at once, whatever waits in the
+/// mailbox of the data node's actor.
+#[derive(Debug, Clone, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    /// Opens or shuts it.
+    pub fn set(&self, open: bool) {
+        self.0.store(open, Ordering::Release);
+    }
+
+    /// Whether it is open.
+    pub fn open(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// What the list's actor is told.
+#[derive(Debug)]
+pub enum ListMsg {
+    /// The module asks for a watch.
+    Watch,
+    /// The list's service is at another address from now on.
+    Moved(SocketAddr),
+    /// A watch has its connection.
+    Up(u64, Arc<Stream>),
+    /// A line of a watch: a list, or nothing where nothing has changed.
+    Line(u64, Option<WireList>),
+    /// A watch was told what cannot be read: what is held may have gaps.
+    Unreadable(u64),
+    /// A watch has ended, and why.
+    Ended(u64, String),
+}
+
+/// What the core tells the actor of a data node, whichever protocol that speaks.
+#[derive(Debug)]
+pub enum NodeMsg {
+    /// Where it is.
+    Address(SocketAddr),
+    /// Send one call.
+    Call(Vec<Dispatch>),
+    /// An attempt is given up.
+    Drop(AttemptId),
+    /// Probe it.
+    Probe,
+    /// Close idle connections.
+    CloseIdle,
+    /// News of a connection.
+    Link(Input),
+    /// What came on a connection in one piece.
+    Read(LinkId, Come),
+    /// A connection is up: its stream, and the mailbox of its writer.
+    Up(LinkId, Arc<Stream>, Sender<Frame>),
+    /// It has left the list, and nothing of it is out: the actor ends.
+    Retire,
+    /// An attempt's connection, if it can be used again.
+    Rested(AttemptId, Option<Arc<Stream>>),
+}
+
+/// What came on a connection in one piece: taken together, so that nothing new is sent on one that turns out
+/// to be spoilt.
+#[derive(Debug)]
+pub struct Come {
+    /// Whole frames.
+    pub frames: Vec<frame::Reply>,
+    /// How what follows them looks.
+    pub rest: Rest,
+}
+
+/// How what follows the whole frames looks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rest {
+    /// Nothing follows.
+    Nothing,
+    /// A frame has begun.
+    Begun,
+    /// It cannot be read.
+    Spoilt,
+}
+
+/// The end that counts for an attempt, as a counter.
+pub fn count_end(counters: &Counters, outcome: Outcome) {
+    Counters::add(match outcome {
+        Outcome::Pass => &counters.attempts_passed,
+        Outcome::StaleSend => &counters.attempts_stale,
+        Outcome::Undone => &counters.attempts_dropped,
+        _ => &counters.attempts_failed,
+    });
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,4 +9,6 @@
 pub mod io;
 pub mod link;
 pub mod list;
+pub mod mail;
+pub mod members;
 pub mod node;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -9,57 +9,15 @@
 
 use may::sync::mpsc::{channel, Receiver, Sender};
 
-use crate::api::{Outcome, ServerId};
+use crate::api::ServerId;
 use crate::counters::Counters;
-use crate::engine::{AttemptId, Dispatch};
 use crate::limits::Limits;
-use crate::net::core::{CoreMail, Gate, Msg};
 use crate::net::frame::{self, Frame, FrameLimits};
 use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
+use crate::net::mail::{Come, CoreMail, Gate, Msg, NodeMsg, Rest};
 use crate::settings::Connections;
 
-/// What the core tells the actor of a data node, whichever protocol that speaks.
-#[derive(Debug)]
-pub enum NodeMsg {
-    /// Where it is.
-    Address(SocketAddr),
-    /// Send one call.
-    Call(Vec<Dispatch>),
-    /// An attempt is given up.
-    Drop(AttemptId),
-    /// Probe it.
-    Probe,
-    /// Close idle connections.
-    CloseIdle,
-    /// News of a connection.
-    Link(Input),
-    /// What came on a connection in one piece.
-    Read(LinkId, Come),
-    /// A connection is up: its stream, and the mailbox of its writer.
-    Up(LinkId, Arc<Stream>, Sender<Frame>),
-    /// It has left the list, and nothing of it is out: the actor ends.
-    Retire,
-    /// An attempt's connection, if it can be used again.
-    Rested(AttemptId, Option<Arc<Stream>>),
-}
-
-/// What came on a connection in one piece: taken together, so that nothing new is sent on one that turns out
-/// to be spoilt.
-#[derive(Debug)]
-pub struct Come {
-    frames: Vec<frame::Reply>,
-    /// How what follows them looks.
-    rest: Rest,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Rest {
-    Nothing,
-    Begun,
-    Spoilt,
-}
-
 /// What every actor of a data node needs.
 #[derive(Clone)]
 pub struct NodeContext {
@@ -296,13 +254,3 @@
         tell(Come { frames, rest });
     }
 }
-
-/// The end that counts for an attempt, as a counter.
-pub fn count_end(counters: &Counters, outcome: Outcome) {
-    Counters::add(match outcome {
-        Outcome::Pass => &counters.attempts_passed,
-        Outcome::StaleSend => &counters.attempts_stale,
-        Outcome::Undone => &counters.attempts_dropped,
-        _ => &counters.attempts_failed,
-    });
-}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -18,7 +18,9 @@
 use crate::net::core::{self, Core};
 use crate::net::feature_node;
 use crate::net::io::{nanos, Clock, Permits};
-use crate::net::list::{self, ListContext, ListMsg, ListNews, WireList};
+use crate::net::list::{self, ListContext};
+use crate::net::mail::{self, ListMsg};
+use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
 use crate::snmp;
 
@@ -54,16 +56,16 @@
     let info = Arc::new(config.info.clone());
     let engine = Engine::new(config.info, config.seed, nanos(limits.backstop), nanos(limits.name_rest))
         .map_err(|e| e.to_string())?;
-    let (mail, inbox) = core::mailbox();
+    let (core_mail, inbox) = mail::mailbox();
     let rev = config.known.as_ref().map_or(0, |k| k.rev);
     let known = config.known.map_or(ListNews { kind: ListKind::Full, members: Vec::new() }, |known| {
         WireList { all: true, ..known }.news()
     });
     let unasked = info.settings.discovery == Discovery::Pushed;
-    let context = ListContext { core: mail.clone(), limits: limits.clone(), counters: counters.clone() };
+    let context = ListContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
     let list = list::start(config.discovery, rev, unasked, context);
     let context = NodeContext {
-        core: mail.clone(),
+        core: core_mail.clone(),
         limits: limits.clone(),
         connections: info.connections,
         shortest_aim: Duration::from_nanos(info.settings.shortest_aim()),
@@ -86,7 +88,7 @@
         backlog: limits.core_backlog,
         stack_words: limits.core_stack_words,
     };
-    let core = core::start(parts, mail, inbox, known, list.clone(), start_node);
+    let core = core::start(parts, core_mail, inbox, known, list.clone(), start_node);
     let core = core.map_err(|e| format!("cannot start the core: {e}"))?;
     let service = Arc::new(Service::new(clock));
     let permits = Permits::new(limits.clients);
