--- /dev/null
+++ b/crates/merge/examples/merge_check/run.rs
@@ -0,0 +1,279 @@
+//! One seed: a fleet of stand-ins with data that changes, and queries whose answers are checked.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use curlewdeck_merge::cursor::{BadCursor, Cursor, Keys, Reached};
+use curlewdeck_merge::merging::{Fault, Merged, Merging};
+use curlewdeck_merge::query::{Op, Order, Query};
+use curlewdeck_merge::recall::{Bounds, Recall};
+use fastrand::Rng;
+use serde_json::Value as Json;
+
+use super::checker::{self, Asked, Walk};
+use super::stand_in::{answer, History, Manner, Row};
+
+/// A bug planted in the answers, to show that the checker can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sabotage {
+    Whole,
+    Certain,
+    Sum,
+    Repeat,
+    Skip,
+    Version,
+}
+
+impl Sabotage {
+    pub const ALL: [Self; 6] =
+        [Self::Whole, Self::Certain, Self::Sum, Self::Repeat, Self::Skip, Self::Version];
+
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|s| format!("{s:?}").eq_ignore_ascii_case(name))
+    }
+
+    /// Spoils an answer, and says whether there was anything to spoil.
+    fn spoil(self, answer: &mut Json) {
+        match self {
+            Self::Whole => answer["whole"] = true.into(),
+            Self::Certain => {
+                if answer.get("certain").is_some() {
+                    answer["certain"] = answer["rows"].as_array().map_or(0, Vec::len).into();
+                }
+            }
+            Self::Sum => {
+                if let Some(value) = answer["figure"]["value"].as_str() {
+                    answer["figure"]["value"] = format!("9{value}").into();
+                }
+            }
+            Self::Repeat => {
+                if let Some(rows) = answer["rows"].as_array_mut() {
+                    rows.extend(rows.first().cloned());
+                }
+            }
+            Self::Skip => {
+                if let Some(rows) = answer["rows"].as_array_mut() {
+                    rows.pop();
+                }
+            }
+            Self::Version => {
+                if let Some(range) = answer["ranges"].get_mut(0) {
+                    range["version"] = (range["version"].as_u64().unwrap_or(1) + 1).into();
+                }
+            }
+        }
+    }
+}
+
+/// Runs so many seeds on the machine's cores; returns those that failed, and why.
+pub fn seeds(first: u64, count: u64, sabotage: Option<Sabotage>) -> Vec<(u64, String)> {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from).min(8) as u64;
+    let mut failed: Vec<(u64, String)> = std::thread::scope(|scope| {
+        let run = |core| {
+            let own = (first..first + count).filter(move |s| s % cores == core);
+            own.filter_map(|seed| one(seed, sabotage).err().map(|why| (seed, why))).collect::<Vec<_>>()
+        };
+        let threads: Vec<_> = (0..cores).map(|core| scope.spawn(move || run(core))).collect();
+        threads.into_iter().flat_map(|t| t.join().unwrap_or_else(|_| vec![(0, "panicked".into())])).collect()
+    });
+    failed.sort();
+    failed
+}
+
+struct Fleet {
+    rng: Rng,
+    data: Vec<History>,
+    /// By range: the version that each replica serves; none: it is dead.
+    replicas: Vec<Vec<Option<u64>>>,
+    recall: Recall,
+    now: u64,
+    sabotage: Option<Sabotage>,
+}
+
+/// An answer, and where the next page begins.
+type Paged = (Json, Option<Vec<Reached>>);
+
+const STEPS: usize = 12;
+const SCALE: u8 = 2;
+
+/// One seed.
+pub fn one(seed: u64, sabotage: Option<Sabotage>) -> Result<(), String> {
+    let mut rng = Rng::with_seed(seed);
+    let ranges = rng.usize(1..9);
+    let mut data = vec![History::default(); ranges];
+    // Some fleets have few keys and measures, so that there are ties and shared groups; some have many.
+    let (keys, measures) = (rng.i64(2..60), rng.i64(1..500));
+    for history in &mut data {
+        let rows = rng.usize(0..40);
+        history.change(|snapshot| (0..rows).for_each(|_| insert(&mut rng, snapshot, keys, measures)));
+    }
+    let replicas = (0..ranges).map(|_| vec![Some(1); rng.usize(1..5)]).collect();
+    let recall = Recall::new(Bounds { entries: 64, ranges: 64, age: 10_000 });
+    let mut fleet = Fleet { rng, data, replicas, recall, now: 0, sabotage };
+    for step in 0..STEPS {
+        fleet.now += fleet.rng.u64(0..3000);
+        fleet.change(keys, measures);
+        fleet.ask(keys, measures).map_err(|why| format!("step {step}: {why}"))?;
+    }
+    Ok(())
+}
+
+fn insert(rng: &mut Rng, snapshot: &mut super::stand_in::Snapshot, keys: i64, measures: i64) {
+    let group = rng.i64(0..keys);
+    let key = if rng.bool() { format!("k{group:02}") } else { format!("k{group:02}#{}", rng.u8(0..4)) };
+    let body = rng.bool().then(|| format!(r#"{{"n": {}}}"#, rng.u8(..)));
+    snapshot.insert(key, Row { measure: rng.i64(-measures / 4..measures), body });
+}
+
+impl Fleet {
+    /// The data changes, replicas follow or fall behind, die and come back.
+    fn change(&mut self, keys: i64, measures: i64) {
+        for (range, history) in self.data.iter_mut().enumerate() {
+            if self.rng.u8(..) < 60 {
+                let rng = &mut self.rng;
+                history.change(|snapshot| {
+                    for _ in 0..rng.usize(1..4) {
+                        match snapshot.keys().nth(rng.usize(0..40)).cloned() {
+                            Some(key) if rng.bool() => drop(snapshot.remove(&key)),
+                            _ => insert(rng, snapshot, keys, measures),
+                        }
+                    }
+                });
+            }
+            for replica in &mut self.replicas[range] {
+                *replica = match self.rng.u8(..) {
+                    0..=25 => None,
+                    26..=180 => Some(history.latest()),
+                    _ => replica.or_else(|| Some(self.rng.u64(1..=history.latest()))),
+                };
+            }
+            // A process that starts anew may have older data: the list tells of it.
+            if self.rng.u8(..) < 10 {
+                self.recall.restarted(range as u32);
+            }
+        }
+    }
+
+    fn ask(&mut self, keys: i64, measures: i64) -> Result<(), String> {
+        let ops = [Op::Rank, Op::Sum, Op::Count, Op::Min, Op::Max, Op::Mean, Op::List];
+        let op = ops[self.rng.usize(..ops.len())];
+        let order = if self.rng.bool() { Order::Desc } else { Order::Asc };
+        let grouped = op != Op::List && self.rng.bool();
+        let floor = if self.rng.bool() { 0.5 } else { 1.0 };
+        let limit = self.rng.usize(1..12);
+        let query = Query {
+            set: "s".into(),
+            op,
+            measure: "m".into(),
+            scale: SCALE,
+            order,
+            grouped,
+            limit,
+            filter: Default::default(),
+        };
+        let name = ["rank", "sum", "count", "min", "max", "mean", "list"]
+            [ops.iter().position(|o| *o == op).unwrap_or(0)];
+        let asked = Asked { op: name, descending: order == Order::Desc, grouped, limit, floor };
+        if !query.paged() {
+            let mut merging = Merging::new(query, self.data.len() as u32);
+            return self.round(&mut merging, &asked).map(drop);
+        }
+        self.walk(&query, &asked, keys, measures)
+    }
+
+    /// Follows a listing to its end while the data changes below it.
+    fn walk(&mut self, query: &Query, asked: &Asked, keys: i64, measures: i64) -> Result<(), String> {
+        let cursors = Keys::fresh([self.rng.u8(..); 32]);
+        let mut walk = Walk::default();
+        let ranges = self.data.len();
+        let mut merging = Merging::new(query.clone(), ranges as u32);
+        for page in 0..4000 {
+            if page > 60 {
+                // Let the walk come to an end.
+                self.replicas.iter_mut().zip(&self.data).for_each(|(r, d)| r.fill(Some(d.latest())));
+            } else {
+                self.change(keys, measures);
+            }
+            let Some((answer, next)) = self.round(&mut merging, asked)? else { continue };
+            walk.page(asked, &answer, &self.data).map_err(|why| format!("page {page}: {why}"))?;
+            let Some(reached) = next else { return Ok(()) };
+            let cursor = Cursor { query: query.digest(), until: 1000, ranges: reached };
+            let text = cursors.seal(&cursor);
+            let opened = cursors.open(&text, &query.digest(), ranges, 1).map_err(|e| e.to_string())?;
+            if cursors.open(&text, &query.digest(), ranges, 1000) != Err(BadCursor::Expired) {
+                return Err("an expired cursor was opened".into());
+            }
+            merging = Merging::resume(query.clone(), opened);
+        }
+        Err("a listing does not end".into())
+    }
+
+    /// One query: each range is tried a few times, and what comes is offered as the core would.
+    fn round(&mut self, merging: &mut Merging, asked: &Asked) -> Result<Option<Paged>, String> {
+        let mut values: Vec<(u32, Arc<str>)> = Vec::new();
+        for range in 0..self.data.len() as u32 {
+            for _ in 0..self.rng.usize(1..4) {
+                let Some(text) = self.attempt(merging, range)? else { continue };
+                values.push((range, text.into()));
+                // A twin whose answer comes all the same: it must add nothing.
+                if self.rng.u8(..) < 40 {
+                    if let Some(twin) = self.attempt(merging, range)? {
+                        values.push((range, twin.into()));
+                    }
+                }
+                break;
+            }
+        }
+        match merging.finish(&values, asked.floor, &mut self.recall, self.now) {
+            Ok(Merged { answer, next }) => {
+                let mut json: Json = serde_json::from_str(&answer.text()).map_err(|e| e.to_string())?;
+                if let Some(sabotage) = self.sabotage {
+                    sabotage.spoil(&mut json);
+                }
+                checker::check(asked, &json, &self.data)?;
+                Ok(Some((json, next)))
+            }
+            Err(Fault::Below(cover)) if cover.reaches(asked.floor) && !cover.versions.is_empty() => {
+                Err("given up above the floor".into())
+            }
+            Err(Fault::Below(_)) => Ok(None),
+            Err(fault) => Err(fault.to_string()),
+        }
+    }
+
+    /// One replica's answer, if it is alive and its value counts. A spoilt one must not.
+    fn attempt(&mut self, merging: &mut Merging, range: u32) -> Result<Option<String>, String> {
+        let replicas = &self.replicas[range as usize];
+        let Some(version) = replicas[self.rng.usize(..replicas.len())] else { return Ok(None) };
+        let manner = Manner {
+            terse: self.rng.u8(..) < 50,
+            no_total: self.rng.bool(),
+            room: if self.rng.u8(..) < 50 { self.rng.usize(1..5) } else { usize::MAX },
+            ..Manner::default()
+        };
+        let snapshot = self.data[range as usize].at(version);
+        let text =
+            answer(snapshot, version, &merging.text(range), manner).ok_or("a text that cannot be used")?;
+        if self.rng.u8(..) < 25 {
+            let spoilt = self.spoil(&text);
+            if merging.offer(range, &spoilt).is_ok() && spoilt != text {
+                return Err(format!("a spoilt value counts: {spoilt}"));
+            }
+            return Ok(None);
+        }
+        Ok(merging.offer(range, &text).is_ok().then_some(text))
+    }
+
+    /// One thing is wrong with it that must be noticed.
+    fn spoil(&mut self, text: &str) -> String {
+        let (head, rows) = text.split_once('\n').unwrap_or((text, ""));
+        match self.rng.u8(0..6) {
+            0 => text.replacen("\"v\":1", "\"v\":7", 1),
+            1 => text.replacen("\"range\":", "\"range\":9", 1),
+            2 => text.replacen("\"until\":", "\"until\":7", 1),
+            3 => text.replacen("\"scale\":2", "\"scale\":3", 1),
+            4 => format!("{head}\n[\"zz\",1,1,1,1]\n{rows}"),
+            _ => text[..text.len() / 2].to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/merge/src/cursor.rs
@@ -0,0 +1,373 @@
+//! Where a listing goes on: for each range the place that was reached and the version that was seen, sealed so that
+//! none but this service can make or change one, bound to its query, and of limited life.
+//!
+//! A cursor is a postcard record behind the signing key's name and before its HMAC-SHA-256 (RFC 2104, cut to 128
+//! bits as its section 5 allows), in base64url without padding (RFC 4648, section 5).
+
+use std::fmt;
+use std::sync::Arc;
+
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::Version;
+
+/// Where a range's rows begin. Places are ordered as the rows are.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+pub enum Place {
+    /// At its first row.
+    #[default]
+    Start,
+    /// At this key, or the next one where it is not there.
+    From(Arc<str>),
+    /// Behind this key.
+    After(Arc<str>),
+}
+
+impl Place {
+    /// Whether a row of this key lies here or behind.
+    pub fn admits(&self, key: &str) -> bool {
+        match self {
+            Self::Start => true,
+            Self::From(from) => key >= from.as_ref(),
+            Self::After(after) => key > after.as_ref(),
+        }
+    }
+
+    fn rank(&self) -> (Option<&str>, bool) {
+        match self {
+            Self::Start => (None, false),
+            Self::From(key) => (Some(key), false),
+            Self::After(key) => (Some(key), true),
+        }
+    }
+
+    /// The later of two: a range never goes back.
+    #[must_use]
+    pub fn later(&self, other: &Self) -> Self {
+        if other.rank() > self.rank() {
+            other.clone()
+        } else {
+            self.clone()
+        }
+    }
+}
+
+/// Where one range has got to.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Reached {
+    /// Where its next rows begin.
+    pub place: Place,
+    /// The version of its data that was seen last, if any was.
+    pub version: Option<Version>,
+}
+
+/// Where a listing goes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cursor {
+    /// The query's digest.
+    pub query: [u8; 16],
+    /// Until when it can be used, in seconds of Unix time.
+    pub until: u64,
+    /// Where each range has got to, by its number.
+    pub ranges: Vec<Reached>,
+}
+
+/// The record's version.
+const FORM: u8 = 1;
+const MAC_BYTES: usize = 16;
+const NAME_BYTES: usize = 4;
+/// Bytes of a cursor that is looked at at all.
+pub const TEXT_BYTES: usize = 64 * 1024;
+
+/// Keys that several ranges have in common are written once.
+#[derive(Serialize, Deserialize)]
+struct Record {
+    form: u8,
+    query: [u8; 16],
+    until: u64,
+    keys: Vec<Arc<str>>,
+    /// Twice the key's number, one more where the place is behind it, and one more for all: 0 is the start. And the
+    /// version seen, one more: 0 is none.
+    ranges: Vec<(u64, u64)>,
+}
+
+/// Why a cursor cannot be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BadCursor {
+    /// It is no cursor at all.
+    Malformed,
+    /// Its key is not known: it was retired, or the cursor is from before a restart without a file of keys.
+    UnknownKey,
+    /// It was changed, or made elsewhere.
+    Forged,
+    /// It is of another version of this program.
+    OtherForm(u8),
+    /// It belongs to another query.
+    OtherQuery,
+    /// Its time is over.
+    Expired,
+    /// It speaks of other ranges than there are.
+    OtherRanges,
+}
+
+impl fmt::Display for BadCursor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Malformed => "it is malformed",
+            Self::UnknownKey => "its key is not known here: retired, or from before a restart",
+            Self::Forged => "it was changed or made elsewhere",
+            Self::OtherForm(_) => "it is of another version of this service",
+            Self::OtherQuery => "it belongs to another query",
+            Self::Expired => "it has expired",
+            Self::OtherRanges => "the data is laid out in other ranges now",
+        })
+    }
+}
+
+impl std::error::Error for BadCursor {}
+
+/// A key that signs cursors.
+#[derive(Clone, PartialEq, Eq)]
+struct Key {
+    name: [u8; NAME_BYTES],
+    secret: Vec<u8>,
+}
+
+impl Key {
+    /// A key's name is a digest of it: names need no care, and tell nothing.
+    fn new(secret: Vec<u8>) -> Self {
+        let mut name = [0; NAME_BYTES];
+        let digest = Sha256::new().chain_update(b"curlewdeck cursor key").chain_update(&secret).finalize();
+        name.copy_from_slice(&digest[..NAME_BYTES]);
+        Self { name, secret }
+    }
+
+    fn mac(&self) -> Option<Hmac<Sha256>> {
+        Hmac::<Sha256>::new_from_slice(&self.secret).ok()
+    }
+}
+
+/// The keys: the first one signs, all are accepted.
+#[derive(Clone)]
+pub struct Keys(Vec<Key>);
+
+/// Secrets never reach a log.
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Keys({} of them)", self.0.len())
+    }
+}
+
+/// Bytes of a key at least.
+const KEY_BYTES: usize = 16;
+
+impl Keys {
+    /// A key that was made just now: cursors end with the process.
+    pub fn fresh(secret: [u8; 32]) -> Self {
+        Self(vec![Key::new(secret.to_vec())])
+    }
+
+    /// Reads the operator's file: a key a line in hexadecimal digits, 16 bytes or more; `#` begins a comment. The
+    /// first one signs; the others are accepted until they are taken out.
+    ///
+    /// # Errors
+    /// Names the line and the fault, never the key.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let mut keys: Vec<Key> = Vec::new();
+        for (n, line) in (1..).zip(text.lines()) {
+            let line = line.split('#').next().unwrap_or("").trim();
+            if line.is_empty() {
+                continue;
+            }
+            let bytes =
+                hex(line).ok_or_else(|| format!("line {n}: hexadecimal digits in pairs are expected"))?;
+            if bytes.len() < KEY_BYTES {
+                return Err(format!("line {n}: a key needs {KEY_BYTES} bytes or more"));
+            }
+            let key = Key::new(bytes);
+            if keys.iter().any(|k| k.name == key.name) {
+                return Err(format!("line {n}: this key stands in the file already"));
+            }
+            keys.push(key);
+        }
+        match keys.is_empty() {
+            true => Err("there is no key".into()),
+            false => Ok(Self(keys)),
+        }
+    }
+
+    /// Seals a cursor.
+    pub fn seal(&self, cursor: &Cursor) -> String {
+        let mut keys: Vec<Arc<str>> = Vec::new();
+        let mut number = |key: &Arc<str>| {
+            // Few are different: all ranges that were in stand at the same key.
+            let at = keys.iter().position(|k| k == key).unwrap_or_else(|| {
+                keys.push(key.clone());
+                keys.len() - 1
+            });
+            at as u64 * 2
+        };
+        let mut place = |p: &Place| match p {
+            Place::Start => 0,
+            Place::From(key) => number(key) + 1,
+            Place::After(key) => number(key) + 2,
+        };
+        let version = |v: Option<Version>| v.map_or(0, |v| v.saturating_add(1));
+        let ranges = cursor.ranges.iter().map(|r| (place(&r.place), version(r.version))).collect();
+        let record = Record { form: FORM, query: cursor.query, until: cursor.until, keys, ranges };
+        let mut bytes = self.0[0].name.to_vec();
+        // Nothing in the record can fail to be written.
+        bytes.extend(postcard::to_stdvec(&record).unwrap_or_default());
+        if let Some(mac) = self.0[0].mac() {
+            let tag = mac.chain_update(&bytes).finalize().into_bytes();
+            bytes.extend_from_slice(&tag[..MAC_BYTES]);
+        }
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Opens a cursor for a query over so many ranges, at this time in seconds of Unix time.
+    ///
+    /// # Errors
+    /// Says why it cannot be used. Nothing of it is read before its seal has been checked.
+    pub fn open(&self, text: &str, query: &[u8; 16], ranges: usize, now: u64) -> Result<Cursor, BadCursor> {
+        if text.len() > TEXT_BYTES {
+            return Err(BadCursor::Malformed);
+        }
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| BadCursor::Malformed)?;
+        let sealed =
+            bytes.len().checked_sub(MAC_BYTES).filter(|&n| n > NAME_BYTES).ok_or(BadCursor::Malformed)?;
+        let (signed, tag) = bytes.split_at(sealed);
+        let (name, record) = signed.split_at(NAME_BYTES);
+        let key = self.0.iter().find(|k| k.name == name).ok_or(BadCursor::UnknownKey)?;
+        let mac = key.mac().ok_or(BadCursor::UnknownKey)?;
+        // Compared in constant time.
+        mac.chain_update(signed).verify_truncated_left(tag).map_err(|_| BadCursor::Forged)?;
+        if record.first() != Some(&FORM) {
+            return Err(BadCursor::OtherForm(record.first().copied().unwrap_or(0)));
+        }
+        let record: Record = postcard::from_bytes(record).map_err(|_| BadCursor::Malformed)?;
+        if record.query != *query {
+            return Err(BadCursor::OtherQuery);
+        }
+        if record.until <= now {
+            return Err(BadCursor::Expired);
+        }
+        if record.ranges.len() != ranges {
+            return Err(BadCursor::OtherRanges);
+        }
+        let reached = |&(place, version): &(u64, u64)| {
+            let key = |n: u64| record.keys.get((n / 2) as usize).cloned().ok_or(BadCursor::Malformed);
+            let place = match place {
+                0 => Place::Start,
+                n if n % 2 == 1 => Place::From(key(n - 1)?),
+                n => Place::After(key(n - 2)?),
+            };
+            Ok(Reached { place, version: version.checked_sub(1) })
+        };
+        let ranges = record.ranges.iter().map(reached).collect::<Result<_, _>>()?;
+        Ok(Cursor { query: record.query, until: record.until, ranges })
+    }
+}
+
+fn hex(text: &str) -> Option<Vec<u8>> {
+    if text.len() % 2 != 0 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const QUERY: [u8; 16] = [7; 16];
+
+    fn cursor() -> Cursor {
+        let reached = |place, version| Reached { place, version };
+        let ranges = vec![
+            reached(Place::After("kızıl".into()), Some(0)),
+            reached(Place::From("kızıl".into()), Some(u64::MAX - 1)),
+            reached(Place::Start, None),
+            reached(Place::After("b".into()), Some(17)),
+        ];
+        Cursor { query: QUERY, until: 100, ranges }
+    }
+
+    #[test]
+    fn a_cursor_opens_as_it_was_sealed() {
+        let keys = Keys::fresh([1; 32]);
+        assert_eq!(keys.open(&keys.seal(&cursor()), &QUERY, 4, 99), Ok(cursor()));
+    }
+
+    /// The hard cases: of another query, expired, signed by a retired key, from before a restart, foreign.
+    #[test]
+    fn a_cursor_that_cannot_be_used_says_why() {
+        let keys = Keys::fresh([1; 32]);
+        let text = keys.seal(&cursor());
+        assert_eq!(keys.open(&text, &[8; 16], 4, 0), Err(BadCursor::OtherQuery));
+        assert_eq!(keys.open(&text, &QUERY, 4, 100), Err(BadCursor::Expired));
+        assert_eq!(keys.open(&text, &QUERY, 5, 0), Err(BadCursor::OtherRanges));
+        assert_eq!(Keys::fresh([2; 32]).open(&text, &QUERY, 4, 0), Err(BadCursor::UnknownKey));
+        for bad in ["", "a", "äöü", "AAAA", "!!!!"] {
+            assert_eq!(keys.open(bad, &QUERY, 4, 0), Err(BadCursor::Malformed), "{bad}");
+        }
+    }
+
+    #[test]
+    fn an_old_key_is_accepted_until_it_is_taken_out() {
+        let (old, new) = ("11".repeat(16), "22".repeat(16));
+        let before = Keys::read(&old).unwrap();
+        let both = Keys::read(&format!("# new first\n{new}\n{old} # until spring\n")).unwrap();
+        let after = Keys::read(&new).unwrap();
+        let text = before.seal(&cursor());
+        assert!(both.open(&text, &QUERY, 4, 0).is_ok());
+        assert_eq!(after.open(&text, &QUERY, 4, 0), Err(BadCursor::UnknownKey));
+        assert!(after.open(&both.seal(&cursor()), &QUERY, 4, 0).is_ok(), "the first one signs");
+    }
+
+    #[test]
+    fn a_file_of_keys_is_checked() {
+        let fault = |text: &str| Keys::read(text).unwrap_err();
+        assert_eq!(fault("# nothing\n"), "there is no key");
+        assert!(fault("\nxyz0").starts_with("line 2: hexadecimal"));
+        assert!(fault("abc").starts_with("line 1: hexadecimal"));
+        assert!(fault("abcd").contains("16 bytes"));
+        let twice = format!("{0}\n{0}", "ab".repeat(16));
+        assert!(fault(&twice).starts_with("line 2: this key stands"));
+        assert!(!fault(&twice).contains("abab"), "a key in a message");
+        assert_eq!(format!("{:?}", Keys::fresh([3; 32])), "Keys(1 of them)");
+    }
+
+    proptest! {
+        /// One changed bit is always found; whatever is sent never panics.
+        #[test]
+        fn a_changed_bit_is_found(at in 0..100usize, bit in 0..8u8, text in "[A-Za-z0-9_-]{0,80}") {
+            let keys = Keys::fresh([1; 32]);
+            let mut bytes = URL_SAFE_NO_PAD.decode(keys.seal(&cursor())).unwrap();
+            let at = at % bytes.len();
+            bytes[at] ^= 1 << bit;
+            let opened = keys.open(&URL_SAFE_NO_PAD.encode(bytes), &QUERY, 4, 0);
+            let expected = if at < NAME_BYTES { BadCursor::UnknownKey } else { BadCursor::Forged };
+            prop_assert_eq!(opened, Err(expected));
+            prop_assert!(keys.open(&text, &QUERY, 4, 0).is_err());
+        }
+
+        #[test]
+        fn places_never_go_back(a in 0..3u8, b in 0..3u8, x in "[ab]{0,2}", y in "[ab]{0,2}", key in "[ab]{0,3}") {
+            let place = |kind, k: &str| match kind {
+                0 => Place::Start,
+                1 => Place::From(k.into()),
+                _ => Place::After(k.into()),
+            };
+            let (a, b) = (place(a, &x), place(b, &y));
+            let later = a.later(&b);
+            prop_assert_eq!(later.admits(&key), a.admits(&key) && b.admits(&key));
+            prop_assert_eq!(later, b.later(&a));
+        }
+    }
+}
--- /dev/null
+++ b/crates/merge/src/page.rs
@@ -0,0 +1,224 @@
+//! Listings page by page: the rows of all ranges in key order, each row once, whichever replica serves a page.
+//!
+//! For each range a cursor holds the place that it has reached, never an offset. Ranges that were in stand at the
+//! last row of the page; one that was missing stays where it was, and gives what it owes on a later page.
+
+use std::borrow::Cow;
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use serde_json::value::RawValue;
+
+use crate::cursor::Place;
+use crate::fold::Fold;
+use crate::rank::Fault;
+use crate::units::Units;
+use crate::value::{Entry, Group, Row, Unfit, Value};
+use crate::Range;
+
+/// A row of a listing.
+#[derive(Debug, Clone)]
+pub struct Listed<'a> {
+    /// Where it lies.
+    pub range: Range,
+    /// Its key.
+    pub key: Cow<'a, str>,
+    /// Its measure.
+    pub measure: Units,
+    /// More of it, to the letter.
+    pub body: Option<&'a RawValue>,
+}
+
+/// A group, its rows added up over all ranges.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Summed<'a> {
+    /// Its key.
+    pub key: Cow<'a, str>,
+    /// Its figures.
+    pub fold: Fold,
+}
+
+/// A page.
+#[derive(Debug, Clone)]
+pub struct Page<R> {
+    /// Its rows in key order.
+    pub rows: Vec<R>,
+    /// The last row's key and range; none where there is no row.
+    pub last: Option<(Arc<str>, Range)>,
+    /// Whether ranges that are in have more.
+    pub more: bool,
+}
+
+/// A range's next row; the greatest in the heap is the one that stands first.
+struct Head<R, I> {
+    key: String,
+    range: Range,
+    row: R,
+    left: I,
+    rest: bool,
+}
+
+impl<R, I> PartialEq for Head<R, I> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<R, I> Eq for Head<R, I> {}
+
+impl<R, I> PartialOrd for Head<R, I> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<R, I> Ord for Head<R, I> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (&other.key, other.range).cmp(&(&self.key, self.range))
+    }
+}
+
+/// The k-way merge: rows by key and range, until one of a range comes behind which that range may have more that
+/// it did not give.
+struct Merge<'a, R, I> {
+    heads: BinaryHeap<Head<R, I>>,
+    /// A range has given all that it gave, and has more.
+    cut: bool,
+    _of: std::marker::PhantomData<&'a ()>,
+}
+
+impl<'a, R: Row<'a>, I: Iterator<Item = Result<R, Unfit>>> Merge<'a, R, I> {
+    fn push(&mut self, range: Range, mut left: I, rest: bool) -> Result<(), Unfit> {
+        match left.next().transpose()? {
+            Some(row) => {
+                let key = row.key().to_string();
+                self.heads.push(Head { key, range, row, left, rest });
+            }
+            None => self.cut |= rest,
+        }
+        Ok(())
+    }
+
+    fn next(&mut self) -> Result<Option<(Range, R)>, Unfit> {
+        let Some(head) = self.heads.pop() else { return Ok(None) };
+        self.push(head.range, head.left, head.rest)?;
+        Ok(Some((head.range, head.row)))
+    }
+
+    fn next_key(&self) -> Option<&str> {
+        self.heads.peek().map(|h| h.key.as_str())
+    }
+}
+
+fn start<'a, R: Row<'a>>(
+    values: &[Value<'a>],
+) -> Result<Merge<'a, R, impl Iterator<Item = Result<R, Unfit>> + 'a>, Unfit> {
+    let heads = BinaryHeap::with_capacity(values.len());
+    let mut merge = Merge { heads, cut: false, _of: std::marker::PhantomData };
+    for value in values {
+        merge.push(value.header.range, value.rows::<R>(), value.header.rest.is_some())?;
+    }
+    Ok(merge)
+}
+
+/// At most `limit` rows. Holds a row of each range beside what it gives.
+///
+/// # Errors
+/// A row cannot be read.
+pub fn list<'a>(values: &[Value<'a>], limit: usize) -> Result<Page<Listed<'a>>, Unfit> {
+    let mut merge = start::<Entry>(values)?;
+    let (mut rows, mut last) = (Vec::new(), None);
+    while rows.len() < limit && !merge.cut {
+        let Some((range, Entry { key, measure, body })) = merge.next()? else { break };
+        last = Some((Arc::from(&*key), range));
+        rows.push(Listed { range, key, measure, body });
+    }
+    Ok(Page { rows, last, more: merge.cut || merge.next_key().is_some() })
+}
+
+/// At most `limit` groups, each added up over the ranges that are in.
+///
+/// # Errors
+/// A row cannot be read, or a sum does not fit.
+pub fn groups<'a>(values: &[Value<'a>], limit: usize) -> Result<Page<Summed<'a>>, Fault> {
+    let mut merge = start::<Group>(values)?;
+    let mut rows: Vec<Summed> = Vec::new();
+    while rows.len() < limit && !merge.cut {
+        let Some((_, Group { key, mut fold })) = merge.next()? else { break };
+        // The same key of other ranges: they are next, and none can come later, since keys grow in each range.
+        while merge.next_key() == Some(&*key) {
+            let Some((_, other)) = merge.next()? else { break };
+            fold = fold.join(&other.fold)?;
+        }
+        rows.push(Summed { key, fold });
+    }
+    // A group is over for all ranges at once.
+    let last = rows.last().map(|r| (Arc::from(&*r.key), Range::MAX));
+    Ok(Page { rows, last, more: merge.cut || merge.next_key().is_some() })
+}
+
+/// Where a range that was in begins on the next page.
+pub fn reached(last: &(Arc<str>, Range), range: Range) -> Place {
+    match range <= last.1 {
+        true => Place::After(last.0.clone()),
+        false => Place::From(last.0.clone()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn text(range: Range, rows: &[&str], rest: bool) -> String {
+        let rest = if rest { ",\"rest\":{}" } else { "" };
+        let head = format!(
+            r#"{{"v":1,"range":{range},"version":1,"until":1,"scale":0,"rows":{}{rest}}}"#,
+            rows.len()
+        );
+        rows.iter().fold(head, |text, row| format!("{text}\n{row}"))
+    }
+
+    fn listed(texts: &[String], limit: usize) -> (Vec<(String, Range)>, bool) {
+        let values: Vec<Value> = texts.iter().map(|t| Value::read(t).unwrap()).collect();
+        let page = list(&values, limit).unwrap();
+        assert_eq!(page.last, page.rows.last().map(|r| (Arc::from(&*r.key), r.range)));
+        (page.rows.iter().map(|r| (r.key.to_string(), r.range)).collect(), page.more)
+    }
+
+    #[test]
+    fn rows_of_all_ranges_come_in_key_order() {
+        let texts =
+            [text(0, &[r#"["a",1]"#, r#"["c",1]"#], false), text(1, &[r#"["b",1]"#, r#"["c",1]"#], false)];
+        let rows =
+            |names: &[(&str, Range)]| -> Vec<_> { names.iter().map(|r| (r.0.to_string(), r.1)).collect() };
+        assert_eq!(listed(&texts, 9), (rows(&[("a", 0), ("b", 1), ("c", 0), ("c", 1)]), false));
+        assert_eq!(listed(&texts, 3), (rows(&[("a", 0), ("b", 1), ("c", 0)]), true));
+        assert_eq!(reached(&("c".into(), 0), 0), Place::After("c".into()));
+        assert_eq!(reached(&("c".into(), 0), 1), Place::From("c".into()));
+        assert_eq!(listed(&[text(0, &[], false)], 3), (vec![], false));
+    }
+
+    /// Guards against skipping rows of a range that gave fewer than it was asked for and has more: nothing may
+    /// come behind its last row.
+    #[test]
+    fn a_range_with_more_ends_the_page_at_its_last_row() {
+        let texts = [text(0, &[r#"["a",1]"#], true), text(1, &[r#"["b",1]"#, r#"["c",1]"#], false)];
+        assert_eq!(listed(&texts, 9), (vec![("a".into(), 0)], true));
+    }
+
+    #[test]
+    fn groups_are_added_up_before_they_are_given() {
+        let texts = [
+            text(0, &[r#"["a",1,5,5,5]"#, r#"["b",2,6,2,4]"#], true),
+            text(1, &[r#"["b",1,-1,-1,-1]"#, r#"["c",1,1,1,1]"#], false),
+        ];
+        let values: Vec<Value> = texts.iter().map(|t| Value::read(t).unwrap()).collect();
+        let page = groups(&values, 9).unwrap();
+        let b = Fold { rows: 3, sum: Units(5), ends: Some((Units(-1), Units(4))) };
+        assert_eq!(page.rows.len(), 2);
+        assert_eq!(page.rows[1], Summed { key: "b".into(), fold: b });
+        assert!(page.more);
+        assert_eq!(reached(&page.last.unwrap(), 7), Place::After("b".into()));
+    }
+}
--- /dev/null
+++ b/crates/merge/src/query.rs
@@ -0,0 +1,140 @@
+//! What is asked: the operation, its measure and filter; and the text that each range is sent.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::cursor::Place;
+use crate::{Range, Version};
+
+/// An operation over the rows of all ranges.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Op {
+    /// The first rows by a measure.
+    Rank,
+    /// The measure's sum.
+    Sum,
+    /// How many rows there are.
+    Count,
+    /// The least measure.
+    Min,
+    /// The greatest measure.
+    Max,
+    /// The measure's mean.
+    Mean,
+    /// Rows in key order, page by page.
+    List,
+}
+
+impl Op {
+    /// Whether it folds rows into one figure.
+    pub fn folds(self) -> bool {
+        !matches!(self, Self::Rank | Self::List)
+    }
+}
+
+/// The order of a ranking.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Order {
+    /// Greatest first.
+    #[default]
+    Desc,
+    /// Least first.
+    Asc,
+}
+
+/// A query over all ranges.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Query {
+    /// The set of data that it reads.
+    pub set: String,
+    /// The operation.
+    pub op: Op,
+    /// The measure, and the decimals that it has.
+    pub measure: String,
+    /// Decimals of the measure.
+    pub scale: u8,
+    /// For a ranking.
+    pub order: Order,
+    /// Rows of one key are added up over all ranges first.
+    pub grouped: bool,
+    /// The most rows of an answer, or of a page.
+    pub limit: usize,
+    /// Fields that rows must match; what they mean is the data nodes' business.
+    pub filter: BTreeMap<String, String>,
+}
+
+/// What all ranges are told alike, in this order: the shape of the query.
+#[derive(Serialize)]
+struct Shape<'a> {
+    v: u8,
+    set: &'a str,
+    op: Op,
+    measure: &'a str,
+    scale: u8,
+    order: Order,
+    grouped: bool,
+    filter: &'a BTreeMap<String, String>,
+}
+
+#[derive(Serialize)]
+struct Text<'a> {
+    #[serde(flatten)]
+    shape: Shape<'a>,
+    limit: usize,
+    range: Range,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    from: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    at_least: Option<Version>,
+}
+
+/// The form's version.
+pub const FORM: u8 = 1;
+
+impl Query {
+    /// Whether its answer comes page by page: listings, and grouped figures in the order of their keys.
+    pub fn paged(&self) -> bool {
+        self.op == Op::List || (self.op.folds() && self.grouped)
+    }
+
+    fn shape(&self) -> Shape<'_> {
+        Shape {
+            v: FORM,
+            set: &self.set,
+            op: self.op,
+            measure: &self.measure,
+            scale: self.scale,
+            order: self.order,
+            grouped: self.grouped,
+            filter: &self.filter,
+        }
+    }
+
+    /// A digest of all that the answer depends on but the limit: cursors are bound to it, and what is remembered
+    /// of ranges is filed under it.
+    pub fn digest(&self) -> [u8; 16] {
+        // A struct of text and numbers is always written.
+        let text = serde_json::to_vec(&self.shape()).unwrap_or_default();
+        let mut digest = [0; 16];
+        digest.copy_from_slice(&Sha256::digest(&text)[..16]);
+        digest
+    }
+
+    /// The text for one range (JSON, `docs/merge-format.md`): where its rows begin, and the version of the data
+    /// that it must have at least.
+    pub fn text(&self, range: Range, place: &Place, at_least: Option<Version>) -> String {
+        let (after, from) = match place {
+            Place::Start => (None, None),
+            Place::After(key) => (Some(key.as_ref()), None),
+            Place::From(key) => (None, Some(key.as_ref())),
+        };
+        let text = Text { shape: self.shape(), limit: self.limit, range, after, from, at_least };
+        serde_json::to_string(&text).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/merge/src/rank.rs
@@ -0,0 +1,451 @@
+//! Rankings: the first rows of all ranges by a measure, and how many of them are certain to stand in the exact
+//! answer at that place, whatever the rows hold that were not seen.
+//!
+//! Rows of one key that lie in several ranges are added up where the query is grouped; what a range did not list
+//! then lies within the bounds that it gave of what follows (Fagin, Lotem and Naor, "Optimal aggregation
+//! algorithms for middleware", 2003, the NRA's bounds).
+
+use std::borrow::Cow;
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
+
+use serde_json::value::RawValue;
+
+use crate::query::Order;
+use crate::units::{Overflow, Units};
+use crate::value::{Entry, Rest, Unfit, Value};
+use crate::Range;
+
+/// The order of two measures, the better one first.
+fn by_measure(order: Order, a: Units, b: Units) -> Ordering {
+    match order {
+        Order::Desc => b.cmp(&a),
+        Order::Asc => a.cmp(&b),
+    }
+}
+
+/// Whether one row stands strictly before another: by measure, ties by key in the order of its bytes.
+pub fn before(order: Order, a: (Units, &str), b: (Units, &str)) -> bool {
+    by_measure(order, a.0, b.0).then_with(|| a.1.cmp(b.1)) == Ordering::Less
+}
+
+/// What is known of a range that is missing, from an earlier answer at the last version known of its data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// Nothing: any row may lie there.
+    Nothing,
+    /// It has no rows.
+    Empty,
+    /// All its rows lie between these measures; none: it is not bounded on that side.
+    Within(Option<Units>, Option<Units>),
+}
+
+/// A row of a ranking.
+#[derive(Debug, Clone)]
+pub struct Placed<'a> {
+    /// Its key.
+    pub key: Cow<'a, str>,
+    /// The measure as far as it is known.
+    pub measure: Units,
+    /// Between these lies the exact measure; none: not bounded on that side.
+    pub low: Option<Units>,
+    /// See there.
+    pub high: Option<Units>,
+    /// Where the row lies; none where rows of several ranges were added up.
+    pub range: Option<Range>,
+    /// More of it, to the letter.
+    pub body: Option<&'a RawValue>,
+}
+
+impl Placed<'_> {
+    /// Whether the measure is exact.
+    pub fn exact(&self) -> bool {
+        self.low == self.high && self.low == Some(self.measure)
+    }
+}
+
+/// A ranking.
+#[derive(Debug, Clone, Default)]
+pub struct Ranking<'a> {
+    /// Its rows, best first.
+    pub rows: Vec<Placed<'a>>,
+    /// So many of them, from the first on, stand in the exact answer at that place.
+    pub certain: usize,
+    /// Whether further rows follow the last one.
+    pub more: bool,
+}
+
+/// The best that an unseen row of one range can be.
+#[derive(Debug, Clone)]
+struct Unseen {
+    best: Option<Units>,
+    /// It stands behind this row, the last that the range gave.
+    behind: Option<(Units, String)>,
+}
+
+impl Unseen {
+    /// Whether a row is sure to stand before whatever lies here.
+    fn is_behind(&self, order: Order, row: (Units, &str)) -> bool {
+        let Some(best) = self.best else { return false };
+        match by_measure(order, row.0, best) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            // Of equal measure: only where its key is known to come later.
+            Ordering::Equal => self.behind.as_ref().is_some_and(|(m, k)| *m == best && row.1 <= k.as_str()),
+        }
+    }
+}
+
+/// A range's next row; the greatest in the heap is the one that stands first.
+struct Head<'a, I> {
+    order: Order,
+    row: Entry<'a>,
+    range: Range,
+    left: I,
+    rest: Option<Option<Units>>,
+}
+
+impl<I> Head<'_, I> {
+    fn rank(&self, other: &Self) -> Ordering {
+        let measures = by_measure(self.order, self.row.measure, other.row.measure);
+        measures.then_with(|| self.row.key.cmp(&other.row.key)).then(self.range.cmp(&other.range))
+    }
+}
+
+impl<I> PartialEq for Head<'_, I> {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank(other) == Ordering::Equal
+    }
+}
+
+impl<I> Eq for Head<'_, I> {}
+
+impl<I> PartialOrd for Head<'_, I> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<I> Ord for Head<'_, I> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.rank(self)
+    }
+}
+
+/// The best of two bounds of what follows a row: what was told, and the row itself.
+fn following(order: Order, told: Option<Units>, last: Units) -> Units {
+    match told {
+        Some(told) if by_measure(order, told, last) == Ordering::Greater => told,
+        _ => last,
+    }
+}
+
+/// The best side of what is known of a missing range.
+fn best_of(order: Order, known: Known) -> Option<Unseen> {
+    let best = match (known, order) {
+        (Known::Empty, _) => return None,
+        (Known::Nothing, _) => None,
+        (Known::Within(_, most), Order::Desc) => most,
+        (Known::Within(least, _), Order::Asc) => least,
+    };
+    Some(Unseen { best, behind: None })
+}
+
+/// The first `limit` rows of these values. Reads no more rows than it gives, and one of each range.
+///
+/// # Errors
+/// A row cannot be read.
+pub fn merge<'a>(
+    values: &[Value<'a>],
+    missing: &[Known],
+    order: Order,
+    limit: usize,
+) -> Result<Ranking<'a>, Unfit> {
+    let mut heads = BinaryHeap::with_capacity(values.len());
+    let mut unseen: Vec<Unseen> = missing.iter().filter_map(|&k| best_of(order, k)).collect();
+    for value in values {
+        let mut left = value.rows::<Entry>();
+        let told = value.header.rest.map(|r| if order == Order::Desc { r.most } else { r.least });
+        if let Some(row) = left.next().transpose()? {
+            heads.push(Head { order, row, range: value.header.range, left, rest: told });
+        }
+    }
+    let mut rows: Vec<Placed> = Vec::with_capacity(limit.min(1024));
+    while rows.len() < limit {
+        let Some(mut head) = heads.pop() else { break };
+        let Entry { key, measure, body } = head.row;
+        if let Some(row) = head.left.next().transpose()? {
+            heads.push(Head { row, ..head });
+        } else if let Some(told) = head.rest.take() {
+            let best = Some(following(order, told, measure));
+            unseen.push(Unseen { best, behind: Some((measure, key.to_string())) });
+        }
+        let range = Some(head.range);
+        rows.push(Placed { key, measure, low: Some(measure), high: Some(measure), range, body });
+    }
+    // Ranges with given rows left: what follows those comes behind them, and they come behind what is given.
+    let sure = |row: &Placed| unseen.iter().all(|u| u.is_behind(order, (row.measure, &row.key)));
+    let certain = rows.iter().take_while(|r| sure(r)).count();
+    let more = !heads.is_empty() || !unseen.is_empty();
+    Ok(Ranking { rows, certain, more })
+}
+
+/// A sum of bounds of which some may be open.
+#[derive(Debug, Clone, Copy, Default)]
+struct Bound {
+    sum: Units,
+    open: usize,
+}
+
+impl Bound {
+    fn add(&mut self, bound: Option<Units>) -> Result<(), Overflow> {
+        match bound {
+            Some(bound) => self.sum = self.sum.plus(bound)?,
+            None => self.open += 1,
+        }
+        Ok(())
+    }
+
+    fn less(&self, other: &Self) -> Result<Option<Units>, Overflow> {
+        Ok(match self.open > other.open {
+            true => None,
+            false => Some(self.sum.minus(other.sum)?),
+        })
+    }
+}
+
+/// What a group that a range did not list may have there: nothing, or a measure within the bounds.
+fn unlisted(least: Option<Units>, most: Option<Units>) -> (Option<Units>, Option<Units>) {
+    (least.map(|l| l.min(Units(0))), most.map(|m| m.max(Units(0))))
+}
+
+#[derive(Default)]
+struct Sum {
+    known: Units,
+    /// The bounds of the ranges that did list it.
+    low: Bound,
+    high: Bound,
+}
+
+/// Why groups cannot be ranked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// A row cannot be read.
+    Unfit(Unfit),
+    /// A sum does not fit.
+    Overflow,
+}
+
+impl From<Unfit> for Fault {
+    fn from(unfit: Unfit) -> Self {
+        Self::Unfit(unfit)
+    }
+}
+
+impl From<Overflow> for Fault {
+    fn from(_: Overflow) -> Self {
+        Self::Overflow
+    }
+}
+
+/// The first `limit` groups, their rows added up over all ranges. Holds each group that was listed.
+///
+/// # Errors
+/// A row cannot be read, or a sum does not fit.
+pub fn merge_groups<'a>(
+    values: &[Value<'a>],
+    missing: &[Known],
+    order: Order,
+    limit: usize,
+) -> Result<Ranking<'a>, Fault> {
+    let (mut low, mut high) = (Bound::default(), Bound::default());
+    let mut hidden = false;
+    let mut sums: HashMap<Cow<'a, str>, Sum> = HashMap::new();
+    for value in values {
+        let mut last = None;
+        let mut listed = Vec::new();
+        for row in value.rows::<Entry>() {
+            let row = row?;
+            last = Some(row.measure);
+            listed.push(row);
+        }
+        let bounds = match (value.header.rest, last, order) {
+            (None, _, _) | (_, None, _) => (Some(Units(0)), Some(Units(0))),
+            (Some(rest), Some(last), Order::Desc) => {
+                unlisted(rest.least, Some(following(order, rest.most, last)))
+            }
+            (Some(rest), Some(last), Order::Asc) => {
+                unlisted(Some(following(order, rest.least, last)), rest.most)
+            }
+        };
+        hidden |= value.header.rest.is_some();
+        low.add(bounds.0)?;
+        high.add(bounds.1)?;
+        for row in listed {
+            let sum = sums.entry(row.key).or_default();
+            sum.known = sum.known.plus(row.measure)?;
+            sum.low.add(bounds.0)?;
+            sum.high.add(bounds.1)?;
+        }
+    }
+    for known in missing {
+        let bounds = match *known {
+            Known::Empty => continue,
+            Known::Nothing => (None, None),
+            Known::Within(least, most) => unlisted(least, most),
+        };
+        hidden = true;
+        low.add(bounds.0)?;
+        high.add(bounds.1)?;
+    }
+    let mut rows = Vec::with_capacity(sums.len());
+    for (key, sum) in sums {
+        let bound = |all: &Bound, own: &Bound| match all.less(own)? {
+            Some(bound) => sum.known.plus(bound).map(Some),
+            None => Ok(None),
+        };
+        let (low, high) = (bound(&low, &sum.low)?, bound(&high, &sum.high)?);
+        rows.push(Placed { key, measure: sum.known, low, high, range: None, body: None });
+    }
+    rows.sort_unstable_by(|a, b| by_measure(order, a.measure, b.measure).then_with(|| a.key.cmp(&b.key)));
+    let none = Bound::default();
+    let hidden = hidden.then_some(match order {
+        Order::Desc => high.less(&none)?,
+        Order::Asc => low.less(&none)?,
+    });
+    let certain = certain(&rows, order, hidden).min(limit);
+    let more = rows.len() > limit || hidden.is_some();
+    rows.truncate(limit);
+    Ok(Ranking { rows, certain, more })
+}
+
+/// How many leading groups are sure of their place: at its worst each stands before all that follow at their best,
+/// and before groups that no range listed, whose best is `hidden`.
+fn certain(rows: &[Placed<'_>], order: Order, hidden: Option<Option<Units>>) -> usize {
+    let sides = |r: &Placed| if order == Order::Desc { (r.low, r.high) } else { (r.high, r.low) };
+    // From the last to the first: the best of all that follow; an open bound is better than any.
+    let mut open = false;
+    let mut best: Option<(Units, &str)> = None;
+    let mut sure = Vec::with_capacity(rows.len());
+    for row in rows.iter().rev() {
+        let (worst, own_best) = sides(row);
+        let safe = worst.is_some_and(|worst| {
+            let beaten = best.is_none_or(|b| before(order, (worst, &row.key), b));
+            let unseen = match hidden {
+                None => true,
+                Some(None) => false,
+                Some(Some(hidden)) => by_measure(order, worst, hidden) == Ordering::Less,
+            };
+            beaten && unseen && !open
+        });
+        sure.push(safe);
+        match own_best {
+            None => open = true,
+            Some(own) => {
+                let own = (own, row.key.as_ref());
+                best = Some(best.map_or(own, |b| if before(order, own, b) { own } else { b }));
+            }
+        }
+    }
+    sure.iter().rev().take_while(|s| **s).count()
+}
+
+/// Between what all rows of a range lie, as a value's first and last row and its bound of what follows say; to be
+/// remembered.
+pub fn bounds(ends: Option<(Units, Units)>, rest: Option<&Rest>, order: Order) -> Known {
+    let Some((first, last)) = ends else {
+        return if rest.is_none() { Known::Empty } else { Known::Nothing };
+    };
+    match order {
+        Order::Desc => Known::Within(rest.map_or(Some(last), |r| r.least), Some(first)),
+        Order::Asc => Known::Within(Some(first), rest.map_or(Some(last), |r| r.most)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn text(range: Range, rows: &[(&str, i128)], rest: Option<&str>) -> String {
+        let rest = rest.map(|r| format!(",\"rest\":{r}")).unwrap_or_default();
+        let mut text = format!(
+            r#"{{"v":1,"range":{range},"version":1,"until":1,"scale":0,"rows":{}{rest}}}"#,
+            rows.len()
+        );
+        rows.iter().for_each(|(k, m)| text.push_str(&format!("\n[\"{k}\",{m}]")));
+        text
+    }
+
+    fn keys(r: &Ranking) -> Vec<(String, i128)> {
+        r.rows.iter().map(|p| (p.key.to_string(), p.measure.0)).collect()
+    }
+
+    fn flat(texts: &[String], missing: &[Known], limit: usize) -> (Vec<(String, i128)>, usize) {
+        let values: Vec<Value> = texts.iter().map(|t| Value::read(t).unwrap()).collect();
+        let r = merge(&values, missing, Order::Desc, limit).unwrap();
+        (keys(&r), r.certain)
+    }
+
+    /// The first hard case: whatever is missing could hold the whole top.
+    #[test]
+    fn nothing_is_certain_while_the_top_may_be_missing() {
+        let texts = [text(0, &[("a", 9), ("b", 8)], None), text(1, &[], None)];
+        assert_eq!(flat(&texts, &[Known::Nothing], 2).1, 0);
+        assert_eq!(flat(&texts, &[Known::Empty], 2).1, 2);
+        assert_eq!(flat(&texts, &[Known::Within(None, Some(Units(8)))], 2).1, 1);
+        assert_eq!(flat(&texts, &[Known::Within(None, Some(Units(9)))], 2).1, 0, "a tie may go either way");
+    }
+
+    #[test]
+    fn equal_measures_at_the_cut_go_by_key() {
+        let texts = [text(0, &[("b", 5), ("d", 5)], None), text(1, &[("a", 5), ("c", 5)], None)];
+        let (rows, certain) = flat(&texts, &[], 3);
+        assert_eq!(rows, [("a".into(), 5), ("b".into(), 5), ("c".into(), 5)]);
+        assert_eq!(certain, 3);
+    }
+
+    /// A range that gave fewer rows than there is room for, and has more: its next row may be as good as its last.
+    #[test]
+    fn a_short_value_bounds_what_follows_it() {
+        let short = |rest| [text(0, &[("x", 9)], Some(rest)), text(1, &[("y", 8), ("z", 5)], None)];
+        assert_eq!(flat(&short("{}"), &[], 3).1, 1);
+        assert_eq!(flat(&short(r#"{"most":6}"#), &[], 3).1, 2);
+        let tied = [text(0, &[("x", 9)], Some("{}")), text(1, &[("w", 9), ("y", 9)], None)];
+        assert_eq!(flat(&tied, &[], 3), (vec![("w".into(), 9), ("x".into(), 9), ("y".into(), 9)], 2));
+    }
+
+    #[test]
+    fn groups_are_added_up_and_bounded() {
+        let texts = [
+            text(0, &[("a", 10), ("b", 6)], Some(r#"{"most":2,"least":0}"#)),
+            text(1, &[("b", 9), ("c", 5)], None),
+        ];
+        let values: Vec<Value> = texts.iter().map(|t| Value::read(t).unwrap()).collect();
+        let r = merge_groups(&values, &[], Order::Desc, 2).unwrap();
+        assert_eq!(keys(&r), [("b".into(), 15), ("a".into(), 10)]);
+        assert_eq!(r.certain, 2);
+        assert!(r.rows.iter().all(Placed::exact));
+        let r = merge_groups(&values, &[], Order::Desc, 3).unwrap();
+        assert_eq!((r.rows[2].low, r.rows[2].high), (Some(Units(5)), Some(Units(7))));
+        assert_eq!(r.certain, 3);
+        // A missing range that may hold up to six of any group: b and a may change places.
+        let r =
+            merge_groups(&values, &[Known::Within(Some(Units(0)), Some(Units(6)))], Order::Desc, 2).unwrap();
+        assert_eq!(r.certain, 0);
+        let r = merge_groups(&values, &[Known::Nothing], Order::Desc, 2).unwrap();
+        assert_eq!((r.certain, r.rows[0].low), (0, None));
+    }
+
+    #[test]
+    fn ascending_is_the_mirror_image() {
+        let texts = [text(0, &[("a", 1), ("b", 4)], Some(r#"{"least":4}"#)), text(1, &[("c", 2)], None)];
+        let values: Vec<Value> = texts.iter().map(|t| Value::read(t).unwrap()).collect();
+        let r = merge(&values, &[], Order::Asc, 3).unwrap();
+        assert_eq!(keys(&r), [("a".into(), 1), ("c".into(), 2), ("b".into(), 4)]);
+        assert_eq!(r.certain, 3);
+        assert_eq!(
+            bounds(Some((Units(1), Units(4))), Some(&values[0].header.rest.unwrap()), Order::Asc),
+            Known::Within(Some(Units(1)), None)
+        );
+    }
+}
--- /dev/null
+++ b/crates/merge/src/units.rs
@@ -0,0 +1,177 @@
+//! Money and counts: exact integers with a scale, never floats.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use serde::de::{self, Visitor};
+use serde::{Deserialize, Deserializer};
+
+/// More decimals than this are a mistake.
+pub const MAX_SCALE: u8 = 18;
+
+/// A figure in units of 10^-scale; the scale stands beside it, once for each measure. Values write it as a JSON
+/// integer, or as a string of decimal digits where it is longer than 64 bits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
+pub struct Units(pub i128);
+
+/// A sum or product that does not fit 128 bits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Overflow;
+
+impl fmt::Display for Overflow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a sum does not fit 128 bits")
+    }
+}
+
+impl std::error::Error for Overflow {}
+
+impl Units {
+    /// The sum.
+    ///
+    /// # Errors
+    /// It does not fit.
+    pub fn plus(self, other: Self) -> Result<Self, Overflow> {
+        self.0.checked_add(other.0).map(Self).ok_or(Overflow)
+    }
+
+    /// The difference.
+    ///
+    /// # Errors
+    /// It does not fit.
+    pub fn minus(self, other: Self) -> Result<Self, Overflow> {
+        self.0.checked_sub(other.0).map(Self).ok_or(Overflow)
+    }
+
+    /// So many times this.
+    ///
+    /// # Errors
+    /// It does not fit.
+    pub fn times(self, n: u64) -> Result<Self, Overflow> {
+        self.0.checked_mul(i128::from(n)).map(Self).ok_or(Overflow)
+    }
+
+    /// As a decimal with `scale` digits after the point: 1250 with scale 2 is `12.50`.
+    pub fn decimal(self, scale: u8) -> String {
+        let scale = usize::from(scale.min(MAX_SCALE));
+        let digits = format!("{:0>width$}", self.0.unsigned_abs(), width = scale + 1);
+        let (whole, part) = digits.split_at(digits.len() - scale);
+        let sign = if self.0 < 0 { "-" } else { "" };
+        match part {
+            "" => format!("{sign}{whole}"),
+            part => format!("{sign}{whole}.{part}"),
+        }
+    }
+
+    /// Reads what [`Units::decimal`] writes, with exactly `scale` digits after the point.
+    pub fn parse(text: &str, scale: u8) -> Option<Self> {
+        let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+        if part.len() != usize::from(scale) || !part.bytes().all(|b| b.is_ascii_digit()) {
+            return None;
+        }
+        let digits = whole.strip_prefix('-').unwrap_or(whole);
+        if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit()) || text.ends_with('.') {
+            return None;
+        }
+        format!("{whole}{part}").parse().ok().map(Self)
+    }
+
+    /// The mean of a sum over `count` rows, rounded half to even, and whether it is exact.
+    pub fn mean(self, count: u64) -> Option<(Self, bool)> {
+        if count == 0 {
+            return None;
+        }
+        let n = i128::from(count);
+        let (quotient, rest) = (self.0.div_euclid(n), self.0.rem_euclid(n));
+        let up = match (rest * 2).cmp(&n) {
+            std::cmp::Ordering::Greater => 1,
+            std::cmp::Ordering::Equal => quotient & 1,
+            std::cmp::Ordering::Less => 0,
+        };
+        Some((Self(quotient + up), rest == 0))
+    }
+}
+
+struct UnitsVisitor;
+
+impl Visitor<'_> for UnitsVisitor {
+    type Value = Units;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a whole number, or its digits as a string")
+    }
+
+    fn visit_i64<E: de::Error>(self, n: i64) -> Result<Units, E> {
+        Ok(Units(n.into()))
+    }
+
+    fn visit_u64<E: de::Error>(self, n: u64) -> Result<Units, E> {
+        Ok(Units(n.into()))
+    }
+
+    fn visit_i128<E: de::Error>(self, n: i128) -> Result<Units, E> {
+        Ok(Units(n))
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Units, E> {
+        let bare = text.strip_prefix('-').unwrap_or(text);
+        let plain = !bare.is_empty() && bare.bytes().all(|b| b.is_ascii_digit());
+        let read = if plain { text.parse().ok() } else { None };
+        read.map(Units).ok_or_else(|| E::custom("a whole number of at most 128 bits is expected"))
+    }
+}
+
+impl<'de> Deserialize<'de> for Units {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(UnitsVisitor)
+    }
+}
+
+/// As values write it: a JSON integer where 64 bits hold it, else a string.
+pub fn wire(units: Units) -> Cow<'static, str> {
+    match i64::try_from(units.0) {
+        Ok(n) => n.to_string().into(),
+        Err(_) => format!("\"{}\"", units.0).into(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn figures_are_exact() {
+        assert_eq!(Units(-5).decimal(2), "-0.05");
+        assert_eq!(Units(1250).decimal(2), "12.50");
+        assert_eq!(Units(7).decimal(0), "7");
+        assert_eq!(Units(i128::MAX).plus(Units(1)), Err(Overflow));
+        assert_eq!(Units(i128::MIN).minus(Units(1)), Err(Overflow));
+        assert_eq!(Units(i128::MAX / 2).times(3), Err(Overflow));
+        for bad in ["1.5", "9999999999999999999999999", "\"\"", "\"+1\"", "\"1e3\"", "null", "\"0x1\""] {
+            assert!(serde_json::from_str::<Units>(bad).is_err(), "{bad}");
+        }
+        let long = "\"170141183460469231731687303715884105727\"";
+        assert_eq!(serde_json::from_str::<Units>(long).unwrap(), Units(i128::MAX));
+        assert_eq!(wire(Units(i128::MAX)), long);
+    }
+
+    #[test]
+    fn means_round_half_to_even() {
+        let mean = |sum, n| Units(sum).mean(n).map(|(m, exact)| (m.0, exact));
+        assert_eq!(mean(5, 2), Some((2, false)));
+        assert_eq!(mean(7, 2), Some((4, false)));
+        assert_eq!(mean(-5, 2), Some((-2, false)));
+        assert_eq!(mean(-6, 2), Some((-3, true)));
+        assert_eq!(mean(1, 0), None);
+    }
+
+    proptest! {
+        #[test]
+        fn decimals_are_read_as_they_are_written(n in any::<i64>(), scale in 0..=MAX_SCALE) {
+            let units = Units(n.into());
+            prop_assert_eq!(Units::parse(&units.decimal(scale), scale), Some(units));
+            prop_assert_eq!(serde_json::from_str::<Units>(&wire(units)).unwrap(), units);
+        }
+    }
+}
