--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -48,6 +48,40 @@
     pub zone: Option<String>,
 }
 
+/// What a front demands of a value before it counts as its part's. It is asked once for each value that comes while
+/// the part has none. Without a demand every value counts.
+#[derive(Clone, Default)]
+pub struct Accept(Option<Arc<Judge>>);
+
+/// Whether a value may count for a shard.
+pub type Judge = dyn Fn(ShardId, &Value) -> bool + Send + Sync;
+
+impl Accept {
+    /// Demands that this holds of a value.
+    pub fn only(judge: impl Fn(ShardId, &Value) -> bool + Send + Sync + 'static) -> Self {
+        Self(Some(Arc::new(judge)))
+    }
+
+    fn admits(&self, shard: ShardId, value: &Value) -> bool {
+        self.0.as_ref().is_none_or(|judge| judge(shard, value))
+    }
+}
+
+impl std::fmt::Debug for Accept {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if self.0.is_some() { "Accept(demand)" } else { "Accept(any)" })
+    }
+}
+
+impl PartialEq for Accept {
+    fn eq(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (a, b) => a.is_none() && b.is_none(),
+        }
+    }
+}
+
 /// A query as a front hands it in.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
@@ -63,6 +97,10 @@
     pub parts: Vec<(ShardId, f64)>,
     /// What each part asks.
     pub text: Arc<str>,
+    /// What the parts of the first step ask, in their order, where they do not all ask the same.
+    pub texts: Vec<Arc<str>>,
+    /// What is demanded of a value.
+    pub accept: Accept,
 }
 
 /// Why a query is not taken.
@@ -220,6 +258,7 @@
     class: ClassId,
     valid_until: Nanos,
     text: Arc<str>,
+    accept: Accept,
     parts: Vec<PartId>,
     second: bool,
     first_whole: bool,
@@ -247,6 +286,8 @@
 struct Server {
     name: String,
     cell: u32,
+    /// When it last started, once the list has said so.
+    started_at: Option<Nanos>,
     phase: Phase,
 }
 
@@ -370,26 +411,43 @@
         if self.open.len() + self.parts.len() + 1 + ask.parts.len() > settings.max_open {
             return Err(Rejected::Full);
         }
-        let Ask { name, class, repeated, valid_until, parts, text } = ask;
+        let Ask { name, class, repeated, valid_until, parts, text, texts, accept } = ask;
         self.events.push(Event::Query { id, class, tenant: None, key: None::<KeyId>, repeated, valid_until });
         self.ends.push(Reverse((valid_until.saturating_add(self.backstop), id)));
         self.names.insert(name.clone());
-        let open =
-            Open { name, class, valid_until, text, parts: Vec::new(), second: false, first_whole: false };
+        let parts_of = Vec::with_capacity(parts.len());
+        let open = Open {
+            name,
+            class,
+            valid_until,
+            text,
+            accept,
+            parts: parts_of,
+            second: false,
+            first_whole: false,
+        };
         self.open.insert(id, open);
+        let mut texts = texts.into_iter();
         for (shard, weight) in parts {
-            self.add_part(id, shard, weight, None);
+            self.add_part(id, shard, weight, texts.next(), None);
         }
         Ok(())
     }
 
-    fn add_part(&mut self, query: QueryId, shard: ShardId, weight: f64, after: Option<(Vec<ShardId>, bool)>) {
+    fn add_part(
+        &mut self,
+        query: QueryId,
+        shard: ShardId,
+        weight: f64,
+        own: Option<Arc<str>>,
+        after: Option<(Vec<ShardId>, bool)>,
+    ) {
         let Some(open) = self.open.get_mut(&query) else { return };
         let id = PartId(self.next_part);
         self.next_part += 1;
         let suffix = if after.is_some() { ".fetch" } else { "" };
         let name = format!("{}.{}{suffix}", open.name, shard.0);
-        let text = Arc::new(PartText { name, shard, text: open.text.clone(), after });
+        let text = Arc::new(PartText { name, shard, text: own.unwrap_or_else(|| open.text.clone()), after });
         open.parts.push(id);
         let part = Part { query, shard, weight, text, out: Vec::new(), attempts: 0, value: None };
         self.parts.insert(id, part);
@@ -403,8 +461,10 @@
         }
     }
 
-    /// The list of data nodes, or a change to it. Names that leave a full list are gone.
-    pub fn list(&mut self, kind: ListKind, members: &[Member]) {
+    /// The list of data nodes, or a change to it. Names that leave a full list are gone. Returns the shards of
+    /// which a holder is new or has started anew: what it has may be older than what was seen.
+    pub fn list(&mut self, kind: ListKind, members: &[Member]) -> Vec<ShardId> {
+        let mut anew: Vec<u32> = Vec::new();
         if kind == ListKind::Full {
             self.servers.values_mut().for_each(|s| s.phase = Phase::Out);
         }
@@ -417,6 +477,9 @@
             let Some(known) = self.servers.get_mut(&server) else { continue };
             known.cell = m.cell;
             known.phase = m.phase;
+            if known.started_at.replace(m.started_at) != Some(m.started_at) {
+                anew.push(m.cell);
+            }
             let zone = m.zone.as_ref().and_then(|z| self.info.zones.iter().position(|n| n == z));
             entries.push(ListEntry {
                 server,
@@ -429,6 +492,8 @@
         }
         self.events.push(Event::List { kind, entries });
         self.retire();
+        let shards = (0..self.info.ranges).map(ShardId);
+        shards.filter(|&s| anew.iter().any(|&cell| self.cell_holds(cell, s))).collect()
     }
 
     /// Forgets the data nodes that have left the list, once nothing of them is out: those that replace them
@@ -461,18 +526,33 @@
         }
         let id = ServerId(self.next_server);
         self.next_server += 1;
-        self.servers.insert(id, Server { name: name.to_string(), cell: u32::MAX, phase: Phase::Out });
+        self.servers.insert(
+            id,
+            Server { name: name.to_string(), cell: u32::MAX, started_at: None, phase: Phase::Out },
+        );
         self.ids.insert(name.to_string(), id);
         id
     }
 
-    /// An attempt has ended; only the first word on it counts.
-    pub fn ended(&mut self, now: Nanos, id: AttemptId, outcome: Outcome, value: Option<Value>) {
+    /// An attempt has ended; only the first word on it counts. Returns how it has ended with regard to its value:
+    /// one that its front does not accept is spoilt, and may have run.
+    pub fn ended(&mut self, now: Nanos, id: AttemptId, outcome: Outcome, value: Option<Value>) -> Outcome {
         self.now = self.now.max(now);
-        let Some(a) = self.attempts.remove(&id) else { return };
+        let Some(a) = self.attempts.remove(&id) else { return outcome };
         a.wanted.clear();
-        // A pass without a value serves nobody.
-        let outcome = if outcome == Outcome::Pass && value.is_none() { Outcome::Fault } else { outcome };
+        let outcome = match (outcome, &value, self.parts.get(&a.part).filter(|p| p.value.is_none())) {
+            // A pass without a value serves nobody.
+            (Outcome::Pass, None, _) => Outcome::Fault,
+            (Outcome::Pass, Some(value), Some(part)) => {
+                let accept = self.open.get(&part.query).map(|o| o.accept.clone()).unwrap_or_default();
+                if accept.admits(part.shard, value) {
+                    outcome
+                } else {
+                    Outcome::Spoilt
+                }
+            }
+            _ => outcome,
+        };
         if let Some(part) = self.parts.get_mut(&a.part) {
             part.out.retain(|o| o.1 != id);
             if outcome == Outcome::Pass && part.value.is_none() {
@@ -487,6 +567,7 @@
             outcome,
             latency,
         });
+        outcome
     }
 
     /// A probe has ended.
@@ -599,11 +680,14 @@
 
     /// Whether a data node's cell holds a shard.
     fn holds(&self, server: ServerId, shard: ShardId) -> bool {
+        self.servers.get(&server).is_some_and(|s| self.cell_holds(s.cell, shard))
+    }
+
+    fn cell_holds(&self, cell: u32, shard: ShardId) -> bool {
         let layout = self.info.settings.layout;
-        let Some(server) = self.servers.get(&server) else { return false };
-        let distance = u64::from(server.cell) + u64::from(layout.cells);
+        let distance = u64::from(cell) + u64::from(layout.cells);
         let distance = (distance - u64::from(shard.0 % layout.cells)) % u64::from(layout.cells);
-        server.cell < layout.cells && distance < u64::from(layout.in_a_row)
+        cell < layout.cells && distance < u64::from(layout.in_a_row)
     }
 
     fn send(&mut self, part_id: PartId, server: ServerId, within: Nanos) {
@@ -621,7 +705,8 @@
         self.attempts.insert(id, attempt);
         let phase = self.servers.get(&server).map(|s| s.phase);
         if number >= max || until <= self.now || phase != Some(Phase::In) || !self.holds(server, shard) {
-            return self.ended(self.now, id, Outcome::StaleSend, None);
+            self.ended(self.now, id, Outcome::StaleSend, None);
+            return;
         }
         if let Some(part) = self.parts.get_mut(&part_id) {
             part.out.push((number, id));
@@ -702,7 +787,7 @@
         scored.truncate(most);
         let weight = 1.0 / scored.len() as f64;
         for (_, shard) in scored {
-            self.add_part(id, shard, weight, Some((shards.clone(), whole)));
+            self.add_part(id, shard, weight, None, Some((shards.clone(), whole)));
         }
     }
 
@@ -773,7 +858,16 @@
         let parts = shards.iter().map(|&s| (ShardId(s), weight)).collect();
         static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
         let name = format!("q{}", NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
-        Ask { name, class: ClassId(class), repeated: false, valid_until, parts, text: "t".into() }
+        Ask {
+            name,
+            class: ClassId(class),
+            repeated: false,
+            valid_until,
+            parts,
+            text: "t".into(),
+            texts: Vec::new(),
+            accept: Accept::default(),
+        }
     }
 
     /// A query with its name, deadline and answers; what is out; what was given.
@@ -867,7 +961,7 @@
                         engine.gone(id);
                     }
                 }
-                11 => engine.list(ListKind::Error, &[]),
+                11 => drop(engine.list(ListKind::Error, &[])),
                 _ => return self.pass(engine, pick as Nanos % 300 * MS),
             }
             self.act(engine);
@@ -973,6 +1067,56 @@
         assert_eq!(taken, 60 / 7);
     }
 
+    fn sends(commands: &[Command]) -> Vec<Dispatch> {
+        let call = |c: &Command| match c {
+            Command::Send { call, .. } => call.clone(),
+            _ => Vec::new(),
+        };
+        commands.iter().flat_map(call).collect()
+    }
+
+    /// Guards against answering with a value that its front cannot use: the attempt is as one that may have run,
+    /// another replica is tried, and each part carries its own text.
+    #[test]
+    fn a_value_that_is_not_accepted_is_tried_elsewhere() {
+        let mut engine = engine();
+        engine.list(ListKind::Full, &(0..6).map(|n| member(n, Phase::In)).collect::<Vec<_>>());
+        let accept = Accept::only(|shard, value| *value.data == *format!("v{}", shard.0));
+        let asked = Ask { texts: vec!["a".into(), "b".into()], accept, ..ask(0, &[0, 1], 1000 * MS) };
+        engine.ask(MS, QueryId(1), asked).unwrap();
+        let sent = sends(&engine.run(MS));
+        let texts: Vec<&str> = sent.iter().map(|d| &*d.part.text).collect();
+        assert_eq!(texts, ["a", "b"]);
+        let value = |data: &str| Some(Value { score: 0, data: data.into() });
+        assert_eq!(engine.ended(2 * MS, sent[0].attempt, Outcome::Pass, value("v9")), Outcome::Spoilt);
+        assert_eq!(engine.ended(2 * MS, sent[1].attempt, Outcome::Pass, value("v1")), Outcome::Pass);
+        let mut again = sends(&engine.run(2 * MS));
+        while again.is_empty() {
+            let due = engine.next_due().unwrap();
+            again = sends(&engine.run(due));
+        }
+        assert_eq!((again.len(), again[0].part.shard), (1, ShardId(0)));
+        let now = engine.now;
+        engine.ended(now, again[0].attempt, Outcome::Pass, value("v0"));
+        let last = engine.run(now);
+        assert!(last
+            .iter()
+            .any(|c| matches!(c, Command::Finish { answer: Final::Answered { whole: true, .. }, .. })));
+    }
+
+    /// A data node that is new or has started anew may have older data: its shards are told, once.
+    #[test]
+    fn shards_whose_holders_start_anew_are_told() {
+        let mut engine = engine();
+        let at = |n, started_at| Member { started_at, ..member(n, Phase::In) };
+        // Of three cells in rows of two, cell 1 holds shards 0, 1, 3 and 4.
+        let shards = [0, 1, 3, 4].map(ShardId).to_vec();
+        assert_eq!(engine.list(ListKind::Diff, &[at(1, 5)]), shards);
+        assert_eq!(engine.list(ListKind::Diff, &[at(1, 5)]), []);
+        assert_eq!(engine.list(ListKind::Diff, &[at(1, 6)]), shards);
+        assert_eq!(engine.list(ListKind::Error, &[]), []);
+    }
+
     /// Guards against two open queries of one name, whose answers could not be told apart; rounded weights
     /// are taken.
     #[test]
--- a/crates/merge/src/merging.rs
+++ b/crates/merge/src/merging.rs
@@ -111,6 +111,11 @@
         self.reached.get(range as usize)
     }
 
+    /// The ranges whose last value did not count, and why.
+    pub fn refused(&self) -> impl Iterator<Item = (Range, &Unfit)> {
+        self.refused.iter().map(|(&range, unfit)| (range, unfit))
+    }
+
     /// What a range is asked.
     pub fn text(&self, range: Range) -> String {
         let reached = self.reached(range).cloned().unwrap_or_default();
--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -432,6 +432,10 @@
     }
     let status = head.split_whitespace().nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
     let mut answer = Answer { status, head, body: String::new() };
+    if answer.header("transfer-encoding").is_some() {
+        answer.body = read_chunks(reader)?;
+        return Ok(answer);
+    }
     let length = answer.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
@@ -439,6 +443,28 @@
     Ok(answer)
 }
 
+fn read_chunks(reader: &mut impl BufRead) -> std::io::Result<String> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let bad = |_| std::io::Error::from(std::io::ErrorKind::InvalidData);
+        let size = usize::from_str_radix(line.trim_end(), 16).map_err(bad)?;
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk)?;
+        body.extend_from_slice(&chunk[..size]);
+        if size == 0 {
+            return Ok(String::from_utf8_lossy(&body).into_owned());
+        }
+    }
+}
+
+/// A `POST` of JSON, as bytes.
+pub fn post_bytes(target: &str, body: &str) -> Vec<u8> {
+    format!("POST {target} HTTP/1.1\r\nHost: edge\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
+}
+
 /// A `GET` on a connection of its own.
 pub fn get(addr: SocketAddr, target: &str) -> std::io::Result<Answer> {
     exchange(addr, format!("GET {target} HTTP/1.1\r\nHost: edge\r\n\r\n").as_bytes())
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::front::desk::DeskConfig;
 use crate::front::ogc::OgcConfig;
 use crate::net::members::WireList;
 use crate::settings::{self, Info};
@@ -93,6 +94,23 @@
     }
 }
 
+/// Reads a file of secrets, which nobody but its owner may read.
+///
+/// # Errors
+/// Names the file and the fault, and nothing that stands in it.
+pub fn read_secret(path: &Path) -> Result<String, String> {
+    use std::os::unix::fs::PermissionsExt;
+    let name = path.display();
+    let mode = std::fs::metadata(path).map_err(|e| format!("{name}: {e}"))?.permissions().mode();
+    if mode & 0o077 != 0 {
+        return Err(format!(
+            "{name}: others than its owner may use it (mode {:o}); chmod 600 it",
+            mode & 0o777
+        ));
+    }
+    std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))
+}
+
 /// Which protocol the data nodes speak.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -113,6 +131,8 @@
     pub nodes: Nodes,
     /// The front for feature queries.
     pub ogc: Option<OgcConfig>,
+    /// The front for desks.
+    pub desk: Option<DeskConfig>,
     /// The management agent.
     pub snmp: Option<SnmpConfig>,
 }
@@ -140,6 +160,24 @@
 }
 
 impl Edge {
+    /// Whether all of it can be used with these settings.
+    ///
+    /// # Errors
+    /// Names the section and the fault.
+    pub fn check(&self, info: &Info) -> Result<(), String> {
+        if let Some(ogc) = &self.ogc {
+            ogc.check(info)?;
+        }
+        if let Some(desk) = &self.desk {
+            if self.nodes.protocol == NodeProtocol::Features {
+                return Err("desk: its values come in frames, and the data nodes are feature servers".into());
+            }
+            desk.check(info)?;
+            desk.keys()?;
+        }
+        Ok(())
+    }
+
     /// Reads the file's text.
     ///
     /// # Errors
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -71,6 +71,16 @@
     snmp_requests "cdSnmpRequests",
     /// Changes of the list that were taken in.
     list_changes "cdListChanges",
+    /// Desk requests answered.
+    desk_requests "cdDeskRequests",
+    /// Values that a front did not accept.
+    values_unfit "cdValuesUnfit",
+    /// Missing ranges that an earlier answer bounded.
+    recall_hits "cdRecallHits",
+    /// What was learnt of ranges and is forgotten by age or size.
+    recall_evicted "cdRecallEvicted",
+    /// Ranges that said two things of one version.
+    recall_contradictions "cdRecallContradictions",
 }
 
 impl Counters {
@@ -79,6 +89,11 @@
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Takes over a count that is kept elsewhere and never falls.
+    pub fn set(counter: &AtomicU64, count: u64) {
+        counter.fetch_max(count, Ordering::Relaxed);
+    }
+
     /// One line a counter.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- /dev/null
+++ b/src/front/desk.rs
@@ -0,0 +1,486 @@
+//! The desk front: rankings, sums and listings over all tag ranges, merged into one answer that says what it covers.
+//! HTTP/1.1 and JSON, as `docs/desk-openapi.json` has it.
+//!
+//! Each request becomes one query of the core, with a part for each range and a text of its own for each part. A value
+//! is looked at as it comes ([`curlewdeck_merge::merging::Merging::offer`]): what does not count ends its attempt as
+//! one that may have run, and the module tries elsewhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use curlewdeck_merge::answer::Answer as Merged;
+use curlewdeck_merge::cursor::{Cursor, Keys};
+use curlewdeck_merge::merging::{Fault, Merging};
+use curlewdeck_merge::query::{Op, Order, Query};
+use curlewdeck_merge::recall::{Bounds, Recall};
+use curlewdeck_merge::units::MAX_SCALE;
+use serde::Deserialize;
+use serde_json::{json, Value as Json};
+
+use crate::api::{ClassId, ShardId};
+use crate::config::read_secret;
+use crate::counters::Counters;
+use crate::engine::{Accept, Ask, Final, Rejected};
+use crate::front::problem::{problem, retry_after, unserved, valid_until, PROBLEM};
+use crate::front::server::{Answer, Front, Reply, Served, Service};
+use crate::limits::Limits;
+use crate::net::core::{Core, Started};
+use crate::net::http::{self, BadMessage, Request};
+use crate::settings::Info;
+
+/// What the edge's file says of this front.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeskConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The file of the keys that seal cursors, the first one for new ones; without it a key is made at the start,
+    /// and cursors end with the process.
+    #[serde(default)]
+    pub cursor_keys: Option<PathBuf>,
+    /// A cursor can be used for so many seconds.
+    #[serde(default = "an_hour")]
+    pub cursor_life_s: u64,
+    /// The sets of data.
+    pub sets: Vec<SetConfig>,
+}
+
+fn an_hour() -> u64 {
+    3600
+}
+
+/// One set of data.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetConfig {
+    /// Its id, as paths name it.
+    pub id: String,
+    /// Its title.
+    pub title: String,
+    /// The class of its queries.
+    pub class: String,
+    /// Its measures.
+    pub measures: Vec<MeasureConfig>,
+}
+
+/// One measure.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MeasureConfig {
+    /// Its name.
+    pub name: String,
+    /// Its decimals, 0 to 18.
+    #[serde(default)]
+    pub scale: u8,
+}
+
+impl DeskConfig {
+    /// The class of each set.
+    ///
+    /// # Errors
+    /// Names the set and what is wrong with it.
+    pub fn check(&self, info: &Info) -> Result<Vec<ClassId>, String> {
+        if info.ranges == 0 {
+            return Err("desk: the settings name no tag ranges".into());
+        }
+        if self.cursor_life_s == 0 {
+            return Err("desk: cursor_life_s must be above 0".into());
+        }
+        let ids: BTreeSet<&str> = self.sets.iter().map(|s| s.id.as_str()).collect();
+        if ids.len() != self.sets.len() || ids.is_empty() {
+            return Err("desk: at least one set is needed, each with an id of its own".into());
+        }
+        self.sets
+            .iter()
+            .map(|s| s.check(info).map_err(|why| format!("desk: set '{}': {why}", s.id)))
+            .collect()
+    }
+
+    /// The keys that seal cursors.
+    ///
+    /// # Errors
+    /// Names the file and the fault.
+    pub fn keys(&self) -> Result<Keys, String> {
+        let Some(path) = &self.cursor_keys else {
+            let mut secret = [0; 32];
+            getrandom::fill(&mut secret).map_err(|e| format!("desk: no random numbers: {e}"))?;
+            return Ok(Keys::fresh(secret));
+        };
+        let text = read_secret(path)?;
+        Keys::read(&text).map_err(|why| format!("{}: {why}", path.display()))
+    }
+}
+
+impl SetConfig {
+    fn check(&self, info: &Info) -> Result<ClassId, String> {
+        if self.id.is_empty() || http::encode(&self.id) != self.id || self.id.contains(',') {
+            return Err("its id cannot stand in a path".into());
+        }
+        let names: BTreeSet<&str> = self.measures.iter().map(|m| m.name.as_str()).collect();
+        if names.is_empty() || names.len() != self.measures.len() || names.contains("") {
+            return Err("at least one measure is needed, each with a name of its own".into());
+        }
+        if let Some(m) = self.measures.iter().find(|m| m.scale > MAX_SCALE) {
+            return Err(format!("measure '{}': the scale is at most {MAX_SCALE}", m.name));
+        }
+        let found = info.classes.iter().position(|c| *c == self.class);
+        let class = found.ok_or_else(|| format!("there is no class '{}'", self.class))?;
+        match info.settings.classes[class].second_step {
+            0 => Ok(ClassId(class)),
+            _ => Err(format!("the class '{}' has a second step, whose answer is not mergeable", self.class)),
+        }
+    }
+}
+
+/// What is remembered of ranges; shared with the core, which tells when a data node has started anew.
+#[derive(Clone)]
+pub struct Memory(Arc<Mutex<Recall>>);
+
+impl Memory {
+    /// An empty memory for so many ranges.
+    pub fn new(limits: &Limits, ranges: u32) -> Self {
+        let bounds = Bounds {
+            entries: limits.recall_entries,
+            ranges: ranges as usize,
+            age: crate::net::io::nanos(limits.recall_age),
+        };
+        Self(Arc::new(Mutex::new(Recall::new(bounds))))
+    }
+
+    /// Forgets what data nodes told that have started anew.
+    pub fn forgetting(&self) -> Started {
+        let memory = self.clone();
+        Box::new(move |shards| {
+            let mut recall = memory.recall();
+            shards.iter().for_each(|s| recall.restarted(s.0));
+        })
+    }
+
+    /// Held while an answer is made, and never over a yield.
+    fn recall(&self) -> MutexGuard<'_, Recall> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+const JSON: &str = "application/json";
+const OPENAPI: &str = "application/vnd.oai.openapi+json;version=3.1";
+/// The document of this front, as it is published.
+pub const OPENAPI_TEXT: &str = include_str!("../../docs/desk-openapi.json");
+const LIMIT: usize = 10;
+const FILTERS: usize = 16;
+const FILTER_BYTES: usize = 256;
+
+/// The front.
+pub struct Desk {
+    core: Core,
+    limits: Arc<Limits>,
+    service: Arc<Service>,
+    memory: Memory,
+    keys: Keys,
+    cursor_life: u64,
+    sets: Vec<(SetConfig, ClassId)>,
+    /// Queries are named after the process's start and this.
+    next: AtomicU64,
+}
+
+/// The body of a request.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+struct Body {
+    op: Op,
+    measure: Option<String>,
+    #[serde(default)]
+    order: Order,
+    #[serde(default)]
+    grouped: bool,
+    limit: Option<usize>,
+    #[serde(default)]
+    filter: BTreeMap<String, String>,
+    cursor: Option<String>,
+    timeout_ms: Option<u64>,
+}
+
+/// A fault of a request, with the field that it lies in.
+fn at_field(field: &str, detail: &str) -> Reply {
+    let title = http::reason(400);
+    let body =
+        json!({"type": "about:blank", "title": title, "status": 400, "detail": detail, "field": field});
+    Reply { status: 400, kind: PROBLEM, more: String::new(), body: body.to_string().into_bytes() }
+}
+
+/// One query, on its way to the core and back.
+struct Asked {
+    merging: Arc<Mutex<Merging>>,
+    class: ClassId,
+    wait: Duration,
+}
+
+fn lock(merging: &Mutex<Merging>) -> MutexGuard<'_, Merging> {
+    merging.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn unix_now() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_secs())
+}
+
+impl Desk {
+    /// The front of these sets.
+    ///
+    /// # Errors
+    /// As [`DeskConfig::check`] and [`DeskConfig::keys`].
+    pub fn new(
+        config: &DeskConfig,
+        core: Core,
+        limits: Arc<Limits>,
+        service: Arc<Service>,
+        memory: Memory,
+        seed: u64,
+    ) -> Result<Self, String> {
+        let classes = config.check(&core.info)?;
+        Ok(Self {
+            core,
+            limits,
+            service,
+            memory,
+            keys: config.keys()?,
+            cursor_life: config.cursor_life_s,
+            sets: config.sets.iter().cloned().zip(classes).collect(),
+            next: AtomicU64::new(seed & 0xffff_ffff_0000_0000),
+        })
+    }
+
+    fn sets(&self) -> Json {
+        let set = |(s, class): &(SetConfig, ClassId)| {
+            let floor = self.core.info.settings.classes[class.0].floor;
+            let measures: Vec<Json> =
+                s.measures.iter().map(|m| json!({"name": m.name, "scale": m.scale})).collect();
+            json!({"id": s.id, "title": s.title, "class": s.class, "leastShare": floor, "measures": measures})
+        };
+        json!({"sets": self.sets.iter().map(set).collect::<Vec<_>>(), "ranges": self.core.info.ranges})
+    }
+
+    fn route(&self, request: &Request) -> Result<Option<Asked>, Reply> {
+        let path = http::decode(&request.path, false).ok_or_else(|| problem(400, "the path is malformed"))?;
+        let steps: Vec<&str> = path.split('/').skip(1).collect();
+        let method = request.method.as_str();
+        match steps[..] {
+            ["v1", "sets", id, "query"] => {
+                let set = self.sets.iter().find(|s| s.0.id == id);
+                let set = set.ok_or_else(|| problem(404, "there is no such set"))?;
+                match method {
+                    "POST" => self.asked(set, &request.body).map(Some),
+                    _ => Err(problem(405, "queries are sent by POST").with("Allow", "POST")),
+                }
+            }
+            ["v1", "sets"] | ["openapi.json"] if method == "GET" || method == "HEAD" => Ok(None),
+            ["v1", "sets"] | ["openapi.json"] => {
+                Err(problem(405, "this is read by GET").with("Allow", "GET, HEAD"))
+            }
+            _ => Err(problem(404, "there is no such resource")),
+        }
+    }
+
+    fn asked(&self, (set, class): &(SetConfig, ClassId), body: &[u8]) -> Result<Asked, Reply> {
+        let mut json = serde_json::Deserializer::from_slice(body);
+        let body: Body = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+            let field = e.path().to_string();
+            at_field(if field == "." { "" } else { &field }, &e.inner().to_string())
+        })?;
+        json.end().map_err(|e| at_field("", &format!("after the object: {e}")))?;
+        let measure = match &body.measure {
+            None => &set.measures[0],
+            Some(name) => {
+                let found = set.measures.iter().find(|m| m.name == *name);
+                found.ok_or_else(|| at_field("measure", "the set has no such measure"))?
+            }
+        };
+        let limit = match body.limit {
+            None => LIMIT,
+            Some(n) if (1..=self.limits.desk_rows).contains(&n) => n,
+            Some(_) => {
+                return Err(at_field(
+                    "limit",
+                    &format!("1 to {} rows may be asked for", self.limits.desk_rows),
+                ))
+            }
+        };
+        if body.grouped && body.op == Op::List {
+            return Err(at_field("grouped", "a listing has no groups"));
+        }
+        let long = |text: &String| text.len() > FILTER_BYTES;
+        if body.filter.len() > FILTERS || body.filter.iter().any(|(k, v)| long(k) || long(v)) {
+            return Err(at_field("filter", "at most 16 fields of 256 bytes"));
+        }
+        let wait = match body.timeout_ms {
+            Some(0) => return Err(at_field("timeoutMs", "it must be above 0")),
+            Some(ms) => Duration::from_millis(ms).min(self.limits.desk_wait),
+            None => self.limits.desk_wait,
+        };
+        let query = Query {
+            set: set.id.clone(),
+            op: body.op,
+            measure: measure.name.clone(),
+            scale: measure.scale,
+            order: body.order,
+            grouped: body.grouped,
+            limit,
+            filter: body.filter,
+        };
+        let ranges = self.core.info.ranges;
+        let merging = match &body.cursor {
+            None => Merging::new(query, ranges),
+            Some(_) if !query.paged() => {
+                return Err(at_field("cursor", "only listings and grouped figures have pages"))
+            }
+            Some(text) => {
+                let cursor = self.keys.open(text, &query.digest(), ranges as usize, unix_now());
+                Merging::resume(query, cursor.map_err(|why| at_field("cursor", &why.to_string()))?)
+            }
+        };
+        Ok(Asked { merging: Arc::new(Mutex::new(merging)), class: *class, wait })
+    }
+
+    /// Hands a query to the core: a part for each range, each with its own text.
+    fn ask(&self, asked: Asked, out: Answer) -> Served {
+        let Asked { merging, class, wait } = asked;
+        let ranges = self.core.info.ranges;
+        let share = 1.0 / f64::from(ranges);
+        let texts = {
+            let merging = lock(&merging);
+            (0..ranges).map(|r| merging.text(r).into()).collect()
+        };
+        let judge = merging.clone();
+        let accept = Accept::only(move |shard, value| match lock(&judge).offer(shard.0, &value.data) {
+            Ok(()) => true,
+            Err(unfit) => {
+                log::warn!("tag range {}: {unfit}", shard.0);
+                false
+            }
+        });
+        let ask = Ask {
+            name: format!("d{:016x}", self.next.fetch_add(1, Ordering::Relaxed)),
+            class,
+            repeated: false,
+            valid_until: valid_until(&self.core, &self.limits, &self.service, class, wait),
+            parts: (0..ranges).map(|r| (ShardId(r), share)).collect(),
+            text: "".into(),
+            texts,
+            accept,
+        };
+        let end = End {
+            merging,
+            floor: self.core.info.settings.classes[class.0].floor,
+            memory: self.memory.clone(),
+            keys: self.keys.clone(),
+            cursor_life: self.cursor_life,
+            core: self.core.clone(),
+            piece: self.limits.desk_piece,
+        };
+        Served::Later(self.core.ask(ask, Box::new(move |ended| end.reply(ended, out))))
+    }
+}
+
+/// What becomes of a query once the core has ended it.
+struct End {
+    merging: Arc<Mutex<Merging>>,
+    floor: f64,
+    memory: Memory,
+    keys: Keys,
+    cursor_life: u64,
+    core: Core,
+    piece: usize,
+}
+
+impl End {
+    fn reply(self, ended: Result<Final, Rejected>, out: Answer) {
+        if let Some(reply) = self.unserved(&ended) {
+            return out.send(reply);
+        }
+        let Ok(Final::Answered { rows, .. }) = ended else {
+            return out.send(problem(500, "there is no answer"));
+        };
+        let values: Vec<_> = rows.into_iter().map(|r| (r.shard.0, r.data)).collect();
+        match self.merge(&values) {
+            Ok(answer) => {
+                let mut pieces = answer.pieces(self.piece).map(String::into_bytes);
+                let first = pieces.next().unwrap_or_default();
+                let more: Vec<Vec<u8>> = pieces.collect();
+                let reply = Reply { status: 200, kind: JSON, more: String::new(), body: Vec::new() };
+                match more.is_empty() {
+                    true => out.send(Reply { body: first, ..reply }),
+                    false => out.stream(reply, Box::new(std::iter::once(first).chain(more))),
+                }
+            }
+            Err(fault) => out.send(self.fault(&fault)),
+        }
+    }
+
+    /// The answer of what the data nodes gave, with a sealed cursor where it goes on.
+    fn merge(&self, values: &[(u32, Arc<str>)]) -> Result<Merged, Fault> {
+        let merging = lock(&self.merging);
+        let mut recall = self.memory.recall();
+        let merged = merging.finish(values, self.floor, &mut recall, self.core.clock.now());
+        let (counts, counters) = (recall.counts(), &self.core.counters);
+        Counters::set(&counters.recall_hits, counts.hits);
+        Counters::set(&counters.recall_evicted, counts.evicted);
+        Counters::set(&counters.recall_contradictions, counts.contradictions);
+        let mut merged = merged?;
+        merged.answer.head.next = merged.next.map(|ranges| {
+            let until = unix_now().saturating_add(self.cursor_life);
+            self.keys.seal(&Cursor { query: merging.query().digest(), until, ranges })
+        });
+        Ok(merged.answer)
+    }
+
+    /// The answer to a query that has none, with what was wrong with the values that came.
+    fn unserved(&self, ended: &Result<Final, Rejected>) -> Option<Reply> {
+        let reply = unserved(ended, self.core.full_hold_off())?;
+        let merging = lock(&self.merging);
+        let seen = merging.refused().next().map(|(range, unfit)| format!("tag range {range}: {unfit}"));
+        match (ended, seen) {
+            (Ok(Final::Failed), Some(seen)) => Some(problem(504, &format!("no answer in time; {seen}"))),
+            _ => Some(reply),
+        }
+    }
+
+    fn fault(&self, fault: &Fault) -> Reply {
+        match fault {
+            // What is missing may be back soon: a row that is too large stays.
+            Fault::Below(cover) if cover.missing.values().all(|r| r.word() != "row-too-large") => {
+                retry_after(problem(503, &fault.to_string()), self.core.full_hold_off())
+            }
+            Fault::Below(_) => problem(502, &fault.to_string()),
+            Fault::Overflow | Fault::Unfit(_) => problem(500, &fault.to_string()),
+        }
+    }
+}
+
+impl Front for Desk {
+    fn serve(&self, request: Request, out: Answer) -> Served {
+        Counters::add(&self.core.counters.desk_requests);
+        match self.route(&request) {
+            Ok(Some(asked)) => return self.ask(asked, out),
+            Ok(None) if request.path == "/openapi.json" => {
+                let body = OPENAPI_TEXT.as_bytes().to_vec();
+                out.send(Reply { status: 200, kind: OPENAPI, more: String::new(), body });
+            }
+            Ok(None) => {
+                let body = self.sets().to_string().into_bytes();
+                out.send(Reply { status: 200, kind: JSON, more: String::new(), body });
+            }
+            Err(reply) => {
+                Counters::add(&self.core.counters.bad_requests);
+                out.send(reply);
+            }
+        }
+        Served::Now
+    }
+
+    fn refuse(&self, bad: BadMessage) -> Reply {
+        problem(bad.status, bad.why)
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,7 @@
 //! The fronts: each maps its requests to queries of the core, and the core's answers back.
 
+pub mod desk;
 pub mod ogc;
 pub mod platform;
+pub mod problem;
 pub mod server;
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -13,15 +13,15 @@
 use serde_json::value::RawValue;
 use serde_json::{json, Value as Json};
 
-use crate::api::{ClassId, Nanos, ShardId};
+use crate::api::{ClassId, ShardId};
 use crate::counters::Counters;
-use crate::engine::{Ask, Final, Rejected, Row};
+use crate::engine::{Accept, Ask, Final, Rejected, Row};
+use crate::front::problem::{problem, unserved, valid_until};
 use crate::front::server::{Answer, Front, Reply, Served, Service};
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::features::{self, Cursor};
 use crate::net::http::{self, BadMessage, Request};
-use crate::net::io::nanos;
 use crate::settings::Info;
 
 /// What the edge's file says of this front.
@@ -75,7 +75,6 @@
 ];
 const GEOJSON: &str = "application/geo+json";
 const JSON: &str = "application/json";
-const PROBLEM: &str = "application/problem+json";
 const OPENAPI: &str = "application/vnd.oai.openapi+json;version=3.0";
 const CRS84: &str = "http://www.opengis.net/def/crs/OGC/1.3/CRS84";
 const LIMIT: usize = 10;
@@ -125,18 +124,6 @@
     }
 }
 
-/// A problem of RFC 9457.
-fn problem(status: u16, detail: &str) -> Reply {
-    let body =
-        json!({"type": "about:blank", "title": http::reason(status), "status": status, "detail": detail});
-    Reply { status, kind: PROBLEM, more: String::new(), body: body.to_string().into_bytes() }
-}
-
-/// HTTP knows whole seconds only: rounded up.
-fn retry_after(reply: Reply, hold_off: Nanos) -> Reply {
-    reply.with("Retry-After", &hold_off.div_ceil(1_000_000_000).max(1).to_string())
-}
-
 fn document(kind: &'static str, body: &Json) -> Reply {
     Reply { status: 200, kind, more: String::new(), body: body.to_string().into_bytes() }
 }
@@ -339,9 +326,6 @@
     /// Hands a feature query to the core: a part for each of these ranges.
     fn ask(&self, at: usize, text: &str, from: ShardId, reply: crate::net::mail::Reply) -> Served {
         let class = self.collections[at].1;
-        let settings = &self.core.info.settings;
-        let wait = settings.classes[class.0].deadline.min(nanos(self.limits.ogc_wait));
-        let wait = wait.saturating_sub(nanos(self.limits.answer_margin));
         let ranges: Vec<u32> = (from.0..self.ranges).collect();
         let share = 1.0 / ranges.len() as f64;
         let number = self.next.fetch_add(1, Ordering::Relaxed);
@@ -349,9 +333,11 @@
             name: format!("{number:016x}"),
             class,
             repeated: false,
-            valid_until: self.core.clock.now().saturating_add(wait).min(self.service.answered_by()),
+            valid_until: valid_until(&self.core, &self.limits, &self.service, class, self.limits.ogc_wait),
             parts: ranges.into_iter().map(|r| (ShardId(r), share)).collect(),
             text: text.into(),
+            texts: Vec::new(),
+            accept: Accept::default(),
         };
         Served::Later(self.core.ask(ask, reply))
     }
@@ -401,20 +387,6 @@
     json!({"href": format!("{base}{path}"), "rel": rel, "type": kind, "title": title})
 }
 
-/// The answer to a query that has none of its own.
-fn unserved(ended: &Result<Final, Rejected>, full_hold_off: Nanos) -> Option<Reply> {
-    match ended {
-        Ok(Final::Answered { .. }) => None,
-        Ok(Final::Refused { hold_off }) => Some(retry_after(problem(503, "refused, try again"), *hold_off)),
-        Ok(Final::Failed) => Some(problem(504, "the data nodes did not answer in time")),
-        Err(Rejected::Full) => Some(retry_after(problem(503, "over the limit, try again"), full_hold_off)),
-        Err(Rejected::Late) => Some(problem(503, "no time is left")),
-        Err(Rejected::BadParts | Rejected::UnknownClass | Rejected::SameName) => {
-            Some(problem(500, "the query cannot be asked"))
-        }
-    }
-}
-
 /// The features of a range that is in.
 fn read(row: &Row) -> Option<(ShardId, Vec<Box<RawValue>>)> {
     match features::features_of(&row.data) {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -7,7 +7,7 @@
 
 use crate::api::{Nanos, ShardId};
 use crate::counters::Counters;
-use crate::engine::{Ask, Final, Rejected};
+use crate::engine::{Accept, Ask, Final, Rejected};
 use crate::front::server::{Answer, Front, Reply, Served, Service};
 use crate::limits::Limits;
 use crate::net::core::Core;
@@ -118,6 +118,8 @@
             valid_until: self.core.clock.now().saturating_add(wait).min(self.service.answered_by()),
             parts: body.parts.iter().map(|p| (ShardId(p.id), p.w)).collect(),
             text: body.expr.into(),
+            texts: Vec::new(),
+            accept: Accept::default(),
         })
     }
 
--- /dev/null
+++ b/src/front/problem.rs
@@ -0,0 +1,51 @@
+//! What the HTTP fronts for people's programs have in common: problem documents, what becomes of a query without an
+//! answer, and how long one may take.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::api::{ClassId, Nanos};
+use crate::engine::{Final, Rejected};
+use crate::front::server::{Reply, Service};
+use crate::limits::Limits;
+use crate::net::core::Core;
+use crate::net::http;
+use crate::net::io::nanos;
+
+/// The media type of RFC 9457, section 3.
+pub const PROBLEM: &str = "application/problem+json";
+
+/// A problem of RFC 9457.
+pub fn problem(status: u16, detail: &str) -> Reply {
+    let body =
+        json!({"type": "about:blank", "title": http::reason(status), "status": status, "detail": detail});
+    Reply { status, kind: PROBLEM, more: String::new(), body: body.to_string().into_bytes() }
+}
+
+/// HTTP knows whole seconds only: rounded up.
+pub fn retry_after(reply: Reply, hold_off: Nanos) -> Reply {
+    reply.with("Retry-After", &hold_off.div_ceil(1_000_000_000).max(1).to_string())
+}
+
+/// The answer to a query that has none of its own.
+pub fn unserved(ended: &Result<Final, Rejected>, full_hold_off: Nanos) -> Option<Reply> {
+    match ended {
+        Ok(Final::Answered { .. }) => None,
+        Ok(Final::Refused { hold_off }) => Some(retry_after(problem(503, "refused, try again"), *hold_off)),
+        Ok(Final::Failed) => Some(problem(504, "the data nodes did not answer in time")),
+        Err(Rejected::Full) => Some(retry_after(problem(503, "over the limit, try again"), full_hold_off)),
+        Err(Rejected::Late) => Some(problem(503, "no time is left")),
+        Err(Rejected::BadParts | Rejected::UnknownClass | Rejected::SameName) => {
+            Some(problem(500, "the query cannot be asked"))
+        }
+    }
+}
+
+/// Until when a query may take: the class's deadline, or less if its client or the limits say so, less the way of
+/// the answer; and never longer than the process goes on.
+pub fn valid_until(core: &Core, limits: &Limits, service: &Service, class: ClassId, wait: Duration) -> Nanos {
+    let deadline = core.info.settings.classes[class.0].deadline;
+    let wait = deadline.min(nanos(wait)).saturating_sub(nanos(limits.answer_margin));
+    core.clock.now().saturating_add(wait).min(service.answered_by())
+}
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -214,9 +214,13 @@
     writer: Sender<Out>,
     keep_alive: bool,
     head: bool,
+    chunks: bool,
     busy: Busy,
 }
 
+/// A long body, made piece by piece as its client takes it.
+pub type Pieces = Box<dyn Iterator<Item = Vec<u8>> + Send>;
+
 /// A request that is read and not yet answered or given up; counted until it is dropped.
 struct Busy {
     service: Arc<Service>,
@@ -234,19 +238,53 @@
 impl Answer {
     /// Sends it.
     pub fn send(self, reply: Reply) {
+        let Self { writer, keep_alive, head, busy, .. } = self;
+        // A client that has left needs no answer.
+        let _ = writer.send(Out { reply, pieces: None, keep_alive, head, _busy: busy });
+    }
+
+    /// Sends an answer whose body follows in pieces, one after the other as its client takes them. A client that
+    /// cannot take chunks gets them as one.
+    pub fn stream(self, mut reply: Reply, pieces: Pieces) {
+        let Self { writer, keep_alive, head, chunks, busy } = self;
+        let pieces = if chunks {
+            Some(pieces)
+        } else {
+            reply.body = pieces.flatten().collect();
+            None
+        };
         // A client that has left needs no answer.
-        let Self { writer, keep_alive, head, busy } = self;
-        let _ = writer.send(Out { reply, keep_alive, head, _busy: busy });
+        let _ = writer.send(Out { reply, pieces, keep_alive, head, _busy: busy });
     }
 }
 
 struct Out {
     reply: Reply,
+    pieces: Option<Pieces>,
     keep_alive: bool,
     head: bool,
     _busy: Busy,
 }
 
+impl Out {
+    /// Writes the answer; each of its pieces must be taken within this time.
+    fn write(&mut self, stream: &Stream, open: bool, within: Duration) -> io::Result<()> {
+        let r = &self.reply;
+        let Some(pieces) = self.pieces.take() else {
+            let bytes = http::response(r.status, r.kind, &r.more, &r.body, open, self.head);
+            return stream.write_all(&bytes, within);
+        };
+        stream.write_all(&http::chunked_head(r.status, r.kind, &r.more, open), within)?;
+        if self.head {
+            return Ok(());
+        }
+        for piece in pieces {
+            stream.write_all(&http::chunk(&piece), within)?;
+        }
+        stream.write_all(http::LAST_CHUNK, within)
+    }
+}
+
 /// What a front's connections share.
 #[derive(Clone)]
 pub struct Shared {
@@ -357,11 +395,9 @@
         let (connection, within) = (self.connection.clone(), self.shared.limits.client_write);
         let service = self.shared.service.clone();
         spawn("client writer", self.shared.limits.stack_words, move || {
-            for out in outbox.iter() {
+            for mut out in outbox.iter() {
                 let open = out.keep_alive && !service.closing.load(Ordering::Acquire);
-                let r = &out.reply;
-                let bytes = http::response(r.status, r.kind, &r.more, &r.body, open, out.head);
-                match connection.stream.write_all(&bytes, within) {
+                match out.write(&connection.stream, open, within) {
                     Ok(()) if open => {}
                     Ok(()) => connection.stream.end_writing(),
                     Err(_) => connection.stream.shut(),
@@ -463,7 +499,7 @@
     /// Answers what is no request; the connection is closed after it.
     fn turn_away(&self, bad: BadMessage, writer: &Sender<Out>) {
         Counters::add(&self.shared.core.counters.bad_requests);
-        self.answer(writer, false, false).send(self.front.refuse(bad));
+        self.answer(writer, false, false, false).send(self.front.refuse(bad));
     }
 
     /// Reads and drops what the client still sends. Closing with bytes unread would reset the connection,
@@ -480,7 +516,7 @@
         }
     }
 
-    fn answer(&self, writer: &Sender<Out>, keep_alive: bool, head: bool) -> Answer {
+    fn answer(&self, writer: &Sender<Out>, keep_alive: bool, head: bool, chunks: bool) -> Answer {
         self.connection.in_use.store(true, Ordering::Release);
         self.connection.asked.store(true, Ordering::Release);
         let service = self.shared.service.clone();
@@ -489,12 +525,13 @@
             writer: writer.clone(),
             keep_alive,
             head,
+            chunks,
             busy: Busy { service, connection: self.connection.clone() },
         }
     }
 
     fn serve(&self, request: Request, writer: &Sender<Out>) -> Option<QueryId> {
-        let answer = self.answer(writer, request.keep_alive, request.method == "HEAD");
+        let answer = self.answer(writer, request.keep_alive, request.method == "HEAD", request.chunks);
         match self.front.serve(request, answer) {
             Served::Now => None,
             Served::Later(id) => Some(id),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -101,6 +101,16 @@
     pub page_features: usize,
     /// How long a client of the OGC front waits.
     pub ogc_wait: Duration,
+    /// Most rows of a desk answer, or of a page.
+    pub desk_rows: usize,
+    /// Bytes of a piece in which a longer desk answer is sent.
+    pub desk_piece: usize,
+    /// How long a client of the desk front waits at most.
+    pub desk_wait: Duration,
+    /// What is remembered of ranges from earlier answers: entries, and for how long.
+    pub recall_entries: usize,
+    /// See there.
+    pub recall_age: Duration,
     /// Variables in one management request or answer.
     pub snmp_bindings: usize,
     /// Bytes of the same.
@@ -153,6 +163,11 @@
             pages: 64,
             page_features: 1000,
             ogc_wait: Duration::from_secs(10),
+            desk_rows: 1000,
+            desk_piece: 16 * 1024,
+            desk_wait: Duration::from_secs(10),
+            recall_entries: 4096,
+            recall_age: Duration::from_secs(600),
             snmp_bindings: 64,
             snmp_bytes: 4096,
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -57,13 +57,14 @@
         Some("check") => {
             let config = Config::load(&config_file(config)?)?;
             let edge = load_edge(edge)?;
-            edge.ogc.as_ref().map_or(Ok(Vec::new()), |ogc| ogc.check(&config.info))?;
+            edge.check(&config.info)?;
             Limits::for_sockets(config.sockets)?;
             let state = |on| if on { "on" } else { "off" };
             println!(
-                "the configuration can be used: {} classes, feature front {}, management agent {}",
+                "the configuration can be used: {} classes, feature front {}, desk front {}, management agent {}",
                 config.info.classes.len(),
                 state(edge.ogc.is_some()),
+                state(edge.desk.is_some()),
                 state(edge.snmp.is_some())
             );
             Ok(())
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -6,7 +6,7 @@
 
 use may::sync::mpsc::{Receiver, Sender};
 
-use crate::api::{Discovery, ListKind, Nanos, Phase, QueryId, ServerId};
+use crate::api::{Discovery, ListKind, Nanos, Phase, QueryId, ServerId, ShardId};
 use crate::counters::Counters;
 use crate::engine::{Ask, Command, Engine, Final, Rejected};
 use crate::net::io::{spawn_vital, Alarm, Clock};
@@ -75,8 +75,13 @@
     pub backlog: usize,
     /// Stack of the actor.
     pub stack_words: usize,
+    /// Told of the shards of which a holder is new or has started anew.
+    pub started: Option<Started>,
 }
 
+/// What is told of shards whose holders have started anew.
+pub type Started = Box<dyn Fn(&[ShardId]) + Send>;
+
 /// Starts the actor of a data node; new work is looked at against the gate right before it goes out.
 pub type StartNode = Box<dyn FnMut(ServerId, Gate) -> Sender<NodeMsg> + Send>;
 
@@ -125,6 +130,7 @@
         replies: HashMap::new(),
         must_ask_in,
         heard,
+        started: parts.started,
     };
     spawn_vital("core", parts.stack_words, move || {
         actor.take(Msg::List(known));
@@ -144,6 +150,7 @@
     must_ask_in: Nanos,
     /// When the list was last heard of.
     heard: Nanos,
+    started: Option<Started>,
 }
 
 impl Actor {
@@ -187,8 +194,11 @@
             }
             Msg::List(news) => self.take_list(news),
             Msg::Ended(id, outcome, value) => {
-                count_end(&self.core.counters, outcome);
-                self.engine.ended(now, id, outcome, value);
+                let counted = self.engine.ended(now, id, outcome, value);
+                if counted != outcome {
+                    Counters::add(&self.core.counters.values_unfit);
+                }
+                count_end(&self.core.counters, counted);
             }
             Msg::Rung => self.alarm.rung(),
             Msg::Probed(server, outcome) => self.engine.probed(now, server, outcome),
@@ -226,7 +236,10 @@
             node.gate.set(member.phase == Phase::In);
             tell(&node.mail, NodeMsg::Address(*addr));
         }
-        self.engine.list(news.kind, &members);
+        let anew = self.engine.list(news.kind, &members);
+        if let Some(started) = &self.started {
+            started(&anew);
+        }
         self.core.ready.store(self.engine.in_service() > 0, Ordering::Release);
         if !members.is_empty() {
             Counters::add(&self.core.counters.list_changes);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -86,6 +86,8 @@
     pub body: Vec<u8>,
     /// Whether the connection stays open after the answer.
     pub keep_alive: bool,
+    /// Whether its client can take an answer in chunks (RFC 9112, section 7.1): since HTTP/1.1.
+    pub chunks: bool,
 }
 
 /// Takes requests from the bytes of a connection as they come. Each byte is looked for the head's end once,
@@ -218,6 +220,7 @@
         headers,
         body: Vec::new(),
         keep_alive,
+        chunks: head.version == Some(1),
     };
     Ok(Some((request, framing, size)))
 }
@@ -387,6 +390,7 @@
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
+        502 => "Bad Gateway",
         501 => "Not Implemented",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
@@ -394,6 +398,30 @@
     }
 }
 
+/// The head of an answer whose body follows in chunks.
+pub fn chunked_head(status: u16, kind: &str, more: &str, keep_alive: bool) -> Vec<u8> {
+    let connection = if keep_alive { "keep-alive" } else { "close" };
+    format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: {kind}\r\nTransfer-Encoding: chunked\r\nConnection: {connection}\r\n{more}\r\n",
+        reason(status)
+    )
+    .into_bytes()
+}
+
+/// One chunk; an empty one would end the body, and is none.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    if bytes.is_empty() {
+        return Vec::new();
+    }
+    let mut out = format!("{:x}\r\n", bytes.len()).into_bytes();
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// The end of a body in chunks.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
 /// An answer with its body; `more` are further header lines, each ended by CR LF.
 pub fn response(status: u16, kind: &str, more: &str, body: &[u8], keep_alive: bool, head: bool) -> Vec<u8> {
     let connection = if keep_alive { "keep-alive" } else { "close" };
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::config::{Config, Edge, NodeProtocol};
 use crate::counters::Counters;
 use crate::engine::Engine;
+use crate::front::desk::{Desk, Memory};
 use crate::front::ogc::Ogc;
 use crate::front::platform::Platform;
 use crate::front::server::{self, Front, Service, Shared};
@@ -30,6 +31,8 @@
     pub listen: SocketAddr,
     /// Where the feature front listens, if it is on.
     pub ogc: Option<SocketAddr>,
+    /// Where the desk front listens, if it is on.
+    pub desk: Option<SocketAddr>,
     /// Where the management agent listens, if it is on.
     pub snmp: Option<SocketAddr>,
     /// The core.
@@ -51,6 +54,7 @@
 /// # Errors
 /// Says in one line what is out of place or cannot be had.
 pub fn start(config: Config, edge: Edge) -> Result<Coordinator, String> {
+    edge.check(&config.info)?;
     let limits = Arc::new(Limits::for_sockets(config.sockets)?);
     let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
     let info = Arc::new(config.info.clone());
@@ -80,7 +84,9 @@
             Box::new(move |id, gate| feature_node::start(id, gate, context.clone(), range_name.clone()))
         }
     };
+    let memory = edge.desk.as_ref().map(|_| Memory::new(&limits, info.ranges));
     let parts = core::Parts {
+        started: memory.as_ref().map(Memory::forgetting),
         engine,
         info,
         clock,
@@ -104,6 +110,13 @@
         }
         None => None,
     };
+    let desk = match (&edge.desk, memory) {
+        (Some(desk), Some(memory)) => {
+            let front = Desk::new(desk, core.clone(), limits.clone(), service.clone(), memory, config.seed)?;
+            Some(open(desk.listen, Arc::new(front))?)
+        }
+        _ => None,
+    };
     let snmp = match edge.snmp {
         Some(agent) => {
             let addr = agent.listen;
@@ -116,7 +129,7 @@
     let listen = open(config.listen, Arc::new(platform))?;
     log::info!("{} serves at {listen}", config.name);
     let named = Mutex::new(config.named_discovery);
-    Ok(Coordinator { listen, ogc, snmp, core, service, limits, list, named })
+    Ok(Coordinator { listen, ogc, desk, snmp, core, service, limits, list, named })
 }
 
 const LOOK: Duration = Duration::from_millis(10);
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -77,7 +77,7 @@
 }
 
 /// Waits for something that is bound to happen; gives up only after far longer than that can take.
-pub fn until(what: &str, happened: impl Fn() -> bool) {
+pub fn until(what: &str, mut happened: impl FnMut() -> bool) {
     let start = Instant::now();
     while !happened() {
         assert!(start.elapsed() < Duration::from_secs(60), "waited in vain: {what}");
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -523,8 +523,16 @@
 /// The examples are what a newcomer starts from: they must stay usable.
 #[test]
 fn the_examples_can_be_used() {
-    let args = ["check", "--config", "examples/config.json", "--edge", "examples/edge.toml"];
-    let output = Command::new(env!("CARGO_BIN_EXE_curlewdeck")).args(args).output().unwrap();
-    let text = String::from_utf8(output.stdout).unwrap();
-    assert!(output.status.success() && text.contains("feature front on, management agent on"), "{text}");
+    let check = |edge: &str| {
+        let args = ["check", "--config", "examples/config.json", "--edge", edge];
+        let output = Command::new(env!("CARGO_BIN_EXE_curlewdeck")).args(args).output().unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        (output.status.success(), text(output.stdout) + &text(output.stderr))
+    };
+    let (good, text) = check("examples/edge.toml");
+    assert!(good && text.contains("feature front on, desk front off, management agent on"), "{text}");
+    let (good, text) = check("examples/desk.toml");
+    assert!(good && text.contains("feature front off, desk front on, management agent off"), "{text}");
+    let (good, text) = check("deploy/edge.toml");
+    assert!(good && text.contains("feature front off, desk front off, management agent off"), "{text}");
 }
