--- /dev/null
+++ b/crates/client/src/http.rs
@@ -0,0 +1,61 @@
+//! Carries a walk out over HTTP.
+
+use std::time::Duration;
+
+use crate::query::{Page, Query, Reply};
+use crate::walk::{End, Step, Walk};
+
+/// Bytes of an answer.
+const ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Beyond the time that the query gives the service: for the way, and for what a service that gives none may take.
+const GRACE: Duration = Duration::from_secs(15);
+
+/// A set of data at a desk front.
+#[derive(Debug, Clone)]
+pub struct Service {
+    agent: ureq::Agent,
+    url: String,
+}
+
+impl Service {
+    /// The set `set` at `address`, which is a host and a port.
+    pub fn new(address: &str, set: &str) -> Self {
+        let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+        Self { agent: config.new_agent(), url: format!("http://{address}/v1/sets/{set}/query") }
+    }
+
+    /// Asks once.
+    pub fn ask(&self, query: &Query) -> Reply {
+        self.exchange(query).unwrap_or_else(|why| Reply::Lost(why.to_string()))
+    }
+
+    fn exchange(&self, query: &Query) -> Result<Reply, ureq::Error> {
+        let body = serde_json::to_string(query).map_err(|e| ureq::Error::Other(Box::new(e)))?;
+        let within = Duration::from_millis(query.timeout_ms.unwrap_or(0)) + GRACE;
+        let request = self.agent.post(&self.url).config().timeout_global(Some(within)).build();
+        let mut answer = request.header("Content-Type", "application/json").send(body)?;
+        let retry = answer.headers().get("retry-after").and_then(|v| v.to_str().ok()).map(str::to_string);
+        let status = answer.status().as_u16();
+        let text = answer.body_mut().with_config().limit(ANSWER_BYTES).read_to_string()?;
+        Ok(Reply::read(status, retry.as_deref(), &text))
+    }
+}
+
+/// Walks to the end; each page is handed on as it comes.
+pub fn run(mut walk: Walk, service: &Service, mut page: impl FnMut(&Page)) -> (End, Walk) {
+    loop {
+        match walk.step().clone() {
+            Step::Ask(query) => {
+                if let Some(came) = walk.came(service.ask(&query)) {
+                    page(&came);
+                }
+            }
+            Step::Wait(ms) => {
+                std::thread::sleep(Duration::from_millis(ms));
+                walk.waited();
+            }
+            Step::End(end) => return (end, walk),
+        }
+    }
+}
--- /dev/null
+++ b/crates/client/src/table.rs
@@ -0,0 +1,98 @@
+//! A page as a table with its coverage line.
+
+use comfy_table::presets::NOTHING;
+use comfy_table::{CellAlignment, Table};
+
+use crate::query::Page;
+
+/// The table of a page's rows, or its figure, with what it rests on below.
+pub fn render(page: &Page) -> String {
+    let mut text = String::new();
+    if let Some(figure) = &page.figure {
+        let value = figure.value.as_deref().unwrap_or("none");
+        text.push_str(&format!("{} {value} over {} rows", page.op, figure.rows));
+        if let Some(within) = &figure.within {
+            text.push_str(&format!(", within {} and {}", within.low, within.high));
+        }
+        text.push_str(if figure.exact { "\n" } else { ", not exact\n" });
+    }
+    if !page.rows.is_empty() {
+        text.push_str(&rows(page));
+        text.push('\n');
+    }
+    text.push_str(&coverage(page));
+    text
+}
+
+fn rows(page: &Page) -> String {
+    let mut table = Table::new();
+    table.load_preset(NOTHING).set_header(["key", "value", "range", "note", "body"]);
+    for (n, row) in page.rows.iter().enumerate() {
+        let note = match (page.certain, row.exact, row.late) {
+            (_, _, true) => "adds to an earlier page",
+            (_, false, _) => "not exact",
+            (Some(certain), true, _) if n >= certain => "may be displaced",
+            _ => "",
+        };
+        table.add_row([
+            row.key.as_str(),
+            row.value.as_deref().unwrap_or("none"),
+            &row.range.map(|r| r.to_string()).unwrap_or_default(),
+            note,
+            row.body.as_ref().map_or("", |b| b.get()),
+        ]);
+    }
+    if let Some(column) = table.column_mut(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table.trim_fmt()
+}
+
+/// One line: what the page rests on.
+pub fn coverage(page: &Page) -> String {
+    let all = page.ranges.len() + page.missing.len();
+    let mut line = match page.whole {
+        true => format!("whole: all of {all} ranges"),
+        false => format!("not whole: {} of {all} ranges, {} of the data", page.ranges.len(), page.coverage),
+    };
+    for gap in &page.missing {
+        line.push_str(&format!("; range {} {}", gap.range, gap.reason));
+    }
+    line
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_table_says_what_it_rests_on() {
+        let page: Page = serde_json::from_str(
+            r#"{"op":"rank","whole":false,"coverage":"0.666666","ranges":[{"range":0,"version":1},{"range":2,"version":1}],
+            "missing":[{"range":1,"reason":"no-answer","detail":"d"}],"certain":1,
+            "rows":[{"key":"a","value":"12.50","range":0,"exact":true,"body":{"n": 1}},{"key":"b","value":"9.00","exact":true}]}"#,
+        )
+        .unwrap();
+        let text = render(&page);
+        let lines: Vec<&str> = text.lines().map(str::trim_end).collect();
+        assert_eq!(lines.len(), 4);
+        assert!(lines[1].contains("12.50") && lines[1].contains(r#"{"n": 1}"#), "{text}");
+        assert!(lines[2].contains(" 9.00") && lines[2].contains("may be displaced"), "{text}");
+        assert_eq!(lines[3], "not whole: 2 of 3 ranges, 0.666666 of the data; range 1 no-answer");
+    }
+
+    #[test]
+    fn a_figure_says_whether_it_is_exact() {
+        let page: Page = serde_json::from_str(
+            r#"{"op":"sum","whole":false,"coverage":"0.5","ranges":[{"range":0,"version":1}],
+            "missing":[{"range":1,"reason":"behind","detail":"d"}],
+            "figure":{"value":"5","exact":false,"rows":2,"sum":"5","within":{"low":"7","high":"7"}},"rows":[]}"#,
+        )
+        .unwrap();
+        let text = render(&page);
+        assert!(
+            text.starts_with("sum 5 over 2 rows, within 7 and 7, not exact\nnot whole: 1 of 2"),
+            "{text}"
+        );
+    }
+}
--- a/crates/merge/src/page.rs
+++ b/crates/merge/src/page.rs
@@ -5,7 +5,7 @@
 
 use std::borrow::Cow;
 use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+use std::collections::binary_heap::{BinaryHeap, PeekMut};
 use std::sync::Arc;
 
 use serde_json::value::RawValue;
@@ -50,72 +50,87 @@
     pub more: bool,
 }
 
-/// A range's next row; the greatest in the heap is the one that stands first.
-struct Head<R, I> {
-    key: String,
+/// Where the next row of a range stands; the greatest in the heap is the one that comes first.
+#[derive(PartialEq, Eq)]
+struct Head<'a> {
+    key: Cow<'a, str>,
     range: Range,
-    row: R,
-    left: I,
-    rest: bool,
+    source: usize,
 }
 
-impl<R, I> PartialEq for Head<R, I> {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl<R, I> Eq for Head<R, I> {}
-
-impl<R, I> PartialOrd for Head<R, I> {
+impl PartialOrd for Head<'_> {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl<R, I> Ord for Head<R, I> {
+impl Ord for Head<'_> {
     fn cmp(&self, other: &Self) -> Ordering {
-        (&other.key, other.range).cmp(&(&self.key, self.range))
+        (&other.key, other.range, other.source).cmp(&(&self.key, self.range, self.source))
     }
 }
 
+/// The rows of one range: the next one, and those behind it.
+struct Source<R, I> {
+    row: R,
+    left: I,
+    /// The range may have more rows than these.
+    rest: bool,
+}
+
 /// The k-way merge: rows by key and range, until one of a range comes behind which that range may have more that
 /// it did not give.
 struct Merge<'a, R, I> {
-    heads: BinaryHeap<Head<R, I>>,
+    heads: BinaryHeap<Head<'a>>,
+    sources: Vec<Source<R, I>>,
     /// A range has given all that it gave, and has more.
     cut: bool,
-    _of: std::marker::PhantomData<&'a ()>,
 }
 
 impl<'a, R: Row<'a>, I: Iterator<Item = Result<R, Unfit>>> Merge<'a, R, I> {
     fn push(&mut self, range: Range, mut left: I, rest: bool) -> Result<(), Unfit> {
         match left.next().transpose()? {
             Some(row) => {
-                let key = row.key().to_string();
-                self.heads.push(Head { key, range, row, left, rest });
+                self.heads.push(Head { key: row.key().clone(), range, source: self.sources.len() });
+                self.sources.push(Source { row, left, rest });
             }
             None => self.cut |= rest,
         }
         Ok(())
     }
 
-    fn next(&mut self) -> Result<Option<(Range, R)>, Unfit> {
-        let Some(head) = self.heads.pop() else { return Ok(None) };
-        self.push(head.range, head.left, head.rest)?;
-        Ok(Some((head.range, head.row)))
+    fn next(&mut self) -> Result<Option<(Range, R)>, Unfit>
+    where
+        R: Clone,
+    {
+        let Some(mut head) = self.heads.peek_mut() else { return Ok(None) };
+        let source = &mut self.sources[head.source];
+        let range = head.range;
+        let row = match source.left.next().transpose()? {
+            Some(next) => {
+                // Sinks to its place once, when it is let go.
+                head.key = next.key().clone();
+                std::mem::replace(&mut source.row, next)
+            }
+            None => {
+                self.cut |= source.rest;
+                PeekMut::pop(head);
+                source.row.clone()
+            }
+        };
+        Ok(Some((range, row)))
     }
 
     fn next_key(&self) -> Option<&str> {
-        self.heads.peek().map(|h| h.key.as_str())
+        self.heads.peek().map(|h| &*h.key)
     }
 }
 
 fn start<'a, R: Row<'a>>(
     values: &[Value<'a>],
 ) -> Result<Merge<'a, R, impl Iterator<Item = Result<R, Unfit>> + 'a>, Unfit> {
-    let heads = BinaryHeap::with_capacity(values.len());
-    let mut merge = Merge { heads, cut: false, _of: std::marker::PhantomData };
+    let (heads, sources) = (BinaryHeap::with_capacity(values.len()), Vec::with_capacity(values.len()));
+    let mut merge = Merge { heads, sources, cut: false };
     for value in values {
         merge.push(value.header.range, value.rows::<R>(), value.header.rest.is_some())?;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod limits;
 pub mod net;
+pub mod query;
 pub mod serve;
 pub mod snmp;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 
 use curlewdeck::config::{Config, Edge};
 use curlewdeck::limits::Limits;
+use curlewdeck::query::{self, Command};
 use curlewdeck::serve;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
@@ -16,6 +17,7 @@
     curlewdeck serve [--config FILE] [--edge FILE]    serve until SIGTERM; SIGUSR1 logs the counters,
                                                       SIGHUP reads FILE again for the list's address
     curlewdeck check [--config FILE] [--edge FILE]    read the files and say whether they can be used
+{QUERY}
     curlewdeck version
     curlewdeck help
 
@@ -28,7 +30,7 @@
 
 fn main() -> ExitCode {
     match run() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(status) => ExitCode::from(status),
         Err(message) => {
             eprintln!("curlewdeck: {message}");
             ExitCode::FAILURE
@@ -36,20 +38,23 @@
     }
 }
 
-fn run() -> Result<(), String> {
+/// Returns the exit status.
+fn run() -> Result<u8, String> {
     let mut args = pico_args::Arguments::from_env();
     let command = args.subcommand().map_err(|e| e.to_string())?;
     if args.contains(["-h", "--help"]) {
-        println!("{HELP}");
-        return Ok(());
+        println!("{}", HELP.replace("{QUERY}", query::HELP));
+        return Ok(0);
+    }
+    if command.as_deref() == Some("query") {
+        let query = Command::read(&mut args)?;
+        no_more(args)?;
+        return Ok(query.run());
     }
     let config: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| e.to_string())?;
     let edge: Option<PathBuf> = args.opt_value_from_str("--edge").map_err(|e| e.to_string())?;
-    let rest = args.finish();
-    if let Some(extra) = rest.first() {
-        return Err(format!("'{}' is not known, see 'curlewdeck help'", extra.to_string_lossy()));
-    }
-    match command.as_deref() {
+    no_more(args)?;
+    let done: Result<(), String> = match command.as_deref() {
         Some("serve") => {
             let file = config_file(config)?;
             serve(&file, Config::load(&file)?, load_edge(edge)?)
@@ -74,10 +79,18 @@
             Ok(())
         }
         Some("help") | None => {
-            println!("{HELP}");
+            println!("{}", HELP.replace("{QUERY}", query::HELP));
             Ok(())
         }
         Some(other) => Err(format!("'{other}' is not known, see 'curlewdeck help'")),
+    };
+    done.map(|()| 0)
+}
+
+fn no_more(args: pico_args::Arguments) -> Result<(), String> {
+    match args.finish().first() {
+        None => Ok(()),
+        Some(extra) => Err(format!("'{}' is not known, see 'curlewdeck help'", extra.to_string_lossy())),
     }
 }
 
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -56,6 +56,9 @@
 
 struct World {
     data: Vec<History>,
+    /// All fail once so many parts have been served.
+    fail_from: usize,
+    served: usize,
     modes: BTreeMap<u32, Mode>,
 }
 
@@ -71,7 +74,11 @@
 }
 
 fn serve(world: &Shared, cell: u32, part: &bed::stand_in::Part) -> NodeReply {
-    let world = world.lock().unwrap();
+    let mut world = world.lock().unwrap();
+    if world.served >= world.fail_from {
+        return NodeReply::Answer(500, 0, String::new());
+    }
+    world.served += 1;
     let (history, mode) = (&world.data[part.shard as usize], world.modes[&cell]);
     let behind = if let Mode::Behind(n) = mode { n } else { 0 };
     let version = history.latest().saturating_sub(behind).max(1);
@@ -111,7 +118,7 @@
             });
         }
         let modes = (0..RANGES as u32).map(|cell| (cell, Mode::Sound)).collect();
-        let world = Arc::new(Mutex::new(World { data, modes }));
+        let world = Arc::new(Mutex::new(World { data, modes, fail_from: usize::MAX, served: 0 }));
         let nodes: Vec<DataNode> = (0..RANGES as u32)
             .map(|cell| {
                 let world = world.clone();
@@ -284,8 +291,9 @@
         assert_eq!((status, field.as_str()), (400, "cursor"));
         detail
     };
-    let flipped =
-        if next.ends_with('A') { next.replace('A', "B") } else { format!("{}A", &next[..next.len() - 1]) };
+    // One character of the record, behind the key's name.
+    let other = if &next[10..11] == "A" { "B" } else { "A" };
+    let flipped = format!("{}{other}{}", &next[..10], &next[11..]);
     assert!(with(&list, &flipped).contains("changed or made elsewhere"));
     assert!(with(&json!({"op": "list", "measure": "axles"}), &next).contains("another query"));
     assert!(with(&json!({"op": "list", "filter": {"a": "b"}}), &next).contains("another query"));
@@ -479,6 +487,83 @@
     assert_eq!((json["missing"][0].get("boundedAtVersion"), &json["certain"]), (None, &0.into()));
 }
 
+/// Runs a client that walks through a listing while the data nodes fail after its third page, until a query of it has
+/// been turned away; returns what it printed.
+fn walk_through_a_refusal(fleet: &Fleet, mut client: std::process::Command) -> Vec<Json> {
+    use std::process::Stdio;
+    {
+        let mut world = fleet.world.lock().unwrap();
+        world.fail_from = world.served + 3 * RANGES;
+    }
+    let turned_away = || fleet.count(|c| &c.queries_failed) + fleet.count(|c| &c.queries_refused);
+    let before = turned_away();
+    let child = client.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    until("a query that is turned away", || turned_away() > before);
+    fleet.world.lock().unwrap().fail_from = usize::MAX;
+    let output = child.wait_with_output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    assert!(output.status.success(), "{}", text(output.stderr));
+    text(output.stdout).lines().map(|l| serde_json::from_str(l).unwrap()).collect()
+}
+
+fn keys(rows: &[Json]) -> Vec<String> {
+    rows.iter().map(|r| r["key"].as_str().unwrap().to_string()).collect()
+}
+
+fn all_keys(rows: usize) -> Vec<String> {
+    (0..rows).flat_map(|n| (0..RANGES).map(move |r| format!("k{n:03}#{r}"))).collect()
+}
+
+/// Both clients go on from their last cursor: every row once, in order.
+#[test]
+fn clients_go_on_from_their_cursor_after_a_refusal() {
+    let fleet = Fleet::start(10);
+    let address = fleet.desk.to_string();
+    let mut tool = std::process::Command::new(env!("CARGO_BIN_EXE_curlewdeck"));
+    tool.args(["query", &address, "accounts", "list", "--limit", "6", "--all", "--json", "--timeout", "400"]);
+    assert_eq!(keys(&walk_through_a_refusal(&fleet, tool)), all_keys(10));
+    if std::process::Command::new("python3").arg("--version").output().is_err() {
+        return println!("the client in Python was not run: there is no python3");
+    }
+    let mut client = std::process::Command::new("python3");
+    client.args(["examples/desk_client.py", &address, "accounts", "--limit", "6", "--timeout-ms", "400"]);
+    assert_eq!(keys(&walk_through_a_refusal(&fleet, client)), all_keys(10));
+    fleet.counted_once();
+}
+
+/// The exit status tells whole, partial, refused, failed and a fault of the query apart.
+#[test]
+fn the_tool_tells_ends_apart() {
+    let fleet = Fleet::start(3);
+    let run = |words: &str| {
+        let words = words.replace("DESK", &fleet.desk.to_string());
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_curlewdeck"))
+            .arg("query")
+            .args(words.split(' '))
+            .output()
+            .unwrap();
+        (
+            output.status.code().unwrap(),
+            String::from_utf8(output.stdout).unwrap() + &String::from_utf8(output.stderr).unwrap(),
+        )
+    };
+    let (status, text) = run("DESK passages rank --limit 2");
+    assert!(status == 0 && text.contains("whole: all of 4 ranges"), "{text}");
+    let (status, text) = run("DESK passages rank --limit 0");
+    assert!(status == 5 && text.contains("limit: 1 to 1000"), "{text}");
+    assert_eq!(run("DESK passages").0, 1);
+    fleet.mode(1, Mode::Dead);
+    fleet.mode(2, Mode::Dead);
+    fleet.ask_until("passages", &json!({"op": "sum", "timeoutMs": 1500}), |json| json["whole"] == false);
+    until("a partial answer", || {
+        let (status, text) = run("DESK passages sum --timeout 1500");
+        status == 2 && text.contains("range 1 no-answer")
+    });
+    (0..4).for_each(|cell| fleet.mode(cell, Mode::Dead));
+    let (status, text) = run("DESK accounts sum --timeout 200 --tries 1");
+    assert!(matches!(status, 3 | 4) && text.contains("curlewdeck: "), "{status}: {text}");
+}
+
 /// Settings and files that cannot be used are named.
 #[test]
 fn a_bad_section_is_named() {
