Book every query and attempt once: crates/account, one table of truth

Need: the counters were added up in several places, knew nothing of classes, worth or nodes, and counted attempts twice whose late end came after they were dropped. Change: crates/account (pure) books queries by class and end with worth asked for and earned, and attempts by kind and node, with bounded rows whose indices are never given again; the engine tells each attempt's start and end once (Command::Book). The counters become a view, and the log at SIGUSR1 and at the end prints the books.

--- /dev/null
+++ b/crates/account/src/lib.rs
@@ -0,0 +1,481 @@
+//! The one table of truth of what a coordinator has served.
+//!
+//! Each query is booked when it is taken and at its one end, by class and outcome, with the worth that was asked for and
+//! earned; each attempt when it is started and at its one end, by kind and by node. In every [`Snapshot`] taken = ended
+//! + open, for queries by class and for attempts by node, and earned <= asked. Nothing here reads a clock.
+
+pub mod nodes;
+pub mod worth;
+
+use std::collections::HashMap;
+
+use curlewdeck_core::api::{Class, ClassId, Nanos, Outcome, Phase, QueryId, ServerId};
+use hdrhistogram::Histogram;
+
+use nodes::{NodeBounds, NodeRow, Nodes};
+use worth::{worth, Worth};
+
+/// How a query ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum End {
+    /// Answered whole, within the class's aim.
+    WholeInTime,
+    /// Answered whole, after it.
+    WholeLate,
+    /// Answered in part.
+    Partial,
+    /// Refused: trying again is harmless.
+    Refused,
+    /// Given up.
+    Failed,
+    /// Its client left.
+    Gone,
+}
+
+impl End {
+    /// All ends, in the order of their tables.
+    pub const ALL: [Self; 6] =
+        [Self::WholeInTime, Self::WholeLate, Self::Partial, Self::Refused, Self::Failed, Self::Gone];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::WholeInTime => "wholeInTime",
+            Self::WholeLate => "wholeLate",
+            Self::Partial => "partial",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// How an attempt ended, in the order of its tables.
+pub const OUTCOMES: [(Outcome, &str); 9] = [
+    (Outcome::Pass, "pass"),
+    (Outcome::Fault, "fault"),
+    (Outcome::NoRoom, "noRoom"),
+    (Outcome::TooSlow, "tooSlow"),
+    (Outcome::NoRoute, "noRoute"),
+    (Outcome::Cut, "cut"),
+    (Outcome::Spoilt, "spoilt"),
+    (Outcome::Undone, "undone"),
+    (Outcome::StaleSend, "staleSend"),
+];
+
+/// An outcome's place among [`OUTCOMES`].
+fn place(outcome: Outcome) -> usize {
+    OUTCOMES.iter().position(|o| o.0 == outcome).unwrap_or(OUTCOMES.len() - 1)
+}
+
+/// Attempts by what they were and how they ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Attempts {
+    /// Started.
+    pub started: u64,
+    /// Of them: a part's second or later one.
+    pub repeats: u64,
+    /// Of them: while another of the part was out.
+    pub copies: u64,
+    /// Ended, by kind, in the order of [`OUTCOMES`].
+    pub ended: [u64; OUTCOMES.len()],
+}
+
+impl Attempts {
+    fn start(&mut self, number: u32, copy: bool) {
+        self.started += 1;
+        self.repeats += u64::from(number > 0);
+        self.copies += u64::from(copy);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        self.ended[place(outcome)] += 1;
+    }
+
+    /// All that ended.
+    pub fn all_ended(&self) -> u64 {
+        self.ended.iter().sum()
+    }
+
+    /// Those that are out.
+    pub fn out(&self) -> u64 {
+        self.started - self.all_ended()
+    }
+
+    /// Ended with this outcome.
+    pub fn of(&self, outcome: Outcome) -> u64 {
+        self.ended[place(outcome)]
+    }
+}
+
+/// One class.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClassRow {
+    /// Its name.
+    pub name: String,
+    /// Queries taken.
+    pub taken: u64,
+    /// Queries turned away over the limit, which were not taken.
+    pub full: u64,
+    /// Ended, in the order of [`End::ALL`].
+    pub ended: [u64; End::ALL.len()],
+    /// Worth asked for, in millionths: of all that were taken.
+    pub asked: u64,
+    /// Worth earned, in millionths.
+    pub earned: u64,
+    /// Latencies of answers in milliseconds: the least of each of these shares of them in thousandths
+    /// ([`QUANTILES`]); none where there is no answer.
+    pub latency_ms: Option<[u64; QUANTILES.len()]>,
+    /// Sum of the latencies of answers, in milliseconds.
+    pub latency_sum_ms: u64,
+}
+
+impl ClassRow {
+    /// Queries that are open.
+    pub fn open(&self) -> u64 {
+        self.taken - self.ended.iter().sum::<u64>()
+    }
+
+    /// Ended so.
+    pub fn of(&self, end: End) -> u64 {
+        let at = End::ALL.iter().position(|e| *e == end).unwrap_or(0);
+        self.ended[at]
+    }
+}
+
+/// Shares of answers, in thousandths, whose latency a snapshot gives.
+pub const QUANTILES: [u32; 5] = [500, 900, 950, 990, 1000];
+
+/// All figures at one moment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Snapshot {
+    /// When.
+    pub at: Nanos,
+    /// By class, in the order of the settings.
+    pub classes: Vec<ClassRow>,
+    /// All attempts, of nodes that are gone too.
+    pub attempts: Attempts,
+    /// By node, in the order of their indices.
+    pub nodes: Vec<NodeRow>,
+    /// Node rows that went to make room for others before their time.
+    pub nodes_evicted: u64,
+    /// Nodes that found no room in the table; they count in the totals.
+    pub nodes_unlisted: u64,
+}
+
+impl Snapshot {
+    /// A figure over all classes.
+    pub fn sum(&self, of: impl Fn(&ClassRow) -> u64) -> u64 {
+        self.classes.iter().map(of).sum()
+    }
+
+    /// What must hold in every snapshot.
+    ///
+    /// # Errors
+    /// Names what does not.
+    pub fn check(&self) -> Result<(), String> {
+        for class in &self.classes {
+            let ended: u64 = class.ended.iter().sum();
+            if ended > class.taken {
+                return Err(format!("class {}: {ended} ended of {} taken", class.name, class.taken));
+            }
+            if class.earned > class.asked {
+                return Err(format!(
+                    "class {}: {} earned of {} asked",
+                    class.name, class.earned, class.asked
+                ));
+            }
+        }
+        let total = |a: &Attempts| (a.started, a.all_ended());
+        let (started, ended) = total(&self.attempts);
+        if ended > started {
+            return Err(format!("{ended} attempts ended of {started} started"));
+        }
+        for node in &self.nodes {
+            if node.attempts.all_ended() > node.attempts.started {
+                return Err(format!("node {}: more attempts ended than started", node.name));
+            }
+        }
+        let of_nodes: u64 = self.nodes.iter().map(|n| n.attempts.started).sum();
+        match of_nodes > started {
+            true => Err(format!("{of_nodes} attempts at nodes of {started} in all")),
+            false => Ok(()),
+        }
+    }
+}
+
+struct ClassAccount {
+    class: Class,
+    row: ClassRow,
+    worth: Worth,
+    latency: Histogram<u64>,
+}
+
+/// Latencies of more than an hour are counted as one.
+const LONGEST_MS: u64 = 3_600_000;
+/// Two significant digits: about 10 KB a class.
+const DIGITS: u8 = 2;
+
+/// The account of one process.
+pub struct Account {
+    classes: Vec<ClassAccount>,
+    /// Queries that are open: their class and when they were taken. As many as the core holds.
+    open: HashMap<QueryId, (ClassId, Nanos)>,
+    attempts: Attempts,
+    nodes: Nodes,
+}
+
+impl Account {
+    /// An account of these classes that has booked nothing.
+    pub fn new(classes: &[Class], names: &[String], bounds: NodeBounds) -> Self {
+        let account = |(i, class): (usize, &Class)| ClassAccount {
+            class: class.clone(),
+            row: ClassRow {
+                name: names.get(i).cloned().unwrap_or_default(),
+                taken: 0,
+                full: 0,
+                ended: [0; End::ALL.len()],
+                asked: 0,
+                earned: 0,
+                latency_ms: None,
+                latency_sum_ms: 0,
+            },
+            worth: worth(class),
+            // The bounds are constants that a histogram can have.
+            latency: Histogram::new_with_bounds(1, LONGEST_MS, DIGITS).expect("bounds of a histogram"),
+        };
+        Self {
+            classes: classes.iter().enumerate().map(account).collect(),
+            open: HashMap::new(),
+            attempts: Attempts::default(),
+            nodes: Nodes::new(bounds),
+        }
+    }
+
+    /// A query was taken.
+    pub fn taken(&mut self, now: Nanos, query: QueryId, class: ClassId) {
+        let Some(account) = self.classes.get_mut(class.0) else { return };
+        account.row.taken += 1;
+        account.row.asked = account.row.asked.saturating_add(account.worth.whole);
+        self.open.insert(query, (class, now));
+    }
+
+    /// So many queries of a class were turned away over the limit, in all.
+    pub fn full(&mut self, class: ClassId, count: u64) {
+        if let Some(account) = self.classes.get_mut(class.0) {
+            account.row.full = account.row.full.max(count);
+        }
+    }
+
+    /// A query was answered, with this share of its ranges' weight in. Only its first end counts.
+    pub fn answered(&mut self, now: Nanos, query: QueryId, whole: bool, share: f64) -> Option<End> {
+        let (class, taken) = self.open.remove(&query)?;
+        let account = self.classes.get_mut(class.0)?;
+        let latency = now.saturating_sub(taken);
+        let in_time = latency <= account.class.aim;
+        let end = match (whole, in_time) {
+            (true, true) => End::WholeInTime,
+            (true, false) => End::WholeLate,
+            (false, _) => End::Partial,
+        };
+        let earned = account.worth.earned(whole, in_time, share);
+        account.row.earned = account.row.earned.saturating_add(earned);
+        let ms = (latency / 1_000_000).clamp(1, LONGEST_MS);
+        account.latency.saturating_record(ms);
+        account.row.latency_sum_ms = account.row.latency_sum_ms.saturating_add(ms);
+        account.book(end);
+        Some(end)
+    }
+
+    /// A query ended without an answer. Only its first end counts.
+    pub fn ended(&mut self, query: QueryId, end: End) -> Option<End> {
+        let (class, _) = self.open.remove(&query)?;
+        self.classes.get_mut(class.0)?.book(end);
+        Some(end)
+    }
+
+    /// An attempt was started at a node: the part's number of it, and whether another of the part is out.
+    pub fn started(&mut self, node: ServerId, number: u32, copy: bool) {
+        self.attempts.start(number, copy);
+        if let Some(row) = self.nodes.row_to_start(node) {
+            row.attempts.start(number, copy);
+        }
+    }
+
+    /// An attempt ended.
+    pub fn attempt_ended(&mut self, node: ServerId, outcome: Outcome) {
+        self.attempts.end(outcome);
+        if let Some(row) = self.nodes.row(node) {
+            row.attempts.end(outcome);
+        }
+    }
+
+    /// The list says this of a node.
+    pub fn node(&mut self, now: Nanos, node: ServerId, name: &str, phase: Phase) {
+        self.nodes.told(now, node, name, phase);
+    }
+
+    /// A node was forgotten by the core: nothing of it is out, and its id is not given again.
+    pub fn retired(&mut self, now: Nanos, node: ServerId) {
+        self.nodes.retired(now, node);
+    }
+
+    /// Queries that are open.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// All attempts.
+    pub fn attempts(&self) -> &Attempts {
+        &self.attempts
+    }
+
+    /// A figure over all classes, without a snapshot.
+    pub fn sum(&self, of: impl Fn(&ClassRow) -> u64) -> u64 {
+        self.classes.iter().map(|c| of(&c.row)).sum()
+    }
+
+    /// All figures as they stand.
+    pub fn snapshot(&mut self, now: Nanos) -> Snapshot {
+        let class = |c: &ClassAccount| {
+            let quantile = |q: u32| c.latency.value_at_quantile(f64::from(q) / 1000.0);
+            let latency_ms = (!c.latency.is_empty()).then(|| QUANTILES.map(quantile));
+            ClassRow { latency_ms, ..c.row.clone() }
+        };
+        Snapshot {
+            at: now,
+            classes: self.classes.iter().map(class).collect(),
+            attempts: self.attempts,
+            nodes: self.nodes.rows(now),
+            nodes_evicted: self.nodes.evicted(),
+            nodes_unlisted: self.nodes.unlisted(),
+        }
+    }
+}
+
+impl ClassAccount {
+    fn book(&mut self, end: End) {
+        let at = End::ALL.iter().position(|e| *e == end).unwrap_or(0);
+        self.row.ended[at] += 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use curlewdeck_core::api::Effect;
+    use proptest::prelude::*;
+
+    const MS: Nanos = 1_000_000;
+
+    fn class() -> Class {
+        Class {
+            aim: 100 * MS,
+            deadline: 1000 * MS,
+            importance: 3.0,
+            late_worth: 0.3,
+            effect: Effect::Safe,
+            repeat_window: 0,
+            floor: 0.8,
+            need: 1.0,
+            partial: Some(0.8),
+            second_step: 0,
+        }
+    }
+
+    fn account() -> Account {
+        let bounds = NodeBounds { rows: 4, keep: 10 * MS };
+        Account::new(&[class(), class()], &["a".into(), "b".into()], bounds)
+    }
+
+    #[test]
+    fn an_end_is_booked_once_with_its_worth() {
+        let mut a = account();
+        for n in 0..4 {
+            a.taken(0, QueryId(n), ClassId(0));
+        }
+        assert_eq!(a.answered(50 * MS, QueryId(0), true, 1.0), Some(End::WholeInTime));
+        assert_eq!(a.answered(50 * MS, QueryId(0), true, 1.0), None, "a second end");
+        assert_eq!(a.answered(101 * MS, QueryId(1), true, 1.0), Some(End::WholeLate));
+        assert_eq!(a.answered(60 * MS, QueryId(2), false, 0.9), Some(End::Partial));
+        assert_eq!(a.ended(QueryId(2), End::Gone), None);
+        let s = a.snapshot(0);
+        let row = &s.classes[0];
+        assert_eq!((row.taken, row.open(), row.asked), (4, 1, 12_000_000));
+        // 3 in time, 3 * 0.3 late, 3 * 0.8 * 0.9 in part.
+        assert_eq!(row.earned, 3_000_000 + 900_000 + 2_160_000);
+        assert_eq!(row.latency_ms.map(|l| (l[0], l[4])), Some((60, 101)));
+        assert_eq!(s.classes[1].taken, 0);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever is booked in whatever order: every snapshot holds, and counts never fall.
+        #[test]
+        fn every_snapshot_holds(steps in proptest::collection::vec((0..9u8, 0..12u64, 0..300u64), 0..200)) {
+            let (mut a, mut now, mut next) = (account(), 0, 0u64);
+            let mut out: Vec<(ServerId, u64)> = Vec::new();
+            let mut before = a.snapshot(0);
+            // The core gives an id once, and forgets a node only when nothing of it is out.
+            let mut ids = [0, 1, 2, 3, 4, 5, 6];
+            for (kind, pick, span) in steps {
+                now += span * MS / 10;
+                let query = QueryId(pick);
+                let node = ServerId(ids[pick as usize % 7]);
+                match kind {
+                    0 | 1 => {
+                        a.taken(now, QueryId(next), ClassId(pick as usize % 3));
+                        next += 1;
+                    }
+                    2 => drop(a.answered(now, query, pick % 2 == 0, 0.9)),
+                    3 => drop(a.ended(query, End::ALL[3 + pick as usize % 3])),
+                    4 => {
+                        a.started(node, pick as u32 % 3, pick % 2 == 0);
+                        out.push((node, pick));
+                    }
+                    5 => {
+                        if let Some((node, pick)) = out.pop() {
+                            a.attempt_ended(node, OUTCOMES[pick as usize % OUTCOMES.len()].0);
+                        }
+                    }
+                    6 => a.node(now, node, &format!("s{}", node.0), [Phase::In, Phase::Draining, Phase::Out][pick as usize % 3]),
+                    7 if out.iter().all(|o| o.0 != node) => {
+                        a.retired(now, node);
+                        ids[pick as usize % 7] += 7;
+                    }
+                    _ => a.full(ClassId(pick as usize % 2), pick),
+                }
+                let s = a.snapshot(now);
+                prop_assert_eq!(s.check(), Ok(()));
+                prop_assert_eq!(s.sum(ClassRow::open), a.open() as u64);
+                prop_assert_eq!(s.attempts.out(), out.len() as u64);
+                prop_assert!(s.nodes.len() <= 4);
+                prop_assert!(s.nodes.windows(2).all(|w| w[0].index < w[1].index));
+                for (b, n) in before.classes.iter().zip(&s.classes) {
+                    prop_assert!(b.taken <= n.taken && b.earned <= n.earned && b.ended.iter().zip(&n.ended).all(|(b, n)| b <= n));
+                }
+                before = s;
+            }
+        }
+    }
+
+    /// The check itself must be able to fail.
+    #[test]
+    fn a_snapshot_that_does_not_hold_is_named() {
+        let mut a = account();
+        a.taken(0, QueryId(0), ClassId(0));
+        a.node(0, ServerId(0), "s", Phase::In);
+        let good = a.snapshot(0);
+        let spoil = |change: fn(&mut Snapshot)| {
+            let mut s = good.clone();
+            change(&mut s);
+            s.check().unwrap_err()
+        };
+        assert!(spoil(|s| s.classes[0].ended[0] = 2).contains("2 ended of 1 taken"));
+        assert!(spoil(|s| s.classes[0].earned = u64::MAX).contains("earned"));
+        assert!(spoil(|s| s.attempts.ended[0] = 1).contains("attempts ended"));
+        assert!(spoil(|s| s.nodes[0].attempts.ended[0] = 1).contains("node s"));
+        assert!(spoil(|s| s.nodes[0].attempts.started = 1).contains("at nodes"));
+    }
+}
--- a/crates/client/src/walk.rs
+++ b/crates/client/src/walk.rs
@@ -228,6 +228,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         /// Whatever comes: it ends, within its budget of waits, and a page that has come is never asked for again.
         #[test]
         fn every_walk_ends(replies in proptest::collection::vec(0..6u8, 0..200), seed in any::<u64>()) {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -198,6 +198,8 @@
     Answered {
         /// Whether the answer is whole.
         whole: bool,
+        /// The share of the weight that is in.
+        share: f64,
         /// The values that are in.
         rows: Vec<Row>,
     },
@@ -210,6 +212,27 @@
     Failed,
 }
 
+/// What became of an attempt, for the books: each is started once and ends once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Note {
+    /// It was started.
+    Started {
+        /// Where it goes.
+        server: ServerId,
+        /// Its number among those of its part, from 0.
+        number: u32,
+        /// Whether another of the part is out.
+        copy: bool,
+    },
+    /// It has ended, with regard to its value.
+    Ended {
+        /// Where it went.
+        server: ServerId,
+        /// How.
+        outcome: Outcome,
+    },
+}
+
 /// What the embedder is to do, in this order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Command {
@@ -244,6 +267,8 @@
     },
     /// Subscribe to the list.
     Watch,
+    /// Book this.
+    Book(Note),
     /// Give a query its final answer.
     Finish {
         /// The query.
@@ -559,6 +584,7 @@
                 part.value = value;
             }
         }
+        self.commands.push(Command::Book(Note::Ended { server: a.server, outcome }));
         let latency = self.now.saturating_sub(a.sent);
         self.events.push(Event::Ended {
             part: a.part,
@@ -697,12 +723,13 @@
         let Some(part) = self.parts.get_mut(&part_id) else { return };
         let number = part.attempts;
         part.attempts += 1;
-        let (shard, text) = (part.shard, part.text.clone());
+        let (shard, text, copy) = (part.shard, part.text.clone(), !part.out.is_empty());
         let Some(query) = self.open.get(&part.query) else { return };
         let until = query.valid_until.min(self.now.saturating_add(within));
         let wanted = Wanted::new();
         let attempt = Attempt { part: part_id, number, server, sent: self.now, wanted: wanted.clone() };
         self.attempts.insert(id, attempt);
+        self.commands.push(Command::Book(Note::Started { server, number, copy }));
         let phase = self.servers.get(&server).map(|s| s.phase);
         if number >= max || until <= self.now || phase != Some(Phase::In) || !self.holds(server, shard) {
             self.ended(self.now, id, Outcome::StaleSend, None);
@@ -761,7 +788,7 @@
         }
         let whole = whole && weight >= need - SLACK && (!open.second || open.first_whole);
         if open.second || class.second_step == 0 {
-            self.finish(id, Final::Answered { whole, rows });
+            self.finish(id, Final::Answered { whole, share: weight, rows });
             return;
         }
         self.second_step(id, whole, scored);
@@ -879,6 +906,8 @@
         gone: HashSet<QueryId>,
         out: BTreeMap<AttemptId, (ServerId, Dispatch)>,
         phases: BTreeMap<u32, Phase>,
+        started: usize,
+        ended: usize,
     }
 
     impl World {
@@ -904,7 +933,7 @@
                         *self.finals.entry(query).or_default() += 1;
                         let (class, parts, until) = self.asked[&query];
                         assert!(self.now <= until + BACKSTOP, "answered late");
-                        if let Final::Answered { whole, rows } = answer {
+                        if let Final::Answered { whole, rows, .. } = answer {
                             let needed = if class == 2 { parts.min(2) } else { parts };
                             assert!(!whole || rows.len() == needed, "marked whole that is not");
                             assert!(2 * rows.len() >= needed && (class == 1 || rows.len() == needed));
@@ -915,9 +944,12 @@
                         assert!(self.out.values().all(|o| o.0 != server), "forgotten with parts out");
                         assert_eq!(engine.server_name(server), "");
                     }
+                    Command::Book(Note::Started { .. }) => self.started += 1,
+                    Command::Book(Note::Ended { .. }) => self.ended += 1,
                     Command::Probe { .. } | Command::CloseIdle { .. } | Command::Watch => {}
                 }
             }
+            assert_eq!(self.started - self.ended, engine.out(), "an attempt is booked twice or not at all");
             for (_, d) in self.out.values() {
                 assert!(d.wanted.yes(), "an attempt that is out is wanted");
             }
--- a/crates/merge/src/cursor.rs
+++ b/crates/merge/src/cursor.rs
@@ -344,6 +344,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         /// One changed bit is always found; whatever is sent never panics.
         #[test]
         fn a_changed_bit_is_found(at in 0..100usize, bit in 0..8u8, text in "[A-Za-z0-9_-]{0,80}") {
--- a/crates/merge/src/recall.rs
+++ b/crates/merge/src/recall.rs
@@ -230,6 +230,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         /// Whatever is learnt: the table stays bounded, and its two indices agree.
         #[test]
         fn the_table_stays_bounded(steps in proptest::collection::vec((0..5u8, 0..10u32, 0..4u64, any::<u8>()), 0..100)) {
--- a/crates/merge/src/units.rs
+++ b/crates/merge/src/units.rs
@@ -167,6 +167,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         #[test]
         fn decimals_are_read_as_they_are_written(n in any::<i64>(), scale in 0..=MAX_SCALE) {
             let units = Units(n.into());
--- a/crates/merge/src/value.rs
+++ b/crates/merge/src/value.rs
@@ -612,6 +612,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         /// Nothing that a data node sends may panic, and a changed byte is found or harmless.
         #[test]
         fn any_text_is_checked_without_panic(at in 0..GOOD.len(), byte in 32..127u8, text in "\\PC{0,60}") {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -3,6 +3,10 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use curlewdeck_account::{Account, End};
+
+use crate::api::Outcome;
+
 macro_rules! counters {
     ($($(#[doc = $doc:literal])* $name:ident $shown:literal,)*) => {
         /// All counters of one process. Their order is that of the MIB, and is only ever added to.
@@ -94,6 +98,29 @@
         counter.fetch_max(count, Ordering::Relaxed);
     }
 
+    /// Takes over the books' figures: each of these counters is written here alone.
+    pub fn view(&self, account: &Account) {
+        let queries = |end: End| account.sum(|c| c.of(end));
+        let attempts = account.attempts();
+        let passed = attempts.of(Outcome::Pass);
+        let (stale, dropped) = (attempts.of(Outcome::StaleSend), attempts.of(Outcome::Undone));
+        for (counter, count) in [
+            (&self.queries_taken, account.sum(|c| c.taken)),
+            (&self.answers_whole, queries(End::WholeInTime) + queries(End::WholeLate)),
+            (&self.answers_partial, queries(End::Partial)),
+            (&self.queries_refused, queries(End::Refused)),
+            (&self.queries_failed, queries(End::Failed)),
+            (&self.clients_gone, queries(End::Gone)),
+            (&self.attempts_sent, attempts.started),
+            (&self.attempts_passed, passed),
+            (&self.attempts_stale, stale),
+            (&self.attempts_dropped, dropped),
+            (&self.attempts_failed, attempts.all_ended() - passed - stale - dropped),
+        ] {
+            counter.store(count, Ordering::Relaxed);
+        }
+    }
+
     /// One line a counter.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -538,7 +538,7 @@
     seal: Option<&Seal>,
     ended: Result<Final, Rejected>,
 ) -> Reply {
-    let Ok(Final::Answered { whole, rows }) = ended else { return problem(500, "there is no answer") };
+    let Ok(Final::Answered { whole, rows, .. }) = ended else { return problem(500, "there is no answer") };
     let mut read: Vec<_> = rows.iter().filter_map(read).collect();
     read.sort_by_key(|r| r.0);
     let from = if let At::Offset(cursor) = &filter.at { cursor.range.0 } else { 0 };
@@ -590,7 +590,7 @@
 }
 
 fn one(base: &str, path: &str, collection: &str, ended: Result<Final, Rejected>) -> Reply {
-    let Ok(Final::Answered { whole, rows }) = ended else { return problem(500, "there is no answer") };
+    let Ok(Final::Answered { whole, rows, .. }) = ended else { return problem(500, "there is no answer") };
     let read: Vec<Option<Range>> = rows.iter().map(read).collect();
     let complete = whole && read.iter().all(Option::is_some);
     let Some(feature) = read.iter().flatten().find_map(|r| r.1.first()) else {
@@ -663,8 +663,14 @@
         let row = |shard, data: &str| Row { shard: ShardId(shard), data: data.into() };
         let filter = Filter { bbox: None, datetime: None, limit: 5, at: At::Offset(Cursor::START) };
         let rows = vec![row(0, r#"[{"type":"Feature","id":1}]"#), row(1, "5be2a07c")];
-        let reply =
-            page("", "/collections/a/items", &filter, 2, None, Ok(Final::Answered { whole: true, rows }));
+        let reply = page(
+            "",
+            "/collections/a/items",
+            &filter,
+            2,
+            None,
+            Ok(Final::Answered { whole: true, share: 1.0, rows }),
+        );
         let body: Json = serde_json::from_slice(&reply.body).unwrap();
         assert_eq!((&body["complete"], &body["missingRanges"]), (&json!(false), &json!([1])));
         assert_eq!(body["numberReturned"], 1);
--- a/src/front/pages.rs
+++ b/src/front/pages.rs
@@ -168,6 +168,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         /// Following the cursors gives every feature once, in order, whatever the ranges hold.
         #[test]
         fn offsets_follow_each_other_without_gap_or_repeat(
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -73,7 +73,7 @@
 
 fn answer(ended: Result<Final, Rejected>, full_hold_off: Nanos) -> Reply {
     match ended {
-        Ok(Final::Answered { whole, rows }) => {
+        Ok(Final::Answered { whole, rows, .. }) => {
             let rows = rows.iter().map(|r| RowOut { id: r.shard.0, data: &r.data }).collect();
             match serde_json::to_vec(&Served200 { exact: whole, rows }) {
                 Ok(body) => Reply { status: 200, kind: "application/json", more: String::new(), body },
@@ -175,7 +175,7 @@
     #[test]
     fn answers_have_the_protocols_form() {
         let rows = vec![Row { shard: ShardId(3), data: "5be2\"a0".into() }];
-        let reply = answer(Ok(Final::Answered { whole: false, rows }), 0);
+        let reply = answer(Ok(Final::Answered { whole: false, share: 0.5, rows }), 0);
         assert_eq!(reply.body, br#"{"exact":false,"rows":[{"id":3,"data":"5be2\"a0"}]}"#);
         let reply = answer(Err(Rejected::Full), 250_000_000);
         assert_eq!((reply.status, reply.more.as_str()), (503, "Retry-After: 0.250\r\n"));
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -111,6 +111,10 @@
     pub recall_entries: usize,
     /// See there.
     pub recall_age: Duration,
+    /// Rows of the books' table of data nodes.
+    pub node_rows: usize,
+    /// How long a data node that is gone keeps its row.
+    pub node_row_keep: Duration,
     /// Variables in one management request or answer.
     pub snmp_bindings: usize,
     /// Bytes of the same.
@@ -168,6 +172,8 @@
             desk_wait: Duration::from_secs(10),
             recall_entries: 4096,
             recall_age: Duration::from_secs(600),
+            node_rows: 256,
+            node_row_keep: Duration::from_secs(900),
             snmp_bindings: 64,
             snmp_bytes: 4096,
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -124,7 +124,7 @@
         let mut ending = false;
         for signal in signals.forever() {
             match signal {
-                SIGUSR1 => log::info!("counters:\n{}", coordinator.core.counters.text()),
+                SIGUSR1 => log::info!("counters:\n{}", coordinator.report()),
                 SIGHUP => match Config::load(file) {
                     Ok(config) => coordinator.reload(&config),
                     Err(why) => log::error!("the configuration stays as it was: {why}"),
@@ -141,6 +141,6 @@
             }
         }
     });
-    log::info!("ends; counters:\n{}", coordinator.core.counters.text());
+    log::info!("ends; counters:\n{}", coordinator.report());
     Ok(())
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -4,13 +4,15 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 
+use curlewdeck_account::nodes::NodeBounds;
+use curlewdeck_account::{Account, End, Snapshot};
 use may::sync::mpsc::{Receiver, Sender};
 
-use crate::api::{Discovery, ListKind, Nanos, Phase, QueryId, ServerId, ShardId};
+use crate::api::{ClassId, Discovery, ListKind, Nanos, Phase, QueryId, ServerId, ShardId};
 use crate::counters::Counters;
-use crate::engine::{Ask, Command, Engine, Final, Rejected};
+use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
 use crate::net::io::{spawn_vital, Alarm, Clock};
-use crate::net::mail::{count_end, CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply};
+use crate::net::mail::{CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply};
 use crate::net::members::ListNews;
 use crate::settings::Info;
 
@@ -22,6 +24,8 @@
     backlog: Arc<AtomicUsize>,
     most: usize,
     ready: Arc<AtomicBool>,
+    /// By class: queries turned away over the limit, which the books take over.
+    full: Arc<[AtomicU64]>,
     /// What the settings say.
     pub info: Arc<Info>,
     /// The clock of all deadlines.
@@ -36,7 +40,7 @@
         let id = QueryId(self.next.fetch_add(1, Ordering::Relaxed));
         if self.backlog.fetch_add(1, Ordering::AcqRel) >= self.most {
             self.backlog.fetch_sub(1, Ordering::AcqRel);
-            Counters::add(&self.counters.queries_full);
+            self.turned_away(ask.class);
             reply(Err(Rejected::Full));
         } else {
             self.mail.send(Msg::Ask(id, ask, reply));
@@ -44,6 +48,18 @@
         id
     }
 
+    fn turned_away(&self, class: ClassId) {
+        Counters::add(&self.counters.queries_full);
+        if let Some(full) = self.full.get(class.0) {
+            Counters::add(full);
+        }
+    }
+
+    /// All figures of one moment, handed over once the core comes to it.
+    pub fn books(&self, take: impl FnOnce(Snapshot) + Send + 'static) {
+        self.mail.send(Msg::Books(Box::new(take)));
+    }
+
     /// The client of a query has left.
     pub fn gone(&self, id: QueryId) {
         self.mail.send(Msg::Gone(id));
@@ -75,6 +91,8 @@
     pub backlog: usize,
     /// Stack of the actor.
     pub stack_words: usize,
+    /// Bounds of the books' table of nodes.
+    pub nodes: NodeBounds,
     /// Told of the shards of which a holder is new or has started anew.
     pub started: Option<Started>,
 }
@@ -111,6 +129,7 @@
         backlog: Arc::default(),
         most: parts.backlog,
         ready: Arc::default(),
+        full: parts.info.classes.iter().map(|_| AtomicU64::default()).collect(),
         info: parts.info.clone(),
         clock: parts.clock,
         counters: parts.counters.clone(),
@@ -120,8 +139,10 @@
         Discovery::Pushed => Nanos::MAX,
     };
     let heard = parts.clock.now();
+    let account = Account::new(&parts.info.settings.classes, &parts.info.classes, parts.nodes);
     let mut actor = Actor {
         engine: parts.engine,
+        account,
         core: core.clone(),
         list,
         start_node,
@@ -141,6 +162,8 @@
 
 struct Actor {
     engine: Engine,
+    /// The one table of truth; the counters of queries and attempts are a view of it.
+    account: Account,
     core: Core,
     list: Sender<ListMsg>,
     start_node: StartNode,
@@ -173,14 +196,15 @@
         match message {
             Msg::Ask(id, ask, reply) => {
                 self.core.backlog.fetch_sub(1, Ordering::AcqRel);
+                let class = ask.class;
                 match self.engine.ask(now, id, ask) {
                     Ok(()) => {
-                        Counters::add(&self.core.counters.queries_taken);
+                        self.account.taken(now, id, class);
                         self.replies.insert(id, reply);
                     }
                     Err(why) => {
                         if why == Rejected::Full {
-                            Counters::add(&self.core.counters.queries_full);
+                            self.core.turned_away(class);
                         }
                         reply(Err(why));
                     }
@@ -188,7 +212,7 @@
             }
             Msg::Gone(id) => {
                 if self.replies.remove(&id).is_some() {
-                    Counters::add(&self.core.counters.clients_gone);
+                    self.account.ended(id, End::Gone);
                     self.engine.gone(id);
                 }
             }
@@ -198,7 +222,14 @@
                 if counted != outcome {
                     Counters::add(&self.core.counters.values_unfit);
                 }
-                count_end(&self.core.counters, counted);
+            }
+            Msg::Books(take) => {
+                for (class, full) in self.core.full.iter().enumerate() {
+                    self.account.full(ClassId(class), full.load(Ordering::Relaxed));
+                }
+                let snapshot = self.account.snapshot(now);
+                debug_assert_eq!(snapshot.check(), Ok(()));
+                take(snapshot);
             }
             Msg::Rung => self.alarm.rung(),
             Msg::Probed(server, outcome) => self.engine.probed(now, server, outcome),
@@ -216,18 +247,25 @@
         }
         if news.kind == ListKind::Full {
             let named = |id: &ServerId| news.members.iter().any(|m| m.0.name == self.engine.server_name(*id));
-            self.nodes.iter().filter(|(id, _)| !named(id)).for_each(|(_, node)| node.gate.set(false));
+            for (&id, node) in self.nodes.iter().filter(|(id, _)| !named(id)) {
+                node.gate.set(false);
+                self.account.node(now, id, "", Phase::Out);
+            }
         }
         let members: Vec<_> = news.members.iter().map(|m| m.0.clone()).collect();
         for (member, addr) in &news.members {
             if member.phase == Phase::Out {
                 // One that is not known needs no actor to be gone.
-                if let Some(node) = self.engine.id(&member.name).and_then(|id| self.nodes.get(&id)) {
-                    node.gate.set(false);
+                if let Some(id) = self.engine.id(&member.name) {
+                    if let Some(node) = self.nodes.get(&id) {
+                        node.gate.set(false);
+                    }
+                    self.account.node(now, id, &member.name, Phase::Out);
                 }
                 continue;
             }
             let id = self.engine.intern(&member.name);
+            self.account.node(now, id, &member.name, member.phase);
             let start = &mut self.start_node;
             let node = self.nodes.entry(id).or_insert_with(|| {
                 let gate = Gate::default();
@@ -247,17 +285,17 @@
     }
 
     fn act(&mut self) {
-        for command in self.engine.run(self.core.clock.now()) {
+        let now = self.core.clock.now();
+        for command in self.engine.run(now) {
             match command {
-                Command::Send { server, call } => {
-                    call.iter().for_each(|_| Counters::add(&self.core.counters.attempts_sent));
-                    self.tell_node(server, NodeMsg::Call(call));
-                }
-                Command::Drop { server, attempt } => {
-                    Counters::add(&self.core.counters.attempts_dropped);
-                    self.tell_node(server, NodeMsg::Drop(attempt));
+                Command::Book(Note::Started { server, number, copy }) => {
+                    self.account.started(server, number, copy);
                 }
+                Command::Book(Note::Ended { server, outcome }) => self.account.attempt_ended(server, outcome),
+                Command::Send { server, call } => self.tell_node(server, NodeMsg::Call(call)),
+                Command::Drop { server, attempt } => self.tell_node(server, NodeMsg::Drop(attempt)),
                 Command::Retire { server } => {
+                    self.account.retired(now, server);
                     if let Some(node) = self.nodes.remove(&server) {
                         tell(&node.mail, NodeMsg::Retire);
                     }
@@ -270,19 +308,22 @@
                     }
                 }
                 Command::Finish { query, answer } => {
-                    let counters = &self.core.counters;
-                    Counters::add(match &answer {
-                        Final::Answered { whole: true, .. } => &counters.answers_whole,
-                        Final::Answered { .. } => &counters.answers_partial,
-                        Final::Refused { .. } => &counters.queries_refused,
-                        Final::Failed => &counters.queries_failed,
-                    });
+                    match &answer {
+                        Final::Answered { whole, share, .. } => {
+                            self.account.answered(now, query, *whole, *share);
+                        }
+                        Final::Refused { .. } => drop(self.account.ended(query, End::Refused)),
+                        Final::Failed => drop(self.account.ended(query, End::Failed)),
+                    }
+                    // Whoever has the answer finds it counted.
+                    self.core.counters.view(&self.account);
                     if let Some(reply) = self.replies.remove(&query) {
                         reply(Ok(answer));
                     }
                 }
             }
         }
+        self.core.counters.view(&self.account);
     }
 
     fn tell_node(&self, server: ServerId, message: NodeMsg) {
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
+use curlewdeck_account::Snapshot;
 use may::sync::mpsc::{channel, Receiver, Sender};
 
 use crate::api::{Outcome, QueryId, ServerId};
-use crate::counters::Counters;
 use crate::engine::{Ask, AttemptId, Dispatch, Final, Rejected, Value};
 use crate::net::frame::{self, Frame};
 use crate::net::io::Stream;
@@ -32,6 +32,8 @@
     Probed(ServerId, Outcome),
     /// The alarm has rung.
     Rung,
+    /// Somebody wants to see the books.
+    Books(Box<dyn FnOnce(Snapshot) + Send>),
 }
 
 /// The core's mailbox.
@@ -132,13 +134,3 @@
     /// It cannot be read.
     Spoilt,
 }
-
-/// The end that counts for an attempt, as a counter.
-pub fn count_end(counters: &Counters, outcome: Outcome) {
-    Counters::add(match outcome {
-        Outcome::Pass => &counters.attempts_passed,
-        Outcome::StaleSend => &counters.attempts_stale,
-        Outcome::Undone => &counters.attempts_dropped,
-        _ => &counters.attempts_failed,
-    });
-}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use curlewdeck_account::nodes::NodeBounds;
+use curlewdeck_account::{worth, End, Snapshot, OUTCOMES};
 use may::sync::mpsc::Sender;
 
 use crate::api::{Discovery, ListKind};
@@ -87,6 +89,7 @@
     };
     let memory = edge.desk.as_ref().map(|_| Memory::new(&limits, info.ranges));
     let parts = core::Parts {
+        nodes: NodeBounds { rows: limits.node_rows, keep: nanos(limits.node_row_keep) },
         started: memory.as_ref().map(Memory::forgetting),
         engine,
         info,
@@ -134,6 +137,35 @@
 }
 
 const LOOK: Duration = Duration::from_millis(10);
+/// The core comes to what it is asked within this, or is so busy that its figures have to wait.
+const BOOKS: Duration = Duration::from_secs(2);
+
+/// A snapshot as lines of text.
+pub fn report(snapshot: &Snapshot) -> String {
+    let mut text = String::new();
+    let line = |text: &mut String, words: String| {
+        text.push_str(&words);
+        text.push('\n');
+    };
+    for class in &snapshot.classes {
+        let ends: Vec<String> =
+            End::ALL.iter().zip(class.ended).map(|(end, n)| format!("{}={n}", end.name())).collect();
+        let latency =
+            class.latency_ms.map(|l| format!(" p50_ms={} p99_ms={}", l[0], l[3])).unwrap_or_default();
+        let (open, ends) = (class.open(), ends.join(" "));
+        let (asked, earned) = (class.asked as f64 / worth::ONE, class.earned as f64 / worth::ONE);
+        let head = format!("class {} taken={} open={open} full={}", class.name, class.taken, class.full);
+        line(&mut text, format!("{head} {ends} asked={asked} earned={earned}{latency}"));
+    }
+    for node in &snapshot.nodes {
+        let a = &node.attempts;
+        let ends: Vec<String> = OUTCOMES.iter().zip(a.ended).map(|(o, n)| format!("{}={n}", o.1)).collect();
+        let head = format!("node {} {} {:?} drains={}", node.index, node.name, node.phase, node.drains);
+        let sent = format!("started={} repeats={} copies={} out={}", a.started, a.repeats, a.copies, a.out());
+        line(&mut text, format!("{head} {sent} {}", ends.join(" ")));
+    }
+    text
+}
 
 impl Coordinator {
     /// After SIGHUP: takes over what the file now says of the list's service. All else that it says holds
@@ -149,6 +181,20 @@
         }
     }
 
+    /// All figures of one moment; none if the core does not come to it in time. Not called from a coroutine.
+    pub fn books(&self) -> Option<Snapshot> {
+        let (told, figures) = std::sync::mpsc::channel();
+        // Nobody waits any more after the time-out.
+        self.core.books(move |snapshot| drop(told.send(snapshot)));
+        figures.recv_timeout(BOOKS).ok()
+    }
+
+    /// The counters, and the books by class and by data node, a line each. Not called from a coroutine.
+    pub fn report(&self) -> String {
+        let books = self.books().map_or_else(String::new, |s| report(&s));
+        format!("{}{books}", self.core.counters.text())
+    }
+
     /// After SIGTERM: goes on for a while, then finishes what is held and closes what is idle. Returns once
     /// all is answered, or when the time for that is over.
     pub fn finish(&self) {
--- /dev/null
+++ b/tests/books.rs
@@ -0,0 +1,83 @@
+//! The books on loopback: every figure against what the stand-in clients and data nodes have counted themselves.
+
+mod bed;
+
+use bed::stand_in::{DataNode, Discovery, NodeReply};
+use bed::{change, member, query, ready, until, Bed};
+use curlewdeck::api::{Outcome, Phase};
+use curlewdeck_account::{ClassRow, End, Snapshot};
+
+const CLASSES: [&str; 3] = ["tag-lookup", "plaza-ranking", "monthly-settle"];
+
+fn books(coordinator: &curlewdeck::serve::Coordinator) -> Snapshot {
+    let snapshot = coordinator.books().expect("the core answers");
+    assert_eq!(snapshot.check(), Ok(()));
+    snapshot
+}
+
+/// Class by class and outcome by outcome: what clients were answered is what is booked, and what data nodes were sent
+/// is what is booked of them.
+#[test]
+fn the_books_are_what_clients_and_nodes_counted() {
+    // Odd shards fail at one node, so that there are repeats and partial answers.
+    let nodes = [
+        DataNode::start(|_| NodeReply::Answer(200, 1, "v".to_string())),
+        DataNode::start(|part| {
+            NodeReply::Answer(if part.shard % 2 == 1 { 500 } else { 200 }, 1, "v".to_string())
+        }),
+    ];
+    let members = (0..).zip(&nodes).map(|(cell, n)| member(&format!("s{cell}"), cell, n.addr)).collect();
+    let discovery = Discovery::start("127.0.0.1:0", members);
+    // Each shard has one holder: even ones cell 0, odd ones cell 1.
+    let coordinator = Bed { in_a_row: 1, ..Bed::default() }.start(discovery.addr, "");
+    ready(&coordinator);
+    // What clients saw: by class, whole, partial and all others.
+    let mut seen = [[0u64; 3]; 3];
+    for round in 0..6 {
+        for (class, name) in CLASSES.iter().enumerate() {
+            let shards: &[u32] = if round % 2 == 0 { &[0, 2] } else { &[0, 1] };
+            let answer = query(coordinator.listen, name, shards).unwrap();
+            let kind = match (answer.status, answer.body.contains("\"exact\":true")) {
+                (200, true) => 0,
+                (200, false) => 1,
+                _ => 2,
+            };
+            seen[class][kind] += 1;
+        }
+    }
+    // Calls that were still on their way when their query ended.
+    until("all attempts have ended", || books(&coordinator).attempts.out() == 0);
+    let s = books(&coordinator);
+    for (class, name) in CLASSES.iter().enumerate() {
+        let row: &ClassRow = &s.classes[class];
+        assert_eq!((row.name.as_str(), row.taken, row.open()), (*name, 6, 0));
+        let whole = row.of(End::WholeInTime) + row.of(End::WholeLate);
+        let others = row.of(End::Refused) + row.of(End::Failed) + row.of(End::Gone);
+        assert_eq!([whole, row.of(End::Partial), others], seen[class], "{name}");
+        assert_eq!(row.latency_ms.is_some(), whole + row.of(End::Partial) > 0);
+    }
+    assert!(seen[0][2] > 0 && seen[1][1] > 0, "nothing failed or was partial: {seen:?}");
+    for (row, node) in s.nodes.iter().zip(&nodes) {
+        let reached =
+            row.attempts.started - row.attempts.of(Outcome::StaleSend) - row.attempts.of(Outcome::NoRoute);
+        assert_eq!(reached, node.parts().len() as u64, "node {}", row.name);
+        assert_eq!((row.phase, row.drains), (Phase::In, 0));
+    }
+    assert!(s.nodes[1].attempts.of(Outcome::Fault) > 0);
+    let counters = &coordinator.core.counters;
+    let all: std::collections::BTreeMap<_, _> = counters.all().into_iter().collect();
+    assert_eq!(all["cdQueriesTaken"], s.sum(|c| c.taken));
+    assert_eq!(all["cdAttemptsSent"], s.attempts.started);
+    let report = coordinator.report();
+    assert!(report.contains("class tag-lookup taken=6 open=0"), "{report}");
+    assert!(report.contains("node 1 s0 In drains=0"), "{report}");
+    // A drain and an end are seen, and the row stays for a while.
+    change(&coordinator, &discovery, "s1", "draining");
+    assert_eq!(
+        (books(&coordinator).nodes[1].phase, books(&coordinator).nodes[1].drains),
+        (Phase::Draining, 1)
+    );
+    change(&coordinator, &discovery, "s1", "removed");
+    until("the core forgets the node", || books(&coordinator).nodes[1].gone.is_some());
+    assert_eq!(books(&coordinator).nodes[1].attempts, s.nodes[1].attempts);
+}
