--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -657,10 +657,10 @@
                 3 if !open.is_empty() => {
                     self.step(links, Input::Drop(AttemptId(open[pick % open.len()])));
                 }
-                4 => self.step(links, Input::TakesNew(pick % 4 > 0)),
+                4 => self.step(links, Input::TakesNew(!pick.is_multiple_of(4))),
                 5 => self.step(links, Input::CloseIdle),
                 6 => self.step(links, Input::Probe),
-                7 | 8 => self.dialled(links, one(&self.dialing), pick % 4 > 0),
+                7 | 8 => self.dialled(links, one(&self.dialing), !pick.is_multiple_of(4)),
                 9 | 10 => self.written(links, pick),
                 11 | 12 => {
                     let written =
@@ -723,7 +723,7 @@
 
         fn written(&mut self, links: &mut Links, pick: usize) {
             let Some(&(id, _)) = self.writing.get(pick % self.writing.len().max(1)) else { return };
-            let whole = self.up.contains(&id) && pick % 8 > 0;
+            let whole = self.up.contains(&id) && !pick.is_multiple_of(8);
             self.step(links, if whole { Input::Written(id) } else { Input::WriteFailed(id) });
         }
 
