--- a/crates/client/src/table.rs
+++ b/crates/client/src/table.rs
@@ -24,6 +24,16 @@
     text
 }
 
+/// A plain table under a head.
+pub fn columns(head: &[String], rows: &[Vec<String>]) -> String {
+    let mut table = Table::new();
+    table.load_preset(NOTHING).set_header(head);
+    for row in rows {
+        table.add_row(row);
+    }
+    table.trim_fmt()
+}
+
 fn rows(page: &Page) -> String {
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(["key", "value", "range", "note", "body"]);
--- /dev/null
+++ b/crates/snmp/src/manager.rs
@@ -0,0 +1,328 @@
+//! A manager's half, without I/O: it writes requests, reads answers, and walks.
+
+use std::fmt;
+
+use rasn::types::{Integer, OctetString};
+use rasn_snmp::v2::{BulkPdu, GetBulkRequest, GetNextRequest, GetRequest, Pdu, Pdus, VarBindValue};
+use rasn_snmp::{v2c, v3};
+
+use crate::agent::{seal, Sealing};
+use crate::codec::{self, ask};
+use crate::tree::Value;
+use crate::usm::{digest_at, Keys, User, DIGEST_BYTES};
+use crate::{dotted, Oid};
+
+/// How a manager is known to an agent.
+#[derive(Debug, Clone)]
+pub enum Security {
+    /// Version 2c.
+    Community(String),
+    /// Version 3.
+    User(User),
+}
+
+/// What an agent said of a name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Got {
+    /// Its value.
+    Value(Value),
+    /// There is no such object.
+    NoObject,
+    /// There is the object, but not this instance.
+    NoInstance,
+    /// Nothing follows.
+    End,
+}
+
+/// What is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ask {
+    /// These objects.
+    Get(Vec<Oid>),
+    /// The objects behind these.
+    Next(Vec<Oid>),
+    /// So many rounds of objects behind these.
+    Bulk(Vec<Oid>, u32),
+}
+
+/// What came of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// Bindings.
+    Bindings(Vec<(Oid, Got)>),
+    /// Ask again: the agent's engine, or its time, is known now.
+    Again,
+    /// It answers another request.
+    NotOurs,
+}
+
+/// Why a request failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// The agent's answer cannot be read.
+    Malformed,
+    /// An error status of RFC 3416, and the binding that it is about.
+    Status(u32, u32),
+    /// A report of the agent: the security is wrong; the name of the object.
+    Report(Oid),
+    /// The answer was changed, or is of somebody else.
+    WrongDigest,
+    /// An object is not behind the one before: a walk would go in a circle.
+    Backwards(Oid),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed => f.write_str("the answer cannot be read"),
+            Self::Status(1, _) => f.write_str("the answer would be too big"),
+            Self::Status(status, index) => write!(f, "error status {status} for binding {index}"),
+            Self::Report(oid) => f.write_str(match oid.get(9) {
+                Some(1) => "the agent does not serve this security level to this user",
+                Some(2) => "the agent's time differs too much",
+                Some(3) => "the agent does not know this user",
+                Some(4) => "the agent's engine is another one",
+                Some(5) => "the agent finds the digest wrong: a wrong secret?",
+                Some(6) => "the agent cannot decrypt: a wrong privacy secret?",
+                _ => return write!(f, "the agent reports {}", dotted(oid)),
+            }),
+            Self::WrongDigest => f.write_str("the answer's digest is wrong"),
+            Self::Backwards(oid) => write!(f, "the agent goes backwards at {}", dotted(oid)),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// What is known of an agent's engine.
+#[derive(Debug, Clone)]
+struct Engine {
+    id: Vec<u8>,
+    keys: Keys,
+    boots: u32,
+    /// Its time, and ours when it was that, in seconds.
+    time: (u32, u32),
+}
+
+/// A manager and one agent.
+#[derive(Debug, Clone)]
+pub struct Session {
+    security: Security,
+    engine: Option<Engine>,
+    request: i32,
+    salt: u64,
+    /// Reports that were followed for the open request.
+    again: u32,
+}
+
+const MOST_BYTES: usize = 65_507;
+const FLAGS: u8 = 4 | 1;
+/// Discovery and one correction of the time; a third report is an error.
+const AGAIN: u32 = 2;
+
+impl Session {
+    /// A session that has asked nothing; requests are numbered from `first`, salts from `salt`.
+    pub fn new(security: Security, first: i32, salt: u64) -> Self {
+        Self { security, engine: None, request: first, salt, again: 0 }
+    }
+
+    /// Begins a further request.
+    pub fn begin(&mut self) {
+        self.request = self.request.wrapping_add(1) & i32::MAX;
+        self.again = 0;
+    }
+
+    /// The bytes that ask, at this time of ours in seconds. For an agent whose engine is not known yet they ask for
+    /// that first.
+    pub fn write(&mut self, what: &Ask, now: u32) -> Option<Vec<u8>> {
+        let data = pdus(what, self.request);
+        match &self.security {
+            Security::Community(community) => {
+                let community: OctetString = community.as_bytes().to_vec().into();
+                rasn::ber::encode(&v2c::Message { version: 1.into(), community, data }).ok()
+            }
+            Security::User(user) => {
+                self.salt = self.salt.wrapping_add(1);
+                let id = Integer::from(self.request);
+                let Some(engine) = &self.engine else {
+                    let empty = v3::ScopedPdu {
+                        engine_id: OctetString::default(),
+                        name: OctetString::default(),
+                        data: pdus(&Ask::Get(Vec::new()), self.request),
+                    };
+                    let with = Sealing { boots: 0, time: 0, salt: 0, most: MOST_BYTES };
+                    return seal(&id, 4, &[], "", None, empty, &with);
+                };
+                let scoped =
+                    v3::ScopedPdu { engine_id: engine.id.clone().into(), name: OctetString::default(), data };
+                let flags = FLAGS | if user.privacy.is_some() { 2 } else { 0 };
+                let time = engine.time.0.saturating_add(now.saturating_sub(engine.time.1));
+                let with = Sealing { boots: engine.boots, time, salt: self.salt, most: MOST_BYTES };
+                seal(&id, flags, &engine.id, &user.name, Some(&engine.keys), scoped, &with)
+            }
+        }
+    }
+
+    /// Reads what has come for the open request.
+    ///
+    /// # Errors
+    /// The request has failed.
+    pub fn read(&mut self, bytes: &[u8], now: u32) -> Result<Reply, Fault> {
+        match self.security.clone() {
+            Security::Community(_) => {
+                let message: v2c::Message<Pdus> = rasn::ber::decode(bytes).map_err(|_| Fault::Malformed)?;
+                self.bindings(&message.data)
+            }
+            Security::User(user) => self.read_v3(&user, bytes, now),
+        }
+    }
+
+    fn read_v3(&mut self, user: &User, bytes: &[u8], now: u32) -> Result<Reply, Fault> {
+        let message: v3::Message = rasn::ber::decode(bytes).map_err(|_| Fault::Malformed)?;
+        let usm: v3::USMSecurityParameters =
+            message.decode_security_parameters(rasn::Codec::Ber).map_err(|_| Fault::Malformed)?;
+        if message.global_data.message_id != Integer::from(self.request) {
+            return Ok(Reply::NotOurs);
+        }
+        let number = |n: &Integer| u32::try_from(n.clone()).map_err(|_| Fault::Malformed);
+        let (boots, time) =
+            (number(&usm.authoritative_engine_boots)?, number(&usm.authoritative_engine_time)?);
+        let flags = message.global_data.flags.first().copied().unwrap_or(0);
+        let known = self.engine.as_ref().filter(|e| e.id == usm.authoritative_engine_id.as_ref());
+        if flags & 1 != 0 {
+            let at = digest_at(bytes).filter(|at| at.len() == DIGEST_BYTES).ok_or(Fault::WrongDigest)?;
+            let mut blank = bytes.to_vec();
+            blank[at.clone()].fill(0);
+            let good = known.is_some_and(|e| e.keys.verifies(&blank, &bytes[at]));
+            good.then_some(()).ok_or(Fault::WrongDigest)?;
+        }
+        let scoped = match &message.scoped_data {
+            v3::ScopedPduData::CleartextPdu(scoped) => scoped.clone(),
+            v3::ScopedPduData::EncryptedPdu(data) => {
+                let mut data = data.to_vec();
+                let salt =
+                    <[u8; 8]>::try_from(usm.privacy_parameters.as_ref()).map_err(|_| Fault::Malformed)?;
+                let read = known.is_some_and(|e| e.keys.decrypt(boots, time, salt, &mut data));
+                read.then_some(()).ok_or(Fault::Malformed)?;
+                rasn::ber::decode(&data).map_err(|_| Fault::Malformed)?
+            }
+        };
+        let Pdus::Report(report) = &scoped.data else {
+            // An answer that is not authenticated is not believed.
+            (flags & 1 != 0).then_some(()).ok_or(Fault::WrongDigest)?;
+            return self.bindings(&scoped.data);
+        };
+        let oid = report.0.variable_bindings.first().map(codec::oid).unwrap_or_default();
+        let (discovers, times) = (oid.get(9) == Some(&4), oid.get(9) == Some(&2) && flags & 1 != 0);
+        self.again += 1;
+        if self.again > AGAIN || !(discovers || times) {
+            return Err(Fault::Report(oid));
+        }
+        let id = usm.authoritative_engine_id.to_vec();
+        let keys = known.map_or_else(|| Keys::new(user, &id), |e| e.keys.clone());
+        self.engine = Some(Engine { id, keys, boots, time: (time, now) });
+        Ok(Reply::Again)
+    }
+
+    fn bindings(&self, data: &Pdus) -> Result<Reply, Fault> {
+        let Pdus::Response(answer) = data else { return Err(Fault::Malformed) };
+        let answer = &answer.0;
+        if answer.request_id != self.request {
+            return Ok(Reply::NotOurs);
+        }
+        if answer.error_status != 0 {
+            return Err(Fault::Status(answer.error_status, answer.error_index));
+        }
+        let mut found = Vec::with_capacity(answer.variable_bindings.len());
+        for binding in &answer.variable_bindings {
+            let got = match &binding.value {
+                VarBindValue::Value(value) => Got::Value(codec::value(value).ok_or(Fault::Malformed)?),
+                VarBindValue::NoSuchObject => Got::NoObject,
+                VarBindValue::NoSuchInstance => Got::NoInstance,
+                VarBindValue::EndOfMibView => Got::End,
+                VarBindValue::Unspecified => return Err(Fault::Malformed),
+            };
+            found.push((codec::oid(binding), got));
+        }
+        Ok(Reply::Bindings(found))
+    }
+}
+
+fn pdus(what: &Ask, request_id: i32) -> Pdus {
+    let bindings = |names: &[Oid]| names.iter().map(|n| ask(n)).collect();
+    let pdu = |names: &[Oid]| Pdu {
+        request_id,
+        error_status: 0,
+        error_index: 0,
+        variable_bindings: bindings(names),
+    };
+    match what {
+        Ask::Get(names) => Pdus::GetRequest(GetRequest(pdu(names))),
+        Ask::Next(names) => Pdus::GetNextRequest(GetNextRequest(pdu(names))),
+        Ask::Bulk(names, max_repetitions) => Pdus::GetBulkRequest(GetBulkRequest(BulkPdu {
+            request_id,
+            non_repeaters: 0,
+            max_repetitions: *max_repetitions,
+            variable_bindings: bindings(names),
+        })),
+    }
+}
+
+/// A walk through a subtree.
+#[derive(Debug, Clone)]
+pub struct Walk {
+    root: Oid,
+    at: Oid,
+    rounds: u32,
+    done: bool,
+}
+
+impl Walk {
+    /// A walk through what lies below `root`, in requests of so many rounds.
+    pub fn new(root: Oid, rounds: u32) -> Self {
+        Self { at: root.clone(), root, rounds: rounds.max(1), done: false }
+    }
+
+    /// What to ask next; none at the end.
+    pub fn ask(&self) -> Option<Ask> {
+        (!self.done).then(|| Ask::Bulk(vec![self.at.clone()], self.rounds))
+    }
+
+    /// Takes an answer; returns the objects of the subtree.
+    ///
+    /// # Errors
+    /// The agent goes backwards, or answers nothing.
+    pub fn took(&mut self, bindings: Vec<(Oid, Got)>) -> Result<Vec<(Oid, Value)>, Fault> {
+        if bindings.is_empty() {
+            return Err(Fault::Malformed);
+        }
+        let mut found = Vec::new();
+        for (oid, got) in bindings {
+            let Got::Value(value) = got else {
+                self.done = true;
+                break;
+            };
+            if oid <= self.at {
+                return Err(Fault::Backwards(oid));
+            }
+            if !oid.starts_with(&self.root) {
+                self.done = true;
+                break;
+            }
+            self.at.clone_from(&oid);
+            found.push((oid, value));
+        }
+        Ok(found)
+    }
+}
+
+/// How far a counter of 64 bits has gone between two looks, over one wrap; none where it began anew: then its
+/// discontinuity time has changed.
+pub fn gone(before: u64, after: u64, began_anew: bool) -> Option<u64> {
+    (!began_anew).then(|| after.wrapping_sub(before))
+}
+
+/// The same for a counter of 32 bits.
+pub fn gone32(before: u32, after: u32, began_anew: bool) -> Option<u32> {
+    (!began_anew).then(|| after.wrapping_sub(before))
+}
--- /dev/null
+++ b/crates/snmp/src/usm.rs
@@ -0,0 +1,324 @@
+//! The user-based security model (RFC 3414) with HMAC-SHA-256 cut to 192 bits (RFC 7860,
+//! `usmHMAC192SHA256AuthProtocol`) and AES-128 in CFB mode (RFC 3826, `usmAesCfb128Protocol`).
+
+use std::fmt;
+
+use aes::Aes128;
+use cfb_mode::cipher::KeyIvInit;
+use hmac::digest::Digest;
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+use crate::tree::View;
+
+/// Bytes of a message's digest.
+pub const DIGEST_BYTES: usize = 24;
+const KEY_BYTES: usize = 32;
+const AES_BYTES: usize = 16;
+/// A message is in time within so many seconds (RFC 3414, section 2.2.3).
+pub const WINDOW_S: u32 = 150;
+/// Bytes that a passphrase is drawn out to (RFC 3414, appendix A.2).
+const DRAWN: usize = 1_048_576;
+/// Least characters of a passphrase (RFC 3414, section 11.2).
+const LEAST: usize = 8;
+
+/// A passphrase's key (RFC 3414, appendix A.2.2), before it is localised.
+pub fn key_of<D: Digest>(passphrase: &[u8]) -> Vec<u8> {
+    let mut digest = D::new();
+    let mut left = DRAWN;
+    // In pieces that hold the passphrase whole, so that each begins where the last one ended.
+    let times = (4096 / passphrase.len().max(1)).max(1);
+    let piece = passphrase.repeat(times);
+    while left > 0 && !piece.is_empty() {
+        let take = piece.len().min(left);
+        digest.update(&piece[..take]);
+        left -= take;
+    }
+    digest.finalize().to_vec()
+}
+
+/// A key for one engine (RFC 3414, section 2.6).
+pub fn localize<D: Digest>(key: &[u8], engine: &[u8]) -> Vec<u8> {
+    D::new().chain_update(key).chain_update(engine).chain_update(key).finalize().to_vec()
+}
+
+/// A user's secret. It never reaches a log.
+#[derive(Clone, PartialEq, Eq)]
+pub enum Secret {
+    /// Is made a key of each engine.
+    Passphrase(String),
+    /// Is the key of the engine that it is used with.
+    Localized(Vec<u8>),
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret")
+    }
+}
+
+impl Secret {
+    /// Reads `pass:TEXT` or `key:HEX`.
+    ///
+    /// # Errors
+    /// Says what is expected, and nothing of what was given.
+    pub fn read(text: &str) -> Result<Self, &'static str> {
+        if let Some(pass) = text.strip_prefix("pass:") {
+            return match pass.chars().count() >= LEAST {
+                true => Ok(Self::Passphrase(pass.to_string())),
+                false => Err("a passphrase needs 8 characters or more"),
+            };
+        }
+        let hex = text.strip_prefix("key:").ok_or("a secret is pass:TEXT or key:HEX")?;
+        let digits = hex.len() == 2 * KEY_BYTES && hex.bytes().all(|b| b.is_ascii_hexdigit());
+        let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).ok();
+        let key: Option<Vec<u8>> = digits.then(|| (0..hex.len()).step_by(2).filter_map(byte).collect());
+        key.map(Self::Localized).ok_or("a localised key has 64 hexadecimal digits")
+    }
+
+    /// The key for one engine.
+    pub fn key(&self, engine: &[u8]) -> Vec<u8> {
+        match self {
+            Self::Passphrase(text) => localize::<Sha256>(&key_of::<Sha256>(text.as_bytes()), engine),
+            Self::Localized(key) => key.clone(),
+        }
+    }
+}
+
+/// A user and its secrets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct User {
+    /// Its name.
+    pub name: String,
+    /// Authenticates.
+    pub auth: Secret,
+    /// Encrypts; without it the user's messages are in clear text.
+    pub privacy: Option<Secret>,
+    /// What it may see.
+    pub view: View,
+}
+
+impl User {
+    /// Reads the operator's file: a user a line, `NAME auth SECRET [priv SECRET]`; `#` begins a comment line.
+    ///
+    /// # Errors
+    /// Names the line and the fault, never a secret.
+    pub fn read_all(text: &str) -> Result<Vec<Self>, String> {
+        let mut users: Vec<Self> = Vec::new();
+        for (n, line) in (1..).zip(text.lines()) {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let secret = |word| Secret::read(word).map_err(|why| format!("line {n}: {why}"));
+            let (name, auth, privacy) = match words[..] {
+                [name, "auth", auth] => (name, secret(auth)?, None),
+                [name, "auth", auth, "priv", privacy] => (name, secret(auth)?, Some(secret(privacy)?)),
+                _ => return Err(format!("line {n}: NAME auth SECRET [priv SECRET] is expected")),
+            };
+            if name.len() > 32 {
+                return Err(format!("line {n}: a user's name has at most 32 bytes"));
+            }
+            if users.iter().any(|u| u.name == name) {
+                return Err(format!("line {n}: the user '{name}' stands in the file already"));
+            }
+            users.push(Self { name: name.to_string(), auth, privacy, view: View::default() });
+        }
+        Ok(users)
+    }
+}
+
+/// A user's keys at one engine.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Keys {
+    auth: Vec<u8>,
+    privacy: Option<[u8; AES_BYTES]>,
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Keys")
+    }
+}
+
+impl Keys {
+    /// The keys of a user at an engine.
+    pub fn new(user: &User, engine: &[u8]) -> Self {
+        let cut = |key: Vec<u8>| {
+            let mut short = [0; AES_BYTES];
+            short.copy_from_slice(&key[..AES_BYTES]);
+            short
+        };
+        Self { auth: user.auth.key(engine), privacy: user.privacy.as_ref().map(|p| cut(p.key(engine))) }
+    }
+
+    /// Whether messages can be encrypted.
+    pub fn private(&self) -> bool {
+        self.privacy.is_some()
+    }
+
+    /// The digest of a message whose own digest is all zeros.
+    pub fn digest(&self, message: &[u8]) -> [u8; DIGEST_BYTES] {
+        let mut digest = [0; DIGEST_BYTES];
+        if let Ok(mac) = Hmac::<Sha256>::new_from_slice(&self.auth) {
+            digest.copy_from_slice(&mac.chain_update(message).finalize().into_bytes()[..DIGEST_BYTES]);
+        }
+        digest
+    }
+
+    /// Whether a digest is that of a message, in a time that tells nothing.
+    pub fn verifies(&self, message: &[u8], digest: &[u8]) -> bool {
+        digest.len() == DIGEST_BYTES
+            && Hmac::<Sha256>::new_from_slice(&self.auth)
+                .is_ok_and(|mac| mac.chain_update(message).verify_truncated_left(digest).is_ok())
+    }
+
+    /// Encrypts in place, for an engine's boots and time and a salt that never comes twice.
+    pub fn encrypt(&self, boots: u32, time: u32, salt: u64, data: &mut [u8]) -> bool {
+        let Some(key) = &self.privacy else { return false };
+        cfb_mode::Encryptor::<Aes128>::new(key.into(), &iv(boots, time, salt.to_be_bytes()).into())
+            .encrypt(data);
+        true
+    }
+
+    /// Decrypts in place.
+    pub fn decrypt(&self, boots: u32, time: u32, salt: [u8; 8], data: &mut [u8]) -> bool {
+        let Some(key) = &self.privacy else { return false };
+        cfb_mode::Decryptor::<Aes128>::new(key.into(), &iv(boots, time, salt).into()).decrypt(data);
+        true
+    }
+}
+
+/// RFC 3826, section 3.1.2.1.
+fn iv(boots: u32, time: u32, salt: [u8; 8]) -> [u8; 16] {
+    let mut iv = [0; 16];
+    iv[..4].copy_from_slice(&boots.to_be_bytes());
+    iv[4..8].copy_from_slice(&time.to_be_bytes());
+    iv[8..].copy_from_slice(&salt);
+    iv
+}
+
+/// Whether an authenticated message is in time (RFC 3414, section 3.2, step 7a).
+pub fn in_time(own: (u32, u32), theirs: (u32, u32)) -> bool {
+    own.0 != i32::MAX as u32 && own.0 == theirs.0 && own.1.abs_diff(theirs.1) <= WINDOW_S
+}
+
+/// Where the digest of a version 3 message stands in its bytes; none where the message has another form. Lengths that
+/// lie end outside and are refused.
+pub fn digest_at(message: &[u8]) -> Option<std::ops::Range<usize>> {
+    let whole = tlv(message, 0, 0x30)?;
+    let version = any(message, whole.start)?;
+    let header = tlv(message, version.end, 0x30)?;
+    let security = tlv(message, header.end, 0x04)?;
+    let mut at = tlv(message, security.start, 0x30)?.start;
+    // Engine, boots, time and user stand before it.
+    for _ in 0..4 {
+        at = any(message, at)?.end;
+    }
+    tlv(message, at, 0x04).filter(|digest| digest.end <= security.end)
+}
+
+/// The content of the element at this place, which must have this tag.
+fn tlv(bytes: &[u8], at: usize, tag: u8) -> Option<std::ops::Range<usize>> {
+    (bytes.get(at) == Some(&tag)).then(|| any(bytes, at))?
+}
+
+/// The content of the element at this place (X.690, definite lengths).
+fn any(bytes: &[u8], at: usize) -> Option<std::ops::Range<usize>> {
+    let first = *bytes.get(at.checked_add(1)?)?;
+    let (length, start) = match first {
+        0..=0x7f => (usize::from(first), at + 2),
+        0x81..=0x84 => {
+            let count = usize::from(first & 0x7f);
+            let digits = bytes.get(at + 2..at + 2 + count)?;
+            (digits.iter().fold(0usize, |n, &d| (n << 8) | usize::from(d)), at + 2 + count)
+        }
+        _ => return None,
+    };
+    let end = start.checked_add(length)?;
+    (end <= bytes.len()).then_some(start..end)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn hex(text: &str) -> Vec<u8> {
+        let text: String = text.split_whitespace().collect();
+        (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).unwrap()).collect()
+    }
+
+    /// RFC 3414, appendix A.3.2.
+    #[test]
+    fn keys_are_localised_as_the_rfc_shows() {
+        let key = key_of::<sha1::Sha1>(b"maplesyrup");
+        assert_eq!(key, hex("9fb5cc03 81497b37 93528939 ff788d5d 79145211"));
+        let engine = hex("00000000 00000000 00000002");
+        assert_eq!(
+            localize::<sha1::Sha1>(&key, &engine),
+            hex("6695febc 9288e362 82235fc7 151f1284 97b38f3f")
+        );
+    }
+
+    fn keys(auth: &[u8], privacy: Option<[u8; 16]>) -> Keys {
+        Keys { auth: auth.to_vec(), privacy }
+    }
+
+    /// RFC 4231, test cases 1 and 2, cut to 192 bits.
+    #[test]
+    fn digests_are_as_the_rfc_shows() {
+        let digest = keys(&[0x0b; 20], None).digest(b"Hi There");
+        assert_eq!(digest.to_vec(), hex("b0344c61d8db38535ca8afceaf0bf12b881dc200c9833da7"));
+        let jefe = keys(b"Jefe", None);
+        assert_eq!(
+            jefe.digest(b"what do ya want for nothing?").to_vec(),
+            hex("5bdcc146bf60754e6a042426089575c75a003f089d273983")
+        );
+        assert!(jefe.verifies(b"x", &jefe.digest(b"x")) && !jefe.verifies(b"y", &jefe.digest(b"x")));
+        assert!(!jefe.verifies(b"x", &jefe.digest(b"x")[..12]), "a shorter digest");
+    }
+
+    /// NIST SP 800-38A, F.3.13: CFB128-AES128.
+    #[test]
+    fn encryption_is_as_nist_shows() {
+        let mut key = [0; 16];
+        key.copy_from_slice(&hex("2b7e151628aed2a6abf7158809cf4f3c"));
+        let keys = keys(b"", Some(key));
+        let mut data = hex("6bc1bee22e409f96e93d7e117393172a ae2d8a571e03ac9c9eb76fac45af8e51");
+        let salt = 0x0809_0a0b_0c0d_0e0f;
+        assert!(keys.encrypt(0x0001_0203, 0x0405_0607, salt, &mut data));
+        assert_eq!(data, hex("3b3fd92eb72dad20333449f8e83cfb4a c8a64537a0b3a93fcde3cdad9f1ce58b"));
+        assert!(keys.decrypt(0x0001_0203, 0x0405_0607, salt.to_be_bytes(), &mut data));
+        assert_eq!(data[..4], hex("6bc1bee2"));
+    }
+
+    #[test]
+    fn a_file_of_users_is_checked() {
+        let users = User::read_all(
+            "# comment\nnoc auth pass:maplesyrup priv pass:maplesyrup2\nro auth pass:longenough\n",
+        );
+        let users = users.unwrap();
+        assert_eq!((users.len(), users[0].privacy.is_some(), users[1].privacy.is_some()), (2, true, false));
+        assert!(!format!("{users:?}").contains("maple"), "a secret in a log");
+        for (text, why) in [
+            ("a auth pass:short", "line 1: a passphrase"),
+            ("\na auth key:00", "line 2: a localised key"),
+            ("a auth secret1234", "pass:TEXT or key:HEX"),
+            ("a pass:longenough", "NAME auth"),
+            ("a auth pass:longenough\na auth pass:longenough", "line 2: the user 'a'"),
+        ] {
+            let fault = User::read_all(text).unwrap_err();
+            assert!(fault.contains(why) && !fault.contains("secret1234"), "{fault}");
+        }
+    }
+
+    #[test]
+    fn a_message_is_in_time_within_the_window() {
+        assert!(in_time((3, 1000), (3, 850)) && in_time((3, 1000), (3, 1150)));
+        assert!(
+            !in_time((3, 1000), (3, 849)) && !in_time((3, 1000), (3, 1151)) && !in_time((3, 1000), (2, 1000))
+        );
+        assert!(!in_time((i32::MAX as u32, 5), (i32::MAX as u32, 5)), "boots at their end");
+    }
+}
--- /dev/null
+++ b/crates/snmp/src/walkers.rs
@@ -0,0 +1,157 @@
+//! A walk sees one tree. Each walker is kept on the tree that its walk began with for a stated short time; walkers who
+//! come together share one; walkers and trees are bounded in number.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::sync::Arc;
+
+use crate::tree::Tree;
+use crate::Oid;
+
+/// Nanoseconds of one clock that never runs backwards.
+pub type Nanos = u64;
+
+/// Bounds of what is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Walkers.
+    pub walkers: usize,
+    /// A walker that has asked nothing for so long has ended its walk.
+    pub idle: Nanos,
+    /// A walk that lasts longer goes on with a newer tree.
+    pub age: Nanos,
+    /// A tree that is no older serves whoever comes.
+    pub fresh: Nanos,
+}
+
+struct Walker {
+    tree: Arc<Tree>,
+    made: Nanos,
+    used: Nanos,
+    last: Oid,
+}
+
+/// The walkers, by whatever tells them apart.
+pub struct Walkers<K> {
+    bounds: Bounds,
+    newest: Option<(Nanos, Arc<Tree>)>,
+    walkers: HashMap<K, Walker>,
+}
+
+/// What a request is to be answered from.
+#[derive(Debug, Clone, PartialEq)]
+pub enum From {
+    /// This tree.
+    Tree(Arc<Tree>),
+    /// One that has to be made first: see [`Walkers::made`].
+    Make,
+}
+
+impl<K: Eq + Hash + Clone> Walkers<K> {
+    /// Nobody walks.
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, newest: None, walkers: HashMap::new() }
+    }
+
+    /// Walkers that are kept.
+    pub fn len(&self) -> usize {
+        self.walkers.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.walkers.is_empty()
+    }
+
+    /// A request has come from a walker: for the object behind this name, or with none for objects by name.
+    pub fn from(&mut self, now: Nanos, who: &K, behind: Option<&[u32]>) -> From {
+        let bounds = self.bounds;
+        if let (Some(walker), Some(behind)) = (self.walkers.get_mut(who), behind) {
+            let goes_on = behind > walker.last.as_slice();
+            let kept = now.saturating_sub(walker.used) <= bounds.idle
+                && now.saturating_sub(walker.made) <= bounds.age;
+            if goes_on && kept {
+                (walker.used, walker.last) = (now, behind.to_vec());
+                return From::Tree(walker.tree.clone());
+            }
+        }
+        match &self.newest {
+            Some((made, tree)) if now.saturating_sub(*made) <= bounds.fresh => {
+                let (made, tree) = (*made, tree.clone());
+                self.keep(now, who, behind, made, &tree);
+                From::Tree(tree)
+            }
+            _ => From::Make,
+        }
+    }
+
+    /// A tree was made for a walker's request.
+    pub fn made(&mut self, now: Nanos, who: &K, behind: Option<&[u32]>, tree: Tree) -> Arc<Tree> {
+        let tree = Arc::new(tree);
+        self.newest = Some((now, tree.clone()));
+        self.keep(now, who, behind, now, &tree);
+        tree
+    }
+
+    fn keep(&mut self, now: Nanos, who: &K, behind: Option<&[u32]>, made: Nanos, tree: &Arc<Tree>) {
+        let Some(behind) = behind else { return };
+        let idle = self.bounds.idle;
+        if !self.walkers.contains_key(who) && self.walkers.len() >= self.bounds.walkers {
+            self.walkers.retain(|_, w| now.saturating_sub(w.used) <= idle);
+        }
+        if !self.walkers.contains_key(who) && self.walkers.len() >= self.bounds.walkers {
+            // The one that has been silent for longest: its walk goes on with a newer tree, never backwards.
+            let oldest = self.walkers.iter().min_by_key(|w| w.1.used).map(|w| w.0.clone());
+            oldest.map(|o| self.walkers.remove(&o));
+        }
+        let walker = Walker { tree: tree.clone(), made, used: now, last: behind.to_vec() };
+        self.walkers.insert(who.clone(), walker);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::tree::{Value, View};
+
+    fn tree(n: u32) -> Tree {
+        Tree::new(vec![(vec![1, 1], Value::Gauge(n)), (vec![1, 2], Value::Gauge(n))])
+    }
+
+    const BOUNDS: Bounds = Bounds { walkers: 2, idle: 100, age: 1000, fresh: 10 };
+
+    fn number(from: From) -> Option<u32> {
+        match from {
+            From::Tree(t) => match t.get(&[1, 1]) {
+                Some(Value::Gauge(n)) => Some(*n),
+                _ => None,
+            },
+            From::Make => None,
+        }
+    }
+
+    #[test]
+    fn a_walk_sees_one_tree_and_a_new_one_the_newest() {
+        let mut w = Walkers::new(BOUNDS);
+        assert_eq!(w.from(0, &'a', Some(&[1])), From::Make);
+        w.made(0, &'a', Some(&[1]), tree(1));
+        assert_eq!(number(w.from(5, &'b', Some(&[1]))), Some(1), "walkers who come together share");
+        assert_eq!(w.from(50, &'c', None), From::Make, "an old tree answers nobody else");
+        w.made(50, &'c', None, tree(2));
+        assert_eq!(number(w.from(60, &'a', Some(&[1, 1]))), Some(1), "its walk goes on");
+        assert_eq!(number(w.from(60, &'a', Some(&[1]))), Some(2), "a new walk");
+        assert_eq!(w.from(161, &'a', Some(&[1, 1])), From::Make, "after a long silence");
+    }
+
+    #[test]
+    fn walkers_are_bounded() {
+        let mut w = Walkers::new(BOUNDS);
+        for who in 0..1000u32 {
+            if w.from(who.into(), &who, Some(&[1])) == From::Make {
+                w.made(who.into(), &who, Some(&[1]), tree(who));
+            }
+            assert!(w.len() <= 2);
+        }
+        assert_eq!(tree(1).next(&[1, 2], &View::default()), None);
+    }
+}
--- /dev/null
+++ b/crates/snmp/tests/agent.rs
@@ -0,0 +1,270 @@
+//! The manager's half against the agent: every object once and in order, both versions, and the hard cases.
+
+use curlewdeck_snmp::agent::{Agent, Bounds, Incoming};
+use curlewdeck_snmp::manager::{gone, gone32, Ask, Fault, Got, Reply, Security, Session, Walk};
+use curlewdeck_snmp::tree::{Tree, Value, View};
+use curlewdeck_snmp::usm::{Secret, User};
+use curlewdeck_snmp::Oid;
+use proptest::prelude::*;
+
+const BOUNDS: Bounds = Bounds { bindings: 200, bytes: 1400 };
+const ENGINE: &[u8] = &[0x80, 0, 0x7e, 0xd9, 5, 1, 2, 3, 4, 5, 6, 7, 8];
+
+fn user(name: &str, auth: &str, privacy: Option<&str>) -> User {
+    // Keys as they are: drawing a passphrase out takes long, and has its own test.
+    let secret = |text: &str| Secret::Localized(text.bytes().cycle().take(32).collect());
+    User { name: name.into(), auth: secret(auth), privacy: privacy.map(secret), view: View::default() }
+}
+
+fn tree(n: u32) -> Tree {
+    let object = |i: u32| (vec![1, 3, 6, 1, 1 + i / 7, i], Value::Counter64(u64::from(i) << 33));
+    Tree::new((0..n).map(object).chain([(vec![1, 3, 7], Value::Text(vec![b'x'; 300]))]).collect())
+}
+
+fn agent() -> Agent {
+    let mut agent = Agent::new(BOUNDS, ENGINE.to_vec(), 1, vec![vec![1, 3, 6, 1, 1]]);
+    agent.admit_community("public".into(), View::default());
+    agent.admit_user(user("noc", "maplesyrup", Some("buckwheat")), 1);
+    agent.admit_user(user("ro", "longenough", None), 1);
+    let view = View { exclude: vec![vec![1, 3, 6, 1, 2]], ..View::default() };
+    agent.admit_user(User { view, ..user("some", "longenough", None) }, 1);
+    agent
+}
+
+/// What a request comes to, at the agent's time and the manager's.
+fn exchange(
+    agent: &mut Agent,
+    tree: &Tree,
+    session: &mut Session,
+    what: &Ask,
+    times: (u32, u32),
+) -> Result<Vec<(Oid, Got)>, Fault> {
+    session.begin();
+    for _ in 0..4 {
+        let bytes = session.write(what, times.1).unwrap();
+        let answer = match agent.read(&bytes, times.0) {
+            Incoming::Drop => return Err(Fault::Malformed),
+            Incoming::Reply(bytes) => bytes,
+            Incoming::Ask(request) => agent.answer(&request, tree, times.0).unwrap(),
+        };
+        assert!(answer.len() <= BOUNDS.bytes, "{} bytes", answer.len());
+        match session.read(&answer, times.1)? {
+            Reply::Bindings(bindings) => return Ok(bindings),
+            Reply::Again => {}
+            Reply::NotOurs => panic!("not ours"),
+        }
+    }
+    panic!("it does not end");
+}
+
+fn sessions() -> Vec<Session> {
+    let v3 = |user| Session::new(Security::User(user), 1, 7);
+    vec![
+        Session::new(Security::Community("public".into()), 1, 7),
+        v3(user("noc", "maplesyrup", Some("buckwheat"))),
+        v3(user("ro", "longenough", None)),
+    ]
+}
+
+fn walked(
+    agent: &mut Agent,
+    tree: &Tree,
+    session: &mut Session,
+    root: &[u32],
+    rounds: u32,
+) -> Vec<(Oid, Value)> {
+    let (mut walk, mut met) = (Walk::new(root.to_vec(), rounds), Vec::new());
+    while let Some(what) = walk.ask() {
+        met.extend(walk.took(exchange(agent, tree, session, &what, (5, 5)).unwrap()).unwrap());
+    }
+    met
+}
+
+/// Every object once and in order, whatever the rounds, in every version; an answer never outgrows its bound.
+#[test]
+fn a_walk_meets_every_object() {
+    let (tree, mut agent) = (tree(60), agent());
+    for mut session in sessions() {
+        for rounds in [1, 3, 20, 100_000, u32::MAX >> 1] {
+            assert_eq!(walked(&mut agent, &tree, &mut session, &[1, 3], rounds), tree.objects());
+        }
+        let below: Vec<_> =
+            tree.objects().iter().filter(|o| o.0.starts_with(&[1, 3, 6, 1, 2])).cloned().collect();
+        assert_eq!(walked(&mut agent, &tree, &mut session, &[1, 3, 6, 1, 2], 5), below);
+    }
+}
+
+#[test]
+fn objects_are_read_by_name_in_every_version() {
+    let (tree, mut agent) = (tree(9), agent());
+    let names = vec![vec![1, 3, 6, 1, 1, 4], vec![1, 3, 6, 1, 1, 99], vec![1, 4, 1]];
+    for mut session in sessions() {
+        let got = exchange(&mut agent, &tree, &mut session, &Ask::Get(names.clone()), (5, 5)).unwrap();
+        let got: Vec<Got> = got.into_iter().map(|g| g.1).collect();
+        assert_eq!(got, [Got::Value(Value::Counter64(4 << 33)), Got::NoInstance, Got::NoObject]);
+        let last =
+            exchange(&mut agent, &tree, &mut session, &Ask::Next(vec![vec![1, 3, 7]]), (5, 5)).unwrap();
+        assert_eq!(last[0].1, Got::End);
+        let many = Ask::Get(vec![vec![1, 3, 7]; 201]);
+        assert_eq!(exchange(&mut agent, &tree, &mut session, &many, (5, 5)), Err(Fault::Status(1, 0)));
+        // Ten texts of 300 bytes do not fit: too big, and nothing is cut off in silence.
+        let large = Ask::Get(vec![vec![1, 3, 7]; 10]);
+        assert_eq!(exchange(&mut agent, &tree, &mut session, &large, (5, 5)), Err(Fault::Status(1, 0)));
+    }
+}
+
+#[test]
+fn a_passphrase_is_made_a_key_of_the_engine() {
+    let mut agent = Agent::new(BOUNDS, ENGINE.to_vec(), 1, Vec::new());
+    let pass = |text: &str| Secret::Passphrase(text.to_string());
+    let user = User {
+        name: "noc".into(),
+        auth: pass("maplesyrup"),
+        privacy: Some(pass("buckwheat")),
+        view: View::default(),
+    };
+    agent.admit_user(user.clone(), 1);
+    let mut session = Session::new(Security::User(user), 1, 7);
+    let got = exchange(&mut agent, &tree(3), &mut session, &Ask::Get(vec![vec![1, 3, 7]]), (5, 5)).unwrap();
+    assert_eq!(got[0].1, Got::Value(Value::Text(vec![b'x'; 300])));
+}
+
+/// A user whose view hides a subtree meets nothing of it, by name or in a walk.
+#[test]
+fn a_view_hides_a_subtree() {
+    let (tree, mut agent) = (tree(30), agent());
+    let mut session = Session::new(Security::User(user("some", "longenough", None)), 1, 7);
+    let met = walked(&mut agent, &tree, &mut session, &[1, 3], 7);
+    assert!(met.iter().all(|o| !o.0.starts_with(&[1, 3, 6, 1, 2])) && met.len() == tree.objects().len() - 7);
+    let hidden = Ask::Get(vec![vec![1, 3, 6, 1, 2, 7]]);
+    assert_eq!(exchange(&mut agent, &tree, &mut session, &hidden, (5, 5)).unwrap()[0].1, Got::NoObject);
+}
+
+fn fault(agent: &mut Agent, user: User) -> Fault {
+    let mut session = Session::new(Security::User(user), 1, 7);
+    exchange(agent, &tree(3), &mut session, &Ask::Get(vec![vec![1, 3, 7]]), (5, 5)).unwrap_err()
+}
+
+fn stat(agent: &Agent, n: u32) -> Value {
+    let name = [1, 3, 6, 1, 6, 3, 15, 1, 1, n, 0];
+    agent.objects(5).into_iter().find(|o| o.0 == name).unwrap().1
+}
+
+/// What is wrong with a message's security is reported, and counted in its usmStats.
+#[test]
+fn wrong_secrets_and_levels_are_reported() {
+    let mut agent = agent();
+    for (user, n) in [
+        (user("nobody", "maplesyrup", None), 3),
+        (user("noc", "maplesyrup", None), 1),
+        (user("ro", "longenough", Some("buckwheat")), 1),
+        (user("ro", "wrongsecret", None), 5),
+        (user("noc", "maplesyrup", Some("wrongsecret")), 6),
+    ] {
+        let Fault::Report(oid) = fault(&mut agent, user) else { panic!("no report") };
+        assert_eq!(oid[9], n);
+    }
+    assert_eq!((stat(&agent, 1), stat(&agent, 4)), (Value::Counter32(2), Value::Counter32(5)));
+    let mut other = Session::new(Security::Community("private".into()), 1, 7);
+    assert_eq!(exchange(&mut agent, &tree(3), &mut other, &Ask::Get(vec![]), (5, 5)), Err(Fault::Malformed));
+}
+
+/// A request replayed outside of the window is not answered; a manager whose clock is off finds the agent's time.
+#[test]
+fn a_replay_outside_the_window_is_not_answered() {
+    let (tree, mut agent) = (tree(3), agent());
+    let mut session = Session::new(Security::User(user("ro", "longenough", None)), 1, 7);
+    let what = Ask::Get(vec![vec![1, 3, 7]]);
+    exchange(&mut agent, &tree, &mut session, &what, (1000, 5)).unwrap();
+    let caught = session.write(&what, 5).unwrap();
+    assert!(matches!(agent.read(&caught, 1150), Incoming::Ask(_)));
+    assert!(matches!(agent.read(&caught, 1151), Incoming::Reply(_)));
+    assert_eq!(stat(&agent, 2), Value::Counter32(1));
+    exchange(&mut agent, &tree, &mut session, &what, (9000, 6)).unwrap();
+}
+
+/// A forged engine is found out again, and one changed byte anywhere in a message is never served.
+#[test]
+fn forged_messages_are_not_served() {
+    let (tree, mut agent) = (tree(3), agent());
+    let mut session = Session::new(Security::User(user("noc", "maplesyrup", Some("buckwheat"))), 1, 7);
+    let what = Ask::Get(vec![vec![1, 3, 7]]);
+    exchange(&mut agent, &tree, &mut session, &what, (5, 5)).unwrap();
+    let mut other = Agent::new(BOUNDS, vec![1; 12], 1, Vec::new());
+    other.admit_user(user("noc", "maplesyrup", Some("buckwheat")), 1);
+    let bytes = session.write(&what, 5).unwrap();
+    assert!(matches!(other.read(&bytes, 5), Incoming::Reply(_)), "for another engine");
+    for at in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert!(!matches!(agent.read(&changed, 5), Incoming::Ask(_)), "byte {at} was changed");
+    }
+    assert!(matches!(agent.read(&bytes, 5), Incoming::Ask(_)));
+    // The answer likewise: one changed byte, and the manager does not believe it.
+    let Incoming::Ask(request) = agent.read(&bytes, 5) else { panic!("not asked") };
+    let answer = agent.answer(&request, &tree, 5).unwrap();
+    for at in 0..answer.len() {
+        let mut changed = answer.clone();
+        changed[at] ^= 1;
+        assert!(
+            !matches!(session.clone().read(&changed, 5), Ok(Reply::Bindings(_))),
+            "byte {at} was changed"
+        );
+    }
+}
+
+/// A table that shrinks and grows during a walk: names only go forward, and the walk ends.
+#[test]
+fn a_walk_goes_forward_while_the_table_changes() {
+    let mut agent = agent();
+    for mut session in sessions() {
+        let (mut walk, mut met, mut n) = (Walk::new(vec![1, 3], 3), Vec::new(), 60u32);
+        while let Some(what) = walk.ask() {
+            n = (n * 7 + 3) % 61;
+            met.extend(
+                walk.took(exchange(&mut agent, &tree(n), &mut session, &what, (5, 5)).unwrap()).unwrap(),
+            );
+        }
+        assert!(met.windows(2).all(|w| w[0].0 < w[1].0));
+    }
+    let mut walk = Walk::new(vec![1, 3], 3);
+    walk.took(vec![(vec![1, 3, 5], Got::Value(Value::Gauge(1)))]).unwrap();
+    let back = vec![(vec![1, 3, 5], Got::Value(Value::Gauge(1)))];
+    assert_eq!(walk.took(back), Err(Fault::Backwards(vec![1, 3, 5])), "an agent that goes in a circle");
+}
+
+/// Counters past their wrap, and one that began anew: told apart by the discontinuity, never by the figures.
+#[test]
+fn rates_are_right_over_a_wrap_and_a_restart() {
+    assert_eq!(gone(u64::MAX - 4, 5, false), Some(10));
+    assert_eq!(gone32(u32::MAX - 4, 5, false), Some(10));
+    assert_eq!((gone(1000, 5, true), gone32(1000, 5, true)), (None, None));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Nothing that comes may panic: random bytes, changed bytes, bytes cut off, lengths that lie.
+    #[test]
+    fn any_bytes_are_read_without_panic(
+        noise in proptest::collection::vec(any::<u8>(), 0..200),
+        changes in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..6),
+        cut in any::<usize>(), which in 0..3usize,
+    ) {
+        let (tree, mut agent) = (tree(5), agent());
+        let mut session = sessions().remove(which);
+        let _ = exchange(&mut agent, &tree, &mut session, &Ask::Get(vec![vec![1, 3, 7]]), (5, 5));
+        let mut bytes = session.write(&Ask::Bulk(vec![vec![1, 3]], 5), 5).unwrap();
+        for (at, byte) in changes {
+            let at = at % bytes.len();
+            bytes[at] = byte;
+        }
+        bytes.truncate(1 + cut % bytes.len());
+        for bytes in [noise, bytes] {
+            if let Incoming::Ask(request) = agent.read(&bytes, 5) {
+                let _ = agent.answer(&request, &tree, 5);
+            }
+            let _ = session.read(&bytes, 5);
+        }
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,7 @@
 
 use crate::front::desk::DeskConfig;
 use crate::front::ogc::OgcConfig;
+use crate::limits::Limits;
 use crate::net::members::WireList;
 use crate::settings::{self, Info};
 use crate::snmp::SnmpConfig;
@@ -201,6 +202,9 @@
             desk.check(info)?;
             desk.keys()?;
         }
+        if let Some(snmp) = &self.snmp {
+            snmp.agent(&Limits::default())?;
+        }
         Ok(())
     }
 
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -18,6 +18,11 @@
             pub fn all(&self) -> Vec<(&'static str, u64)> {
                 vec![$(($shown, self.$name.load(Ordering::Relaxed)),)*]
             }
+
+            /// Names and what they count, in the same order.
+            pub fn described() -> Vec<(&'static str, &'static str)> {
+                vec![$(($shown, concat!($($doc),*)),)*]
+            }
         }
     };
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod counters;
 pub mod front;
 pub mod limits;
+pub mod mib;
 pub mod net;
 pub mod query;
 pub mod serve;
 pub mod snmp;
+pub mod snmp_tool;
 
 pub use curlewdeck_core::{api, engine, policy, settings, Policy};
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -115,6 +115,15 @@
     pub node_rows: usize,
     /// How long a data node that is gone keeps its row.
     pub node_row_keep: Duration,
+    /// Walks of managers whose figures are kept, and how long one may be silent, may last, and may share figures with
+    /// those who come after it.
+    pub snmp_walkers: usize,
+    /// See there.
+    pub snmp_walk_idle: Duration,
+    /// See there.
+    pub snmp_walk: Duration,
+    /// See there.
+    pub snmp_fresh: Duration,
     /// Variables in one management request or answer.
     pub snmp_bindings: usize,
     /// Bytes of the same.
@@ -174,6 +183,10 @@
             recall_age: Duration::from_secs(600),
             node_rows: 256,
             node_row_keep: Duration::from_secs(900),
+            snmp_walkers: 64,
+            snmp_walk_idle: Duration::from_secs(2),
+            snmp_walk: Duration::from_secs(30),
+            snmp_fresh: Duration::from_millis(100),
             snmp_bindings: 64,
             snmp_bytes: 4096,
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use curlewdeck::limits::Limits;
 use curlewdeck::query::{self, Command};
 use curlewdeck::serve;
+use curlewdeck::snmp_tool;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
@@ -18,6 +19,8 @@
                                                       SIGHUP reads FILE again for the list's address
     curlewdeck check [--config FILE] [--edge FILE]    read the files and say whether they can be used
 {QUERY}
+{SNMP}
+    curlewdeck mib                                    write the agent's MIB
     curlewdeck version
     curlewdeck help
 
@@ -43,7 +46,7 @@
     let mut args = pico_args::Arguments::from_env();
     let command = args.subcommand().map_err(|e| e.to_string())?;
     if args.contains(["-h", "--help"]) {
-        println!("{}", HELP.replace("{QUERY}", query::HELP));
+        println!("{}", HELP.replace("{QUERY}", query::HELP).replace("{SNMP}", snmp_tool::HELP));
         return Ok(0);
     }
     if command.as_deref() == Some("query") {
@@ -51,6 +54,11 @@
         no_more(args)?;
         return Ok(query.run());
     }
+    if command.as_deref() == Some("snmp") {
+        let manager = snmp_tool::Command::read(&mut args)?;
+        no_more(args)?;
+        return manager.run().map(|()| 0);
+    }
     let config: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| e.to_string())?;
     let edge: Option<PathBuf> = args.opt_value_from_str("--edge").map_err(|e| e.to_string())?;
     no_more(args)?;
@@ -74,12 +82,16 @@
             );
             Ok(())
         }
+        Some("mib") => {
+            print!("{}", curlewdeck::mib::module().text());
+            Ok(())
+        }
         Some("version") => {
             println!("curlewdeck {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
         Some("help") | None => {
-            println!("{}", HELP.replace("{QUERY}", query::HELP));
+            println!("{}", HELP.replace("{QUERY}", query::HELP).replace("{SNMP}", snmp_tool::HELP));
             Ok(())
         }
         Some(other) => Err(format!("'{other}' is not known, see 'curlewdeck help'")),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -121,12 +121,8 @@
         }
         _ => None,
     };
-    let snmp = match edge.snmp {
-        Some(agent) => {
-            let addr = agent.listen;
-            let started = snmp::start(agent, counters, clock, limits.clone());
-            Some(started.map_err(|e| format!("cannot listen at {addr}: {e}"))?)
-        }
+    let snmp = match &edge.snmp {
+        Some(agent) => Some(snmp::start(agent, core.clone(), counters, limits.clone())?),
         None => None,
     };
     let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -1,22 +1,27 @@
-//! A read-only SNMP agent (version 2c) that serves the counters: `CURLEWDECK-MIB` in `mibs/`.
-//!
-//! [`respond`] is a pure function over bytes; BER is the `rasn` crates' part.
+//! The management agent on its socket: a coroutine reads, asks the core for its books where a walk begins, and answers.
+//! What is answered is decided in `curlewdeck-snmp`; the objects stand in [`crate::mib`].
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
+use curlewdeck_snmp::agent::{Agent, Bounds, Incoming};
+use curlewdeck_snmp::tree::{Tree, View};
+use curlewdeck_snmp::usm::User;
+use curlewdeck_snmp::walkers::{self, From, Walkers};
+use curlewdeck_snmp::{parse_oid, Oid};
 use may::net::UdpSocket;
-use rasn::types::{Integer, ObjectIdentifier, OctetString};
-use rasn_snmp::v2::{Pdu, Pdus, Response, VarBind, VarBindValue};
-use rasn_snmp::v2c::Message;
+use may::sync::mpsc::channel;
 use serde::Deserialize;
 
-use rasn_smi::v1::TimeTicks;
-use rasn_smi::v2::{ApplicationSyntax, Counter64, ObjectSyntax, SimpleSyntax};
-
+use crate::api::Nanos;
+use crate::config::read_secret;
 use crate::counters::Counters;
 use crate::limits::Limits;
-use crate::net::io::{spawn, Clock};
+use crate::mib;
+use crate::net::core::Core;
+use crate::net::io::{nanos, spawn};
 
 /// What the edge's file says of the agent.
 #[derive(Debug, Clone, Deserialize)]
@@ -24,154 +29,187 @@
 pub struct SnmpConfig {
     /// Where it listens (UDP).
     pub listen: SocketAddr,
-    /// The community that may read.
-    pub community: String,
-}
-
-/// `cdCounters` of the MIB; the object of the n-th counter is `cdCounters.n.0`.
-const COUNTERS: [u32; 9] = [1, 3, 6, 1, 4, 1, 32473, 1, 1];
-/// `curlewdeck` of the MIB.
-const PRODUCT: [u32; 8] = [1, 3, 6, 1, 4, 1, 32473, 1];
-/// `system` of SNMPv2-MIB.
-const SYSTEM: [u32; 7] = [1, 3, 6, 1, 2, 1, 1];
-
-/// An object and its value, in the order of their names.
-pub type Object = (Vec<u32>, ObjectSyntax);
-
-fn counter(value: u64) -> ObjectSyntax {
-    ObjectSyntax::ApplicationWide(ApplicationSyntax::BigCounter(Counter64(value)))
+    /// The community that may read with version 2c, in clear text; none: nobody may.
+    #[serde(default)]
+    pub community: Option<String>,
+    /// The file of the users of version 3, readable by its owner only.
+    #[serde(default)]
+    pub users: Option<PathBuf>,
+    /// What users, or with their name the community, may see; all where nothing is said.
+    #[serde(default)]
+    pub views: Vec<ViewConfig>,
+    /// The agent's engine id in hexadecimal digits, for localised keys; one is made at the start where it is not given.
+    #[serde(default)]
+    pub engine_id: Option<String>,
 }
 
-fn oid(arcs: &[u32]) -> ObjectIdentifier {
-    ObjectIdentifier::new_unchecked(arcs.to_vec().into())
+/// One view.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ViewConfig {
+    /// Whose: a user's name, or the community.
+    pub of: String,
+    /// Subtrees that are seen, as names in dots.
+    #[serde(default)]
+    pub include: Vec<String>,
+    /// Subtrees that are not.
+    #[serde(default)]
+    pub exclude: Vec<String>,
 }
 
-/// All objects, after so many hundredths of a second.
-pub fn objects(counters: &Counters, ticks: u32) -> Vec<Object> {
-    let system = |n: u32| [&SYSTEM[..], &[n, 0]].concat();
-    let about = format!("curlewdeck {}", env!("CARGO_PKG_VERSION")).into_bytes();
-    let mut all = vec![
-        (system(1), ObjectSyntax::Simple(SimpleSyntax::String(about.into()))),
-        (system(2), ObjectSyntax::Simple(SimpleSyntax::ObjectId(oid(&PRODUCT)))),
-        (system(3), ObjectSyntax::ApplicationWide(ApplicationSyntax::Ticks(TimeTicks(ticks)))),
-    ];
-    let counted = (1..).zip(counters.all()).map(|(n, (_, value))| {
-        let name: Vec<u32> = [&COUNTERS[..], &[n, 0]].concat();
-        (name, counter(value))
-    });
-    all.extend(counted);
-    all
-}
+/// An engine id of RFC 3411, section 5: the enterprise number with its first bit set, and octets of our own.
+const ENGINE: [u8; 5] = [0x80, 0x00, 0x7e, 0xd9, 5];
 
-/// The answer to a request; nothing for what is no request of this version, or of another community.
-pub fn respond(bytes: &[u8], community: &str, objects: &[Object], limits: &Limits) -> Option<Vec<u8>> {
-    let message: Message<Pdus> = rasn::ber::decode(bytes).ok()?;
-    let version = Integer::from(Message::<Pdus>::VERSION);
-    if message.version != version || message.community.as_ref() != community.as_bytes() {
-        return None;
+impl SnmpConfig {
+    fn view(&self, of: &str) -> Result<View, String> {
+        let oids = |texts: &[String]| -> Result<Vec<Oid>, String> {
+            let read = |t: &String| parse_oid(t).ok_or_else(|| format!("snmp: '{t}' is no name in dots"));
+            texts.iter().map(read).collect()
+        };
+        match self.views.iter().find(|v| v.of == of) {
+            None => Ok(View::default()),
+            Some(v) => Ok(View { include: oids(&v.include)?, exclude: oids(&v.exclude)? }),
+        }
     }
-    let (request_id, asked) = match &message.data {
-        Pdus::GetRequest(r) => (r.0.request_id, &r.0.variable_bindings),
-        Pdus::GetNextRequest(r) => (r.0.request_id, &r.0.variable_bindings),
-        Pdus::SetRequest(r) => (r.0.request_id, &r.0.variable_bindings),
-        Pdus::GetBulkRequest(r) => (r.0.request_id, &r.0.variable_bindings),
-        _ => return None,
-    };
-    let answer = |error_status, error_index, variable_bindings| {
-        let pdu = Pdu { request_id, error_status, error_index, variable_bindings };
-        let community: OctetString = community.as_bytes().to_vec().into();
-        let data = Pdus::Response(Response(pdu));
-        rasn::ber::encode(&Message { version: version.clone(), community, data }).ok()
-    };
-    if asked.len() > limits.snmp_bindings {
-        return answer(Pdu::ERROR_STATUS_TOO_BIG, 0, Vec::new());
+
+    fn engine(&self) -> Result<Vec<u8>, String> {
+        let Some(text) = &self.engine_id else {
+            let mut own = [0; 8];
+            getrandom::fill(&mut own).map_err(|e| format!("snmp: no random numbers: {e}"))?;
+            return Ok([&ENGINE[..], &own].concat());
+        };
+        let wrong = || format!("snmp: engine_id '{text}': 5 to 32 bytes in hexadecimal digits are expected");
+        let digits = text.len() % 2 == 0 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let byte = |at| u8::from_str_radix(&text[at..at + 2], 16).ok();
+        let id: Vec<u8> = match digits {
+            true => (0..text.len()).step_by(2).filter_map(byte).collect(),
+            false => return Err(wrong()),
+        };
+        if (5..=32).contains(&id.len()) {
+            Ok(id)
+        } else {
+            Err(wrong())
+        }
     }
-    let found = match &message.data {
-        Pdus::GetRequest(_) => asked.iter().map(|b| exact(objects, b)).collect(),
-        Pdus::GetNextRequest(_) => asked.iter().map(|b| next(objects, b)).collect(),
-        Pdus::GetBulkRequest(r) => bulk(
-            objects,
-            asked,
-            r.0.non_repeaters as usize,
-            r.0.max_repetitions as usize,
-            limits.snmp_bindings,
-        ),
-        _ => {
-            let index = u32::from(!asked.is_empty());
-            return answer(Pdu::ERROR_STATUS_NOT_WRITABLE, index, asked.clone());
+
+    /// The agent that this section describes.
+    ///
+    /// # Errors
+    /// Names what is out of place, and never a secret.
+    pub fn agent(&self, limits: &Limits) -> Result<Agent, String> {
+        let bounds = Bounds { bindings: limits.snmp_bindings, bytes: limits.snmp_bytes };
+        let mut agent = Agent::new(bounds, self.engine()?, boots(), mib::known());
+        if self.community.is_none() && self.users.is_none() {
+            return Err("snmp: nobody may ask: a community or a file of users is needed".into());
+        }
+        if let Some(community) = &self.community {
+            agent.admit_community(community.clone(), self.view(community)?);
+        }
+        let mut names: Vec<String> = self.community.iter().cloned().collect();
+        if let Some(path) = &self.users {
+            let users =
+                User::read_all(&read_secret(path)?).map_err(|why| format!("{}: {why}", path.display()))?;
+            for user in users {
+                let mut salt = [0; 8];
+                getrandom::fill(&mut salt).map_err(|e| format!("snmp: no random numbers: {e}"))?;
+                let view = self.view(&user.name)?;
+                names.push(user.name.clone());
+                agent.admit_user(User { view, ..user }, u64::from_be_bytes(salt));
+            }
+        }
+        match self.views.iter().find(|v| !names.contains(&v.of)) {
+            Some(v) => Err(format!("snmp: a view is of '{}', which is no user and not the community", v.of)),
+            None => Ok(agent),
         }
-    };
-    let bytes = answer(Pdu::ERROR_STATUS_NO_ERROR, 0, found)?;
-    if bytes.len() > limits.snmp_bytes {
-        return answer(Pdu::ERROR_STATUS_TOO_BIG, 0, Vec::new());
     }
-    Some(bytes)
 }
 
-fn exact(objects: &[Object], asked: &VarBind) -> VarBind {
-    let name: &[u32] = asked.name.as_ref();
-    let value = match objects.iter().find(|o| o.0 == name) {
-        Some(found) => VarBindValue::Value(found.1.clone()),
-        // The object is there, but not this instance of it.
-        None if objects.iter().any(|o| name.starts_with(&o.0[..o.0.len() - 1])) => {
-            VarBindValue::NoSuchInstance
-        }
-        None => VarBindValue::NoSuchObject,
-    };
-    VarBind { name: asked.name.clone(), value }
+/// Seconds of Unix time at which boots were one.
+const FIRST_BOOT: u64 = 1_700_000_000;
+
+/// The engine's boots without a lasting disk: seconds, which grow from one start to the next as long as the clock does
+/// not go back, and fit 31 bits until the year 2091.
+fn boots() -> u32 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_secs());
+    u32::try_from(now.saturating_sub(FIRST_BOOT)).unwrap_or(i32::MAX as u32).clamp(1, i32::MAX as u32 - 1)
 }
 
-fn next(objects: &[Object], asked: &VarBind) -> VarBind {
-    let name: &[u32] = asked.name.as_ref();
-    match objects.iter().find(|o| o.0.as_slice() > name) {
-        Some(found) => VarBind { name: oid(&found.0), value: VarBindValue::Value(found.1.clone()) },
-        None => VarBind { name: asked.name.clone(), value: VarBindValue::EndOfMibView },
-    }
+/// The core comes to what it is asked within this, or the request is not answered: managers ask again.
+const BOOKS: Duration = Duration::from_millis(500);
+
+struct Served {
+    agent: Agent,
+    core: Core,
+    counters: Arc<Counters>,
+    walkers: Walkers<SocketAddr>,
+    begun: Nanos,
 }
 
-fn bulk(objects: &[Object], asked: &[VarBind], single: usize, rounds: usize, most: usize) -> Vec<VarBind> {
-    let (once, repeated) = asked.split_at(single.min(asked.len()));
-    let mut found: Vec<VarBind> = once.iter().map(|b| next(objects, b)).collect();
-    let mut row = repeated.to_vec();
-    for _ in 0..rounds {
-        if row.is_empty() || found.len() + row.len() > most {
-            break;
-        }
-        row = row.iter().map(|b| next(objects, b)).collect();
-        found.extend(row.iter().cloned());
-        if row.iter().all(|b| b.value == VarBindValue::EndOfMibView) {
-            break;
-        }
+impl Served {
+    /// The values of all objects now.
+    fn tree(&self, time: u32) -> Option<Tree> {
+        let (told, figures) = channel();
+        // Nobody waits any more after the time-out.
+        self.core.books(move |snapshot| drop(told.send(snapshot)));
+        let books = figures.recv_timeout(BOOKS).ok()?;
+        let mut objects = mib::objects(&self.counters, &books, self.begun);
+        objects.extend(self.agent.objects(time));
+        Some(Tree::new(objects))
+    }
+
+    fn serve(&mut self, bytes: &[u8], from: SocketAddr) -> Option<Vec<u8>> {
+        let now = self.core.clock.now();
+        let time = (now.saturating_sub(self.begun) / 1_000_000_000) as u32;
+        let request = match self.agent.read(bytes, time) {
+            Incoming::Drop => return None,
+            Incoming::Reply(bytes) => return Some(bytes),
+            Incoming::Ask(request) => request,
+        };
+        let behind = request.behind();
+        let tree = match self.walkers.from(now, &from, behind.as_deref()) {
+            From::Tree(tree) => tree,
+            From::Make => {
+                let tree = self.tree(time)?;
+                self.walkers.made(now, &from, behind.as_deref(), tree)
+            }
+        };
+        let answer = self.agent.answer(&request, &tree, time)?;
+        Counters::add(&self.counters.snmp_requests);
+        Some(answer)
     }
-    found
 }
 
 /// Starts the agent.
 ///
 /// # Errors
-/// The address cannot be listened at.
+/// The address cannot be listened at, or the section cannot be used.
 pub fn start(
-    config: SnmpConfig,
+    config: &SnmpConfig,
+    core: Core,
     counters: Arc<Counters>,
-    clock: Clock,
     limits: Arc<Limits>,
-) -> std::io::Result<SocketAddr> {
-    let socket = UdpSocket::bind(config.listen)?;
-    let local = socket.local_addr()?;
-    let begun = clock.now();
+) -> Result<SocketAddr, String> {
+    let cannot = |e: std::io::Error| format!("cannot listen at {}: {e}", config.listen);
+    let agent = config.agent(&limits)?;
+    let socket = UdpSocket::bind(config.listen).map_err(cannot)?;
+    let local = socket.local_addr().map_err(cannot)?;
+    let walkers = Walkers::new(walkers::Bounds {
+        walkers: limits.snmp_walkers,
+        idle: nanos(limits.snmp_walk_idle),
+        age: nanos(limits.snmp_walk),
+        fresh: nanos(limits.snmp_fresh),
+    });
+    let begun = core.clock.now();
+    let mut served = Served { agent, core, counters, walkers, begun };
     spawn("snmp", limits.core_stack_words, move || {
         let mut buf = vec![0; limits.snmp_bytes];
         loop {
             let Ok((size, from)) = socket.recv_from(&mut buf) else {
                 // Never a busy loop, whatever the cause.
-                may::coroutine::sleep(std::time::Duration::from_millis(10));
+                may::coroutine::sleep(Duration::from_millis(10));
                 continue;
             };
-            // Hundredths of a second, which start over after 497 days.
-            let ticks = ((clock.now() - begun) / 10_000_000) as u32;
-            let objects = objects(&counters, ticks);
-            if let Some(answer) = respond(&buf[..size], &config.community, &objects, &limits) {
-                Counters::add(&counters.snmp_requests);
+            if let Some(answer) = served.serve(&buf[..size], from) {
                 if let Err(e) = socket.send_to(&answer, from) {
                     log::debug!("snmp: {e}");
                 }
@@ -180,121 +218,3 @@
     });
     Ok(local)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use rasn_snmp::v2::{BulkPdu, GetBulkRequest, GetNextRequest, GetRequest, SetRequest};
-
-    fn binding(name: &[u32]) -> VarBind {
-        VarBind { name: oid(name), value: VarBindValue::Unspecified }
-    }
-
-    fn pdu(names: &[&[u32]]) -> Pdu {
-        let variable_bindings = names.iter().map(|n| binding(n)).collect();
-        Pdu { request_id: 7, error_status: 0, error_index: 0, variable_bindings }
-    }
-
-    fn message(data: Pdus) -> Vec<u8> {
-        let community = b"public".to_vec().into();
-        rasn::ber::encode(&Message { version: 1.into(), community, data }).unwrap()
-    }
-
-    fn ask(data: Pdus) -> Pdu {
-        let counters = Counters::default();
-        Counters::add(&counters.queries_taken);
-        let bytes = respond(&message(data), "public", &objects(&counters, 5), &Limits::default()).unwrap();
-        match rasn::ber::decode::<Message<Pdus>>(&bytes).unwrap().data {
-            Pdus::Response(r) => r.0,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    const TAKEN: [u32; 11] = [1, 3, 6, 1, 4, 1, 32473, 1, 1, 4, 0];
-
-    #[test]
-    fn counters_are_read_by_name() {
-        let absent = [1, 3, 6, 1, 4, 1, 32473, 1, 1, 4, 1];
-        let got = ask(Pdus::GetRequest(GetRequest(pdu(&[&TAKEN, &absent, &[1, 3, 9]])))).variable_bindings;
-        assert_eq!(got[0].value, VarBindValue::Value(counter(1)));
-        assert_eq!(got[1].value, VarBindValue::NoSuchInstance);
-        assert_eq!(got[2].value, VarBindValue::NoSuchObject);
-    }
-
-    /// A walk meets every object once, in order, and ends.
-    #[test]
-    fn a_walk_meets_every_object() {
-        let expected = objects(&Counters::default(), 5);
-        let (mut at, mut met) = (vec![1, 3], Vec::new());
-        loop {
-            let got = ask(Pdus::GetNextRequest(GetNextRequest(pdu(&[&at])))).variable_bindings.remove(0);
-            if got.value == VarBindValue::EndOfMibView {
-                break;
-            }
-            at = got.name.to_vec();
-            met.push(at.clone());
-        }
-        assert_eq!(met, expected.iter().map(|o| o.0.clone()).collect::<Vec<_>>());
-        let bulk = BulkPdu {
-            request_id: 7,
-            non_repeaters: 1,
-            max_repetitions: 200,
-            variable_bindings: vec![binding(&TAKEN), binding(&[1, 3])],
-        };
-        let got = ask(Pdus::GetBulkRequest(GetBulkRequest(bulk))).variable_bindings;
-        assert_eq!(got.len(), 1 + expected.len() + 1);
-    }
-
-    #[test]
-    fn nothing_can_be_written() {
-        let got = ask(Pdus::SetRequest(SetRequest(pdu(&[&TAKEN]))));
-        assert_eq!((got.error_status, got.error_index), (Pdu::ERROR_STATUS_NOT_WRITABLE, 1));
-    }
-
-    #[test]
-    fn another_community_or_version_is_not_answered() {
-        let bytes = message(Pdus::GetRequest(GetRequest(pdu(&[&TAKEN]))));
-        let objects = objects(&Counters::default(), 5);
-        assert!(respond(&bytes, "private", &objects, &Limits::default()).is_none());
-        let community = b"public".to_vec().into();
-        let data = Pdus::GetRequest(GetRequest(pdu(&[&TAKEN])));
-        let v1 = rasn::ber::encode(&Message { version: 0.into(), community, data }).unwrap();
-        assert!(respond(&v1, "public", &objects, &Limits::default()).is_none());
-    }
-
-    #[test]
-    fn too_many_bindings_are_too_big() {
-        let names = vec![&TAKEN[..]; Limits::default().snmp_bindings + 1];
-        let got = ask(Pdus::GetRequest(GetRequest(pdu(&names))));
-        assert_eq!(got.error_status, Pdu::ERROR_STATUS_TOO_BIG);
-    }
-
-    /// The MIB's objects are those that are served, in the same order.
-    #[test]
-    fn the_mib_names_every_counter() {
-        let mib = include_str!("../mibs/CURLEWDECK-MIB.txt");
-        for (n, (name, _)) in (1..).zip(Counters::default().all()) {
-            assert!(mib.contains(&format!("\n{name} OBJECT-TYPE")), "{name}");
-            assert!(mib.contains(&format!("::= {{ cdCounters {n} }}")), "{n}");
-        }
-    }
-
-    proptest! {
-        /// Nothing that a peer sends may panic.
-        #[test]
-        fn any_bytes_are_taken_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..100)) {
-            let _ = respond(&bytes, "public", &objects(&Counters::default(), 0), &Limits::default());
-        }
-
-        /// Nor may a request with a byte changed.
-        #[test]
-        fn a_changed_request_is_taken_without_panic(at in 0..40usize, to in any::<u8>()) {
-            let mut bytes = message(Pdus::GetNextRequest(GetNextRequest(pdu(&[&TAKEN]))));
-            if let Some(b) = bytes.get_mut(at) {
-                *b = to;
-            }
-            let _ = respond(&bytes, "public", &objects(&Counters::default(), 0), &Limits::default());
-        }
-    }
-}
--- a/tests/snmp.rs
+++ b/tests/snmp.rs
@@ -41,3 +41,127 @@
     assert!(text.contains("Counter64(3)"), "{text}");
     assert_eq!(coordinator.core.counters.answers_whole.load(Ordering::SeqCst), 3);
 }
+
+use curlewdeck_snmp::manager::{Ask, Fault, Reply, Security, Session, Walk};
+use curlewdeck_snmp::tree::Value;
+use curlewdeck_snmp::usm::User;
+
+/// Asks an agent until it has answered; nothing else is waited for.
+fn exchange(addr: std::net::SocketAddr, session: &mut Session, what: &Ask) -> Result<Reply, Fault> {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    session.begin();
+    loop {
+        socket.send_to(&session.write(what, 0).unwrap(), addr).unwrap();
+        let mut buf = [0; 65_536];
+        let (size, _) = socket.recv_from(&mut buf).unwrap();
+        match session.read(&buf[..size], 0)? {
+            Reply::Again | Reply::NotOurs => {}
+            bindings => return Ok(bindings),
+        }
+    }
+}
+
+fn walk(addr: std::net::SocketAddr, session: &mut Session) -> Vec<(Vec<u32>, Value)> {
+    let (mut walk, mut met) = (Walk::new(curlewdeck::mib::ROOT.to_vec(), 20), Vec::new());
+    while let Some(what) = walk.ask() {
+        let Reply::Bindings(bindings) = exchange(addr, session, &what).unwrap() else {
+            panic!("no bindings")
+        };
+        met.extend(walk.took(bindings).unwrap());
+    }
+    met
+}
+
+/// A manager walks the MIB in both versions: every figure is that of the program's own books, class by class, outcome
+/// by outcome, node by node; and those are what the stand-ins counted (see `books.rs`).
+#[test]
+fn a_walk_gives_the_figures_of_the_books() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = std::env::temp_dir().join(format!("curlewdeck-snmp-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("users");
+    let users = format!("noc auth key:{} priv key:{}\n", "1b".repeat(32), "2c".repeat(32));
+    std::fs::write(&file, &users).unwrap();
+    std::fs::set_permissions(&file, PermissionsExt::from_mode(0o600)).unwrap();
+    let node =
+        DataNode::start(|part| NodeReply::Answer(if part.shard == 3 { 500 } else { 200 }, 0, "v".into()));
+    let discovery =
+        Discovery::start("127.0.0.1:0", vec![member("a", 0, node.addr), member("b", 1, node.addr)]);
+    let edge = format!(
+        "[snmp]\nlisten = \"127.0.0.1:0\"\ncommunity = \"public\"\nusers = {file:?}\n\
+        [[snmp.views]]\nof = \"public\"\nexclude = [\"1.3.6.1.4.1.32473.1.3\"]\n"
+    );
+    let coordinator = Bed::default().start(discovery.addr, &edge);
+    ready(&coordinator);
+    for class in ["tag-lookup", "plaza-ranking", "plaza-ranking"] {
+        query(coordinator.listen, class, &[0, 3]).unwrap();
+    }
+    bed::until("all attempts have ended", || coordinator.books().is_some_and(|b| b.attempts.out() == 0));
+    let agent = coordinator.snmp.unwrap();
+    let mut noc = Session::new(Security::User(User::read_all(&users).unwrap().remove(0)), 1, 7);
+    let met = walk(agent, &mut noc);
+    let (books, counters) = (coordinator.books().unwrap(), &coordinator.core.counters);
+    let expected = curlewdeck::mib::objects(counters, &books, 0);
+    // What goes on while one looks: time, and what counts this very walk or the list's beat.
+    let module = curlewdeck::mib::module();
+    let moves = |oid: &[u32]| {
+        let name = module.object_of(oid).map_or(String::new(), |o| o.0);
+        name.contains("Since")
+            || name.contains("Discontinuity")
+            || name.starts_with("cdSnmp")
+            || name == "cdProbes"
+    };
+    let figures = |all: &[(Vec<u32>, Value)]| -> Vec<(Vec<u32>, Value)> {
+        let own = all.iter().filter(|o| o.0.starts_with(&curlewdeck::mib::ROOT) && !moves(&o.0));
+        let mut own: Vec<_> = own.cloned().collect();
+        own.sort_by(|a, b| a.0.cmp(&b.0));
+        own
+    };
+    assert_eq!(figures(&met), figures(&expected));
+    assert!(met.len() > 100 && met.windows(2).all(|w| w[0].0 < w[1].0));
+    // The manager of the command line gives the same, by the MIB's names.
+    let tool = |words: &str| {
+        let words = words.replace("AGENT", &agent.to_string()).replace("FILE", file.to_str().unwrap());
+        let program = env!("CARGO_BIN_EXE_curlewdeck");
+        let output = std::process::Command::new(program).arg("snmp").args(words.split(' ')).output().unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        (output.status.success(), text(output.stdout) + &text(output.stderr))
+    };
+    let (good, text) = tool("table AGENT cdClassTable --users FILE --user noc");
+    assert!(good && text.contains("cdClassWorthEarned") && text.contains("plaza-ranking"), "{text}");
+    let (good, text) = tool("walk AGENT cdNode --users FILE --user noc");
+    assert!(good && text.contains("cdNodePhase.1 = in"), "{text}");
+    let (good, text) = tool("get AGENT cdQueriesTaken --community public --json");
+    assert!(good && text.contains(r#""value":"3""#), "{text}");
+    let (good, text) = tool("walk AGENT cdNode --community public");
+    assert!(!good && text.contains("nothing is served below"), "{text}");
+    let (good, text) = tool("get AGENT cdQueriesTaken --community private --timeout 50 --tries 2");
+    assert!(!good && text.contains("no answer in 2 tries"), "{text}");
+    // The community's view hides the tables, and an unknown user is told so.
+    let public = walk(agent, &mut Session::new(Security::Community("public".into()), 1, 7));
+    assert!(public.len() > 30 && public.iter().all(|o| !o.0.starts_with(&[1, 3, 6, 1, 4, 1, 32473, 1, 3])));
+    let stranger = users.replace("noc", "eve");
+    let mut eve = Session::new(Security::User(User::read_all(&stranger).unwrap().remove(0)), 1, 7);
+    let refused = exchange(agent, &mut eve, &Ask::Get(vec![vec![1, 3]])).unwrap_err();
+    assert!(refused.to_string().contains("does not know this user"), "{refused}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// Sections that cannot be used are named.
+#[test]
+fn a_bad_section_is_named() {
+    let fault = |lines: &str| {
+        let edge = format!("[snmp]\nlisten = \"127.0.0.1:0\"\n{lines}\n");
+        let config = curlewdeck::config::Edge::read(&edge).unwrap().snmp.unwrap();
+        config.agent(&curlewdeck::limits::Limits::default()).err().unwrap_or_default()
+    };
+    assert!(fault("").contains("nobody may ask"));
+    assert!(fault("community = \"c\"\nengine_id = \"80\"").contains("5 to 32 bytes"));
+    assert!(fault("community = \"c\"\nusers = \"/nowhere\"").contains("/nowhere"));
+    assert!(fault("community = \"c\"\n[[snmp.views]]\nof = \"d\"").contains("view is of 'd'"));
+    assert!(
+        fault("community = \"c\"\n[[snmp.views]]\nof = \"c\"\ninclude = [\"x\"]").contains("'x' is no name")
+    );
+    assert_eq!(fault("community = \"c\""), "");
+}
