Keep the books' totals, node indices and SNMP boots over restarts: crates/keep

Need: counters began anew with each process, and the agent's boots rested on the clock alone. Change: crates/keep (pure) seals records (mark, kind, length, CRC-32) and plans the steps and pace of writing; src/keep.rs carries them out in a thread; the books save what has ended and go on from it. Off without [state].

--- /dev/null
+++ b/benches/snmp.rs
@@ -0,0 +1,107 @@
+//! The management agent against its earlier way in the same run: all objects made anew for each request, and looked
+//! through from the first on.
+
+use curlewdeck::api::{Class, ClassId, Effect, Outcome, Phase, QueryId, ServerId};
+use curlewdeck::counters::Counters;
+use curlewdeck::mib;
+use curlewdeck_account::nodes::NodeBounds;
+use curlewdeck_account::{Account, Snapshot};
+use curlewdeck_snmp::agent::{Agent, Bounds, Incoming};
+use curlewdeck_snmp::codec;
+use curlewdeck_snmp::manager::{Ask, Reply, Security, Session, Walk};
+use curlewdeck_snmp::tree::{Tree, View};
+use rasn_snmp::v2::{Pdu, Pdus, Response};
+use rasn_snmp::v2c::Message;
+
+fn main() {
+    divan::main();
+}
+
+/// Ten classes and fifty nodes.
+fn books() -> Snapshot {
+    let class = Class {
+        aim: 1_000_000_000,
+        deadline: 2_000_000_000,
+        importance: 1.0,
+        late_worth: 0.3,
+        effect: Effect::Safe,
+        repeat_window: 0,
+        floor: 1.0,
+        need: 1.0,
+        partial: None,
+        second_step: 0,
+    };
+    let names: Vec<String> = (0..10).map(|n| format!("class-{n}")).collect();
+    let mut account = Account::new(&vec![class; 10], &names, NodeBounds { rows: 64, keep: 1 });
+    for n in 0..1000u64 {
+        account.taken(0, QueryId(n), ClassId(n as usize % 10));
+        account.answered(n * 1_000_000, QueryId(n), true, 1.0);
+    }
+    for n in 0..50 {
+        account.node(0, ServerId(n), &format!("s-{n}"), Phase::In);
+        account.started(ServerId(n), 0, false);
+        account.attempt_ended(ServerId(n), Outcome::Pass);
+    }
+    account.snapshot(0)
+}
+
+fn session() -> Session {
+    Session::new(Security::Community("public".into()), 1, 1)
+}
+
+fn agent() -> Agent {
+    let mut agent = Agent::new(Bounds { bindings: 64, bytes: 4096 }, vec![1; 12], 1, mib::known());
+    agent.admit_community("public".into(), View::default());
+    agent
+}
+
+/// In the middle of the node table.
+fn asked() -> Ask {
+    Ask::Next(vec![[&mib::ROOT[..], &[3, 4, 1, 7, 25]].concat()])
+}
+
+#[divan::bench]
+fn get_next(bencher: divan::Bencher) {
+    let tree = Tree::new(mib::objects(&Counters::default(), &books(), 0));
+    let request = session().write(&asked(), 0).expect("a request");
+    bencher.with_inputs(agent).bench_refs(|agent| match agent.read(&request, 0) {
+        Incoming::Ask(asked) => agent.answer(&asked, &tree, 0),
+        _ => None,
+    });
+}
+
+#[divan::bench]
+fn get_next_as_before(bencher: divan::Bencher) {
+    let (counters, books) = (Counters::default(), books());
+    let request = session().write(&asked(), 0).expect("a request");
+    bencher.bench(|| {
+        let objects = mib::objects(&counters, &books, 0);
+        let message: Message<Pdus> = rasn::ber::decode(&request).expect("a request");
+        let Pdus::GetNextRequest(asked) = message.data else { return None };
+        let name = asked.0.variable_bindings[0].name.to_vec();
+        let next = objects.iter().filter(|o| o.0 > name).min_by(|a, b| a.0.cmp(&b.0))?;
+        let variable_bindings = vec![codec::bind(&next.0, &next.1)];
+        let pdu = Pdu { request_id: asked.0.request_id, error_status: 0, error_index: 0, variable_bindings };
+        let data = Pdus::Response(Response(pdu));
+        rasn::ber::encode(&Message { version: 1.into(), community: message.community, data }).ok()
+    });
+}
+
+/// A whole walk, the tree made once as the agent does for each walker.
+#[divan::bench]
+fn walk(bencher: divan::Bencher) {
+    let (counters, books) = (Counters::default(), books());
+    bencher.with_inputs(|| (agent(), session())).bench_refs(|(agent, session)| {
+        let tree = Tree::new(mib::objects(&counters, &books, 0));
+        let (mut walk, mut met) = (Walk::new(vec![1, 3], 50), 0);
+        while let Some(what) = walk.ask() {
+            session.begin();
+            let request = session.write(&what, 0).expect("a request");
+            let Incoming::Ask(asked) = agent.read(&request, 0) else { break };
+            let answer = agent.answer(&asked, &tree, 0).expect("an answer");
+            let Ok(Reply::Bindings(bindings)) = session.read(&answer, 0) else { break };
+            met += walk.took(bindings).expect("objects").len();
+        }
+        met
+    });
+}
--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -5,6 +5,7 @@
 //! + open, for queries by class and for attempts by node, and earned <= asked. Nothing here reads a clock.
 
 pub mod nodes;
+pub mod saved;
 pub mod worth;
 
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 use hdrhistogram::Histogram;
 
 use nodes::{NodeBounds, NodeRow, Nodes};
+use saved::{Saved, SavedClass};
 use worth::{worth, Worth};
 
 /// How a query ended.
@@ -209,6 +211,8 @@
     row: ClassRow,
     worth: Worth,
     latency: Histogram<u64>,
+    /// Of `row.full`: what an earlier process had counted.
+    restored_full: u64,
 }
 
 /// Latencies of more than an hour are counted as one.
@@ -241,6 +245,7 @@
                 latency_sum_ms: 0,
             },
             worth: worth(class),
+            restored_full: 0,
             // The bounds are constants that a histogram can have.
             latency: Histogram::new_with_bounds(1, LONGEST_MS, DIGITS).expect("bounds of a histogram"),
         };
@@ -263,7 +268,7 @@
     /// So many queries of a class were turned away over the limit, in all.
     pub fn full(&mut self, class: ClassId, count: u64) {
         if let Some(account) = self.classes.get_mut(class.0) {
-            account.row.full = account.row.full.max(count);
+            account.row.full = account.row.full.max(account.restored_full.saturating_add(count));
         }
     }
 
@@ -320,6 +325,51 @@
         self.nodes.retired(now, node);
     }
 
+    /// What outlives the process: what has ended. What is open now will not be answered by the next one.
+    pub fn save(&self) -> Saved {
+        let class = |c: &ClassAccount| {
+            let (row, open) = (&c.row, c.row.open());
+            SavedClass {
+                name: row.name.clone(),
+                full: row.full,
+                ended: row.ended,
+                asked: row.asked.saturating_sub(c.worth.whole.saturating_mul(open)),
+                earned: row.earned,
+                latency_sum_ms: row.latency_sum_ms,
+            }
+        };
+        let attempts = &self.attempts;
+        let ended = attempts.all_ended();
+        Saved {
+            classes: self.classes.iter().map(class).collect(),
+            repeats: attempts.repeats.min(ended),
+            copies: attempts.copies.min(ended),
+            ended: attempts.ended,
+            next_node: self.nodes.next(),
+            nodes_evicted: self.nodes.evicted(),
+            nodes_unlisted: self.nodes.unlisted(),
+        }
+    }
+
+    /// Goes on from what an earlier process had saved: totals, by the names of classes, and the nodes' indices, which
+    /// are not given again. To be called before anything is booked.
+    pub fn restore(&mut self, saved: &Saved) {
+        for account in &mut self.classes {
+            let Some(class) = saved.classes.iter().find(|c| c.name == account.row.name) else { continue };
+            let row = &mut account.row;
+            row.ended = class.ended;
+            row.taken = class.ended.iter().fold(0, |sum, n| sum.saturating_add(*n));
+            (row.full, row.latency_sum_ms) = (class.full, class.latency_sum_ms);
+            (row.asked, row.earned) = (class.asked, class.earned.min(class.asked));
+            account.restored_full = class.full;
+        }
+        self.attempts.ended = saved.ended;
+        self.attempts.started = saved.ended.iter().fold(0, |sum, n| sum.saturating_add(*n));
+        self.attempts.repeats = saved.repeats.min(self.attempts.started);
+        self.attempts.copies = saved.copies.min(self.attempts.started);
+        self.nodes.restore(saved.next_node, saved.nodes_evicted, saved.nodes_unlisted);
+    }
+
     /// Queries that are open.
     pub fn open(&self) -> usize {
         self.open.len()
@@ -460,6 +510,38 @@
         }
     }
 
+    /// After a restart figures go on from what was saved, never above what was served, and hold as ever.
+    #[test]
+    fn a_restart_goes_on_from_what_had_ended() {
+        let mut a = account();
+        for n in 0..3 {
+            a.taken(0, QueryId(n), ClassId(0));
+        }
+        a.answered(50 * MS, QueryId(0), true, 1.0);
+        a.full(ClassId(0), 4);
+        a.node(0, ServerId(0), "s", Phase::In);
+        a.started(ServerId(0), 0, false);
+        a.started(ServerId(0), 1, true);
+        a.attempt_ended(ServerId(0), Outcome::Pass);
+        let saved = a.save();
+        let mut b = account();
+        b.restore(&saved);
+        let s = b.snapshot(0);
+        assert_eq!(s.check(), Ok(()));
+        let row = &s.classes[0];
+        assert_eq!((row.taken, row.open(), row.asked, row.earned, row.full), (1, 0, 3_000_000, 3_000_000, 4));
+        assert_eq!((s.attempts.started, s.attempts.out()), (1, 0));
+        b.full(ClassId(0), 1);
+        b.node(0, ServerId(0), "s", Phase::In);
+        let s = b.snapshot(0);
+        assert_eq!((s.classes[0].full, s.nodes[0].index), (5, 2));
+        assert_eq!(b.save().next_node, 3);
+        // Another deployment's classes are not mixed in.
+        let mut c = Account::new(&[class()], &["other".into()], NodeBounds { rows: 1, keep: 1 });
+        c.restore(&saved);
+        assert_eq!(c.snapshot(0).classes[0].taken, 0);
+    }
+
     /// The check itself must be able to fail.
     #[test]
     fn a_snapshot_that_does_not_hold_is_named() {
--- a/crates/account/src/nodes.rs
+++ b/crates/account/src/nodes.rs
@@ -67,6 +67,16 @@
         }
     }
 
+    /// The index that the next node gets.
+    pub fn next(&self) -> u32 {
+        self.next
+    }
+
+    /// Goes on from an earlier process's figures.
+    pub fn restore(&mut self, next: u32, evicted: u64, unlisted: u64) {
+        (self.next, self.evicted, self.unlisted) = (self.next.max(next), evicted, unlisted);
+    }
+
     /// Rows that went before their time.
     pub fn evicted(&self) -> u64 {
         self.evicted
--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,7 @@
 
 use crate::front::desk::DeskConfig;
 use crate::front::ogc::OgcConfig;
+use crate::keep::StateConfig;
 use crate::limits::Limits;
 use crate::net::members::WireList;
 use crate::settings::{self, Info};
@@ -148,6 +149,8 @@
     pub ogc: Option<OgcConfig>,
     /// The front for desks.
     pub desk: Option<DeskConfig>,
+    /// The folder of what outlives the process.
+    pub state: Option<StateConfig>,
     /// The management agent.
     pub snmp: Option<SnmpConfig>,
 }
@@ -202,8 +205,16 @@
             desk.check(info)?;
             desk.keys()?;
         }
+        if let Some(state) = &self.state {
+            if !state.folder.is_dir() || state.every_s == 0 {
+                return Err(format!(
+                    "state: {}: a folder that is there, and every_s above 0",
+                    state.folder.display()
+                ));
+            }
+        }
         if let Some(snmp) = &self.snmp {
-            snmp.agent(&Limits::default())?;
+            snmp.agent(&Limits::default(), None)?;
         }
         Ok(())
     }
--- /dev/null
+++ b/src/keep.rs
@@ -0,0 +1,233 @@
+//! The state folder: what outlives the process, written by a thread of its own since files block. When and how is decided
+//! in `curlewdeck-keep`; on the platform there is no such folder, and nothing is written.
+
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use curlewdeck_account::saved::Saved;
+use curlewdeck_keep::plan::{aside, other, Pace, Step, STEPS};
+use curlewdeck_keep::record::{open, seal, Kind, MOST_BYTES};
+use serde::{Deserialize, Serialize};
+
+use crate::net::core::Core;
+use crate::net::io::nanos;
+
+/// What the edge's file says of the state folder.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StateConfig {
+    /// The folder; it must be there, and be this instance's own.
+    pub folder: PathBuf,
+    /// What has changed is written every so many seconds.
+    #[serde(default = "ten")]
+    pub every_s: u64,
+}
+
+fn ten() -> u64 {
+    10
+}
+
+const FILE: &str = "books";
+const KIND: Kind = Kind { what: 1, form: 1 };
+
+/// What is kept.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Kept {
+    /// How often a process has begun with this folder.
+    pub boots: u32,
+    /// The management agent's engine id.
+    pub engine: Vec<u8>,
+    /// The books.
+    pub books: Saved,
+}
+
+/// The folder of this process.
+#[derive(Debug)]
+pub struct Keep {
+    folder: PathBuf,
+    every: Duration,
+    /// As it was found, with this process's boots. Held while a file is written.
+    kept: Mutex<(Kept, Pace)>,
+    begun: Instant,
+}
+
+impl Keep {
+    /// Reads the folder and counts this start; what is not believed is put aside. Nothing is served before the count is
+    /// on the disk, so that no boots come twice.
+    ///
+    /// # Errors
+    /// Names the folder and what is wrong with it.
+    pub fn load(config: &StateConfig, engine: Vec<u8>) -> Result<Self, String> {
+        let folder = config.folder.clone();
+        let wrong = |e: &dyn std::fmt::Display| format!("state folder {}: {e}", folder.display());
+        if config.every_s == 0 {
+            return Err(wrong(&"every_s must be above 0"));
+        }
+        let mut kept = match read(&folder.join(FILE)).map_err(|e| wrong(&e))? {
+            None => Kept::default(),
+            Some(bytes) => match open::<Kept>(KIND, &bytes) {
+                Ok(kept) => kept,
+                Err(why) => {
+                    let name = put_aside(&folder).map_err(|e| wrong(&e))?;
+                    log::error!(
+                        "{}",
+                        wrong(&format!("the books are not believed, {why}: put aside as {name}"))
+                    );
+                    Kept::default()
+                }
+            },
+        };
+        kept.boots = kept.boots.saturating_add(1);
+        if kept.engine.is_empty() {
+            kept.engine = engine;
+        }
+        let every = Duration::from_secs(config.every_s);
+        let keep =
+            Self { folder, every, kept: Mutex::new((kept, Pace::new(nanos(every)))), begun: Instant::now() };
+        let first = keep.lock().0.clone();
+        let bytes = seal(KIND, &first).ok_or_else(|| "the state is too large".to_string())?;
+        write(&keep.folder, &bytes).map_err(|e| format!("state folder {}: {e}", keep.folder.display()))?;
+        Ok(keep)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, (Kept, Pace)> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What was found, with this process's boots.
+    pub fn kept(&self) -> Kept {
+        self.lock().0.clone()
+    }
+
+    /// Writes the books at their pace, in a thread of its own.
+    ///
+    /// # Errors
+    /// There is no thread.
+    pub fn start(self: &Arc<Self>, core: Core) -> io::Result<()> {
+        let keep = self.clone();
+        std::thread::Builder::new().name("keep".into()).spawn(move || loop {
+            std::thread::sleep(keep.every);
+            keep.write_now(&core, false);
+        })?;
+        Ok(())
+    }
+
+    /// Writes the books: if their pace allows, or in any case. Blocks.
+    pub fn write_now(&self, core: &Core, in_any_case: bool) {
+        let Some(books) = core.saved() else { return log::warn!("the books were not to be had in time") };
+        let mut held = self.lock();
+        let (kept, pace) = &mut *held;
+        kept.books = books;
+        let Some(bytes) = seal(KIND, kept) else { return log::error!("the state is too large to be kept") };
+        let now = nanos(self.begun.elapsed());
+        if !pace.wants(now, &bytes) && !in_any_case {
+            return;
+        }
+        let written = write(&self.folder, &bytes);
+        pace.wrote(now, &bytes, written.is_ok());
+        if let Err(e) = written {
+            log::error!("state folder {}: {e}", self.folder.display());
+        }
+    }
+}
+
+/// A file's bytes; none if it is not there.
+fn read(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    match fs::metadata(path) {
+        // A little more than any record has: it will not be believed.
+        Ok(meta) if meta.len() > MOST_BYTES as u64 => Ok(Some(Vec::new())),
+        Ok(_) => fs::read(path).map(Some),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+/// Puts the file aside under the first name that is free.
+fn put_aside(folder: &Path) -> io::Result<String> {
+    let free = aside(FILE).find(|name| !folder.join(name).exists());
+    let name = free.ok_or_else(|| io::Error::other("too many files were put aside: look at them"))?;
+    fs::rename(folder.join(FILE), folder.join(&name))?;
+    Ok(name)
+}
+
+/// Carries the steps out.
+fn write(folder: &Path, bytes: &[u8]) -> io::Result<()> {
+    let (file, new) = (folder.join(FILE), folder.join(other(FILE)));
+    for step in STEPS {
+        match step {
+            Step::WriteOther => File::create(&new)?.write_all(bytes)?,
+            Step::SyncOther => File::open(&new)?.sync_all()?,
+            Step::Rename => fs::rename(&new, &file)?,
+            Step::SyncFolder => File::open(folder)?.sync_all()?,
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A folder of its own that goes with it.
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("curlewdeck-keep-{name}-{}", std::process::id()));
+            let _ = fs::remove_dir_all(&path);
+            fs::create_dir_all(&path).unwrap();
+            Self(path)
+        }
+
+        fn load(&self) -> Result<Keep, String> {
+            Keep::load(&StateConfig { folder: self.0.clone(), every_s: 1 }, vec![1, 2, 3, 4, 5])
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[test]
+    fn boots_never_come_twice_and_the_engine_stays() {
+        let folder = Folder::new("boots");
+        for boots in 1..5 {
+            let kept = folder.load().unwrap().kept();
+            assert_eq!((kept.boots, kept.engine), (boots, vec![1, 2, 3, 4, 5]));
+        }
+    }
+
+    /// A torn or foreign file is put aside, never overwritten; what lies about of a write that was cut off is not read.
+    #[test]
+    fn what_is_not_believed_is_put_aside() {
+        let folder = Folder::new("aside");
+        folder.load().unwrap();
+        let good = fs::read(folder.0.join(FILE)).unwrap();
+        fs::write(folder.0.join("books.new"), &good[..5]).unwrap();
+        assert_eq!(folder.load().unwrap().kept().boots, 2);
+        for (n, bad) in [&good[..good.len() - 1], b"somebody else's", b""].iter().enumerate() {
+            fs::write(folder.0.join(FILE), bad).unwrap();
+            assert_eq!(folder.load().unwrap().kept().boots, 1);
+            let aside = folder.0.join(format!("books.bad-{}", n + 1));
+            assert_eq!(fs::read(aside).unwrap(), *bad);
+        }
+        for _ in 3..9 {
+            fs::write(folder.0.join(FILE), b"x").unwrap();
+            folder.load().unwrap();
+        }
+        fs::write(folder.0.join(FILE), b"x").unwrap();
+        assert!(folder.load().unwrap_err().contains("too many files"));
+        assert_eq!(fs::read(folder.0.join(FILE)).unwrap(), b"x", "it was overwritten");
+    }
+
+    #[test]
+    fn a_folder_that_is_not_there_is_named() {
+        let config = StateConfig { folder: "/nowhere/at/all".into(), every_s: 1 };
+        assert!(Keep::load(&config, Vec::new()).unwrap_err().contains("/nowhere/at/all"));
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,8 +3,10 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use curlewdeck_account::nodes::NodeBounds;
+use curlewdeck_account::saved::Saved;
 use curlewdeck_account::{Account, End, Snapshot};
 use may::sync::mpsc::{Receiver, Sender};
 
@@ -60,6 +62,15 @@
         self.mail.send(Msg::Books(Box::new(take)));
     }
 
+    /// What of the books outlives the process; none if the core does not come to it in time. Not called from a
+    /// coroutine.
+    pub fn saved(&self) -> Option<Saved> {
+        let (told, saved) = std::sync::mpsc::channel();
+        // Nobody waits any more after the time-out.
+        self.mail.send(Msg::Save(Box::new(move |books| drop(told.send(books)))));
+        saved.recv_timeout(SAVED).ok()
+    }
+
     /// The client of a query has left.
     pub fn gone(&self, id: QueryId) {
         self.mail.send(Msg::Gone(id));
@@ -77,6 +88,9 @@
     }
 }
 
+/// The core comes to what it is asked within this, or is so busy that it has to wait.
+const SAVED: Duration = Duration::from_secs(2);
+
 /// What the core's actor is made of.
 pub struct Parts {
     /// The engine.
@@ -93,6 +107,8 @@
     pub stack_words: usize,
     /// Bounds of the books' table of nodes.
     pub nodes: NodeBounds,
+    /// What an earlier process had booked.
+    pub restored: Option<Saved>,
     /// Told of the shards of which a holder is new or has started anew.
     pub started: Option<Started>,
 }
@@ -139,7 +155,11 @@
         Discovery::Pushed => Nanos::MAX,
     };
     let heard = parts.clock.now();
-    let account = Account::new(&parts.info.settings.classes, &parts.info.classes, parts.nodes);
+    let mut account = Account::new(&parts.info.settings.classes, &parts.info.classes, parts.nodes);
+    if let Some(saved) = &parts.restored {
+        account.restore(saved);
+        core.counters.view(&account);
+    }
     let mut actor = Actor {
         engine: parts.engine,
         account,
@@ -223,10 +243,12 @@
                     Counters::add(&self.core.counters.values_unfit);
                 }
             }
+            Msg::Save(take) => {
+                self.take_over_full();
+                take(self.account.save());
+            }
             Msg::Books(take) => {
-                for (class, full) in self.core.full.iter().enumerate() {
-                    self.account.full(ClassId(class), full.load(Ordering::Relaxed));
-                }
+                self.take_over_full();
                 let snapshot = self.account.snapshot(now);
                 debug_assert_eq!(snapshot.check(), Ok(()));
                 take(snapshot);
@@ -236,6 +258,13 @@
         }
     }
 
+    /// Queries that were turned away before they came here.
+    fn take_over_full(&mut self) {
+        for (class, full) in self.core.full.iter().enumerate() {
+            self.account.full(ClassId(class), full.load(Ordering::Relaxed));
+        }
+    }
+
     fn take_list(&mut self, news: ListNews) {
         let now = self.core.clock.now();
         if news.kind != ListKind::Error {
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
+use curlewdeck_account::saved::Saved;
 use curlewdeck_account::Snapshot;
 use may::sync::mpsc::{channel, Receiver, Sender};
 
@@ -34,6 +35,8 @@
     Rung,
     /// Somebody wants to see the books.
     Books(Box<dyn FnOnce(Snapshot) + Send>),
+    /// Somebody wants what of them outlives the process.
+    Save(Box<dyn FnOnce(Saved) + Send>),
 }
 
 /// The core's mailbox.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::front::ogc::Ogc;
 use crate::front::platform::Platform;
 use crate::front::server::{self, Front, Service, Shared};
+use crate::keep::Keep;
 use crate::limits::Limits;
 use crate::net::core::{self, Core};
 use crate::net::feature_node;
@@ -26,7 +27,7 @@
 use crate::net::mail::{self, ListMsg};
 use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
-use crate::snmp;
+use crate::snmp::{self, SnmpConfig};
 
 /// A coordinator that serves.
 pub struct Coordinator {
@@ -43,6 +44,7 @@
     service: Arc<Service>,
     limits: Arc<Limits>,
     list: Sender<ListMsg>,
+    keep: Option<Arc<Keep>>,
     /// The list's service as the configuration file last named it.
     named: Mutex<SocketAddr>,
 }
@@ -88,7 +90,16 @@
         }
     };
     let memory = edge.desk.as_ref().map(|_| Memory::new(&limits, info.ranges));
+    let keep = match &edge.state {
+        Some(state) => {
+            let engine = edge.snmp.as_ref().map_or(Ok(Vec::new()), SnmpConfig::engine)?;
+            Some(Arc::new(Keep::load(state, engine)?))
+        }
+        None => None,
+    };
+    let kept = keep.as_ref().map(|k| k.kept());
     let parts = core::Parts {
+        restored: kept.as_ref().map(|k| k.books.clone()),
         nodes: NodeBounds { rows: limits.node_rows, keep: nanos(limits.node_row_keep) },
         started: memory.as_ref().map(Memory::forgetting),
         engine,
@@ -122,14 +133,20 @@
         _ => None,
     };
     let snmp = match &edge.snmp {
-        Some(agent) => Some(snmp::start(agent, core.clone(), counters, limits.clone())?),
+        Some(agent) => {
+            let engine = kept.filter(|k| !k.engine.is_empty()).map(|k| (k.engine, k.boots));
+            Some(snmp::start(agent, core.clone(), counters, limits.clone(), engine)?)
+        }
         None => None,
     };
     let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
     let listen = open(config.listen, Arc::new(platform))?;
     log::info!("{} serves at {listen}", config.name);
+    if let Some(keep) = &keep {
+        keep.start(core.clone()).map_err(|e| format!("cannot start to keep the state: {e}"))?;
+    }
     let named = Mutex::new(config.named_discovery);
-    Ok(Coordinator { listen, ogc, desk, snmp, core, service, limits, list, named })
+    Ok(Coordinator { keep, listen, ogc, desk, snmp, core, service, limits, list, named })
 }
 
 const LOOK: Duration = Duration::from_millis(10);
@@ -206,5 +223,8 @@
             at_rest = if self.service.close_idle() { at_rest + 1 } else { 0 };
             std::thread::sleep(LOOK);
         }
+        if let Some(keep) = &self.keep {
+            keep.write_now(&self.core, true);
+        }
     }
 }
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -72,7 +72,11 @@
         }
     }
 
-    fn engine(&self) -> Result<Vec<u8>, String> {
+    /// The engine id that the file gives, or one that is made now.
+    ///
+    /// # Errors
+    /// What the file gives is none.
+    pub fn engine(&self) -> Result<Vec<u8>, String> {
         let Some(text) = &self.engine_id else {
             let mut own = [0; 8];
             getrandom::fill(&mut own).map_err(|e| format!("snmp: no random numbers: {e}"))?;
@@ -92,13 +96,19 @@
         }
     }
 
-    /// The agent that this section describes.
+    /// The agent that this section describes, with the engine id and boots that were kept, if any were.
     ///
     /// # Errors
     /// Names what is out of place, and never a secret.
-    pub fn agent(&self, limits: &Limits) -> Result<Agent, String> {
+    pub fn agent(&self, limits: &Limits, kept: Option<(Vec<u8>, u32)>) -> Result<Agent, String> {
         let bounds = Bounds { bindings: limits.snmp_bindings, bytes: limits.snmp_bytes };
-        let mut agent = Agent::new(bounds, self.engine()?, boots(), mib::known());
+        // An id that the file gives comes before one that was kept.
+        let (engine, boots) = match kept {
+            Some((engine, boots)) if self.engine_id.is_none() => (engine, boots),
+            Some((_, boots)) => (self.engine()?, boots),
+            None => (self.engine()?, boots()),
+        };
+        let mut agent = Agent::new(bounds, engine, boots, mib::known());
         if self.community.is_none() && self.users.is_none() {
             return Err("snmp: nobody may ask: a community or a file of users is needed".into());
         }
@@ -188,9 +198,10 @@
     core: Core,
     counters: Arc<Counters>,
     limits: Arc<Limits>,
+    kept: Option<(Vec<u8>, u32)>,
 ) -> Result<SocketAddr, String> {
     let cannot = |e: std::io::Error| format!("cannot listen at {}: {e}", config.listen);
-    let agent = config.agent(&limits)?;
+    let agent = config.agent(&limits, kept)?;
     let socket = UdpSocket::bind(config.listen).map_err(cannot)?;
     let local = socket.local_addr().map_err(cannot)?;
     let walkers = Walkers::new(walkers::Bounds {
--- a/tests/books.rs
+++ b/tests/books.rs
@@ -81,3 +81,70 @@
     until("the core forgets the node", || books(&coordinator).nodes[1].gone.is_some());
     assert_eq!(books(&coordinator).nodes[1].attempts, s.nodes[1].attempts);
 }
+
+/// A process that ends by itself, and one that is killed, go on from what was written: totals never fall below that and
+/// never rise above what was served.
+#[test]
+fn totals_go_on_after_a_restart() {
+    use std::process::{Child, Command, Stdio};
+    let folder = std::env::temp_dir().join(format!("curlewdeck-books-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let node = DataNode::start(|_| NodeReply::Answer(200, 1, "v".to_string()));
+    let discovery =
+        Discovery::start("127.0.0.1:0", vec![member("a", 0, node.addr), member("b", 1, node.addr)]);
+    let edge = format!("[state]\nfolder = {folder:?}\nevery_s = 1\n");
+    std::fs::write(folder.join("edge.toml"), edge).unwrap();
+    // Deadlines are short here, so that the process ends soon after SIGTERM.
+    let config = Bed { deadline_s: 1, ..Bed::default() }.config(discovery.addr);
+    std::fs::write(folder.join("config.json"), config).unwrap();
+    let start = || -> (Child, std::net::SocketAddr) {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_curlewdeck"))
+            .args(["serve", "--config", "config.json", "--edge", "edge.toml"])
+            .current_dir(&folder)
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        // It says where it listens.
+        use std::io::BufRead;
+        let mut lines = std::io::BufReader::new(child.stderr.take().unwrap()).lines();
+        let addr = loop {
+            let line = lines.next().expect("a line that says where it serves").unwrap();
+            if let Some((_, addr)) = line.split_once("serves at ") {
+                break addr.trim().parse().unwrap();
+            }
+        };
+        // Read on, or it would wait for somebody to.
+        std::thread::spawn(move || lines.for_each(drop));
+        until("health", || bed::stand_in::get(addr, "/_health").is_ok_and(|a| a.status == 200));
+        (child, addr)
+    };
+    let kept = || {
+        let bytes = std::fs::read(folder.join("books")).unwrap();
+        let kind = curlewdeck_keep::record::Kind { what: 1, form: 1 };
+        curlewdeck_keep::record::open::<curlewdeck::keep::Kept>(kind, &bytes).unwrap()
+    };
+    let total = || kept().books.classes.iter().flat_map(|c| c.ended).sum::<u64>();
+    let mut served = 0;
+    for round in 0..4 {
+        let (mut child, addr) = start();
+        assert_eq!(kept().boots, round + 1);
+        for _ in 0..5 {
+            served += u64::from(query(addr, "tag-lookup", &[0, 1]).unwrap().status == 200);
+        }
+        if round % 2 == 0 {
+            let ended = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+            assert!(ended.success() && child.wait().unwrap().success());
+            assert_eq!(total(), served, "what was served is kept at the end");
+        } else {
+            let before = total();
+            child.kill().unwrap();
+            child.wait().unwrap();
+            let after = total();
+            assert!((before..=served).contains(&after), "{after} of {served} after a kill");
+            // What was not yet written is lost, and only that.
+            served = after;
+        }
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
