Tell a network room of drains, losses, refusals and security failures by SNMP

Need: the network room polls; what happens between two polls, and a process that ends, it does not see. Change: crates/snmp::notify (pure) bounds rates and repeats informs; src/notices.rs compares the books of one second with those of the next and sends; the MIB has the notifications, curlewdeck snmp listen prints them. Off without notify. Cause found: in a coroutine a socket's read time-out ended a later wait for the core too early, so that two looks of three failed; the sender is a thread. Measured: a loopback listener hears start, drain, loss and a wrong secret; an unanswered inform comes again after 2.0 s.

--- a/crates/snmp/src/agent.rs
+++ b/crates/snmp/src/agent.rs
@@ -134,6 +134,12 @@
         all
     }
 
+    /// Messages of version 3 that were not served for their security, other than those that only look for the engine.
+    pub fn denied(&self) -> u64 {
+        let seeks = Wrong::Engine as usize - 1;
+        self.stats.iter().enumerate().filter(|(n, _)| *n != seeks).map(|(_, &count)| u64::from(count)).sum()
+    }
+
     /// Reads a message, at this time of the engine in seconds.
     pub fn read(&mut self, bytes: &[u8], time: u32) -> Incoming {
         if let Ok(message) = rasn::ber::decode::<v2c::Message<Pdus>>(bytes) {
--- a/crates/snmp/src/lib.rs
+++ b/crates/snmp/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod codec;
 pub mod manager;
+pub mod notify;
 pub mod registry;
 pub mod tree;
 pub mod usm;
--- a/crates/snmp/src/registry.rs
+++ b/crates/snmp/src/registry.rs
@@ -107,6 +107,19 @@
     pub columns: Vec<Object>,
 }
 
+/// A notification, below the root's object 0 (RFC 2578, section 8.5).
+#[derive(Debug, Clone)]
+pub struct Notification {
+    /// Its name.
+    pub name: &'static str,
+    /// Its number.
+    pub arc: u32,
+    /// The objects that it carries.
+    pub objects: Vec<&'static str>,
+    /// When it is sent.
+    pub about: &'static str,
+}
+
 /// A MIB module.
 #[derive(Debug, Clone)]
 pub struct Module {
@@ -126,6 +139,8 @@
     pub tables_arc: u32,
     /// Its tables.
     pub tables: Vec<Table>,
+    /// Its notifications.
+    pub notifications: Vec<Notification>,
     /// The arc of its conformance statements.
     pub conformance_arc: u32,
 }
@@ -162,6 +177,16 @@
         found.map(|(oid, object)| (object.name.clone(), &name[oid.len()..]))
     }
 
+    /// The full name of a notification.
+    pub fn notification(&self, name: &str) -> Option<Oid> {
+        self.notifications.iter().find(|n| n.name == name).map(|n| self.below(&[0, n.arc]))
+    }
+
+    /// The notification of this full name.
+    pub fn notification_of(&self, oid: &[u32]) -> Option<&Notification> {
+        self.notifications.iter().find(|n| self.below(&[0, n.arc]) == oid)
+    }
+
     /// The module's text.
     pub fn text(&self) -> String {
         let mut t = String::new();
@@ -175,10 +200,10 @@
         writeln!(t, "{name} DEFINITIONS ::= BEGIN\n\nIMPORTS")?;
         writeln!(
             t,
-            "    MODULE-IDENTITY, OBJECT-TYPE, Counter64, Counter32, Gauge32, Unsigned32, enterprises"
+            "    MODULE-IDENTITY, OBJECT-TYPE, NOTIFICATION-TYPE, Counter64, Counter32, Gauge32, Unsigned32, enterprises"
         )?;
         writeln!(t, "        FROM SNMPv2-SMI\n    DisplayString, TimeStamp\n        FROM SNMPv2-TC")?;
-        writeln!(t, "    MODULE-COMPLIANCE, OBJECT-GROUP\n        FROM SNMPv2-CONF;\n")?;
+        writeln!(t, "    MODULE-COMPLIANCE, OBJECT-GROUP, NOTIFICATION-GROUP\n        FROM SNMPv2-CONF;\n")?;
         writeln!(
             t,
             "-- Written by 'curlewdeck mib' from the registry that the agent serves: do not edit.\n"
@@ -197,11 +222,13 @@
             writeln!(t, "{} OBJECT IDENTIFIER ::= {{ {root} {} }}", group.name, group.arc)?;
         }
         writeln!(t, "cdConformance OBJECT IDENTIFIER ::= {{ {root} {} }}", self.conformance_arc)?;
+        writeln!(t, "cdNotifications OBJECT IDENTIFIER ::= {{ {root} 0 }}")?;
         writeln!(t, "cdTables OBJECT IDENTIFIER ::= {{ {root} {} }}", self.tables_arc)?;
         for group in &self.groups {
             group.objects.iter().try_for_each(|o| object(t, o, group.name, "read-only"))?;
         }
         self.tables.iter().try_for_each(|table| self.write_table(t, table))?;
+        self.write_notifications(t)?;
         self.write_conformance(t)?;
         writeln!(t, "\nEND")
     }
@@ -226,6 +253,18 @@
         })
     }
 
+    fn write_notifications(&self, t: &mut String) -> std::fmt::Result {
+        for n in &self.notifications {
+            writeln!(t, "\n{} NOTIFICATION-TYPE", n.name)?;
+            if !n.objects.is_empty() {
+                writeln!(t, "    OBJECTS     {{ {} }}", n.objects.join(", "))?;
+            }
+            writeln!(t, "    STATUS      current\n    DESCRIPTION \"{}\"", n.about)?;
+            writeln!(t, "    ::= {{ cdNotifications {} }}", n.arc)?;
+        }
+        Ok(())
+    }
+
     fn write_conformance(&self, t: &mut String) -> std::fmt::Result {
         let mut groups: Vec<(String, Vec<String>)> = Vec::new();
         for g in &self.groups {
@@ -245,7 +284,15 @@
             )?;
             writeln!(t, "    STATUS      current\n    DESCRIPTION \"All of them.\"\n    ::= {{ cdConformance {arc} }}")?;
         }
-        let names: Vec<&str> = groups.iter().map(|g| g.0.as_str()).collect();
+        let mut names: Vec<&str> = groups.iter().map(|g| g.0.as_str()).collect();
+        let told: Vec<&str> = self.notifications.iter().map(|n| n.name).collect();
+        if !told.is_empty() {
+            names.push("cdNotificationGroup");
+            writeln!(t, "\ncdNotificationGroup NOTIFICATION-GROUP")?;
+            writeln!(t, "    NOTIFICATIONS {{ {} }}", told.join(",\n                    "))?;
+            let arc = groups.len() + 2;
+            writeln!(t, "    STATUS      current\n    DESCRIPTION \"All of them.\"\n    ::= {{ cdConformance {arc} }}")?;
+        }
         writeln!(t, "\ncdCompliance MODULE-COMPLIANCE\n    STATUS      current")?;
         writeln!(t, "    DESCRIPTION \"An agent serves all of them.\"\n    MODULE")?;
         writeln!(t, "        MANDATORY-GROUPS {{ {} }}", names.join(",\n                           "))?;
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -90,6 +90,8 @@
     recall_evicted "cdRecallEvicted",
     /// Ranges that said two things of one version.
     recall_contradictions "cdRecallContradictions",
+    /// Management requests that were not served for their security.
+    snmp_denied "cdSnmpDenied",
 }
 
 impl Counters {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limits;
 pub mod mib;
 pub mod net;
+pub mod notices;
 pub mod query;
 pub mod serve;
 pub mod snmp;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -124,6 +124,18 @@
     pub snmp_walk: Duration,
     /// See there.
     pub snmp_fresh: Duration,
+    /// The same notification of the same subject is sent no more often than this.
+    pub notify_gap: Duration,
+    /// Notifications sent at once, and how long until there may be one more.
+    pub notify_burst: u32,
+    /// See there.
+    pub notify_refill: Duration,
+    /// Informs that wait for their answer, after how long they are first repeated, and how often they are sent in all.
+    pub notify_waiting: usize,
+    /// See there.
+    pub notify_again: Duration,
+    /// See there.
+    pub notify_tries: u32,
     /// Variables in one management request or answer.
     pub snmp_bindings: usize,
     /// Bytes of the same.
@@ -187,6 +199,12 @@
             snmp_walk_idle: Duration::from_secs(2),
             snmp_walk: Duration::from_secs(30),
             snmp_fresh: Duration::from_millis(100),
+            notify_gap: Duration::from_secs(60),
+            notify_burst: 20,
+            notify_refill: Duration::from_secs(5),
+            notify_waiting: 64,
+            notify_again: Duration::from_secs(2),
+            notify_tries: 4,
             snmp_bindings: 64,
             snmp_bytes: 4096,
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -55,6 +55,14 @@
         return Ok(query.run());
     }
     if command.as_deref() == Some("snmp") {
+        let words = args.clone().finish();
+        if words.iter().any(|w| w == "listen") {
+            // The word itself; then its own options.
+            args.free_from_str::<String>().map_err(|e| e.to_string())?;
+            let listen = snmp_tool::listen(&mut args)?;
+            no_more(args)?;
+            return listen().map(|()| 0);
+        }
         let manager = snmp_tool::Command::read(&mut args)?;
         no_more(args)?;
         return manager.run().map(|()| 0);
--- a/src/mib.rs
+++ b/src/mib.rs
@@ -4,7 +4,7 @@
 //! its own changes [`ROOT`] and writes the MIB anew with `curlewdeck mib`.
 
 use curlewdeck_account::{End, Snapshot, OUTCOMES, QUANTILES};
-use curlewdeck_snmp::registry::{Group, Module, Object, Syntax, Table};
+use curlewdeck_snmp::registry::{Group, Module, Notification, Object, Syntax, Table};
 use curlewdeck_snmp::tree::Value;
 use curlewdeck_snmp::Oid;
 
@@ -171,7 +171,7 @@
         root_name: "curlewdeck",
         root: ROOT.to_vec(),
         revisions: vec![
-            ("202612011700Z", "Tables of classes, ends, latencies and data nodes."),
+            ("202612011700Z", "Tables of classes, ends, latencies and data nodes; notifications."),
             ("202612011600Z", "Counters of the desk front."),
             ("202612010000Z", "First version."),
         ],
@@ -179,10 +179,25 @@
         groups: vec![counters(), general()],
         tables_arc: TABLES,
         tables: class_tables().into_iter().chain(node_tables()).collect(),
+        notifications: notifications(),
         conformance_arc: CONFORMANCE,
     }
 }
 
+fn notifications() -> Vec<Notification> {
+    let of = |arc, name, objects, about| Notification { name, arc, objects, about };
+    vec![
+        of(1, "cdNodeDraining", vec!["cdNodeName"], "The list says that a data node drains: it gets nothing new. Look whether that is planned."),
+        of(2, "cdNodeLost", vec!["cdNodeName"], "A data node has left the list."),
+        of(3, "cdListSilent", vec!["cdListOverdue"], "The list's service was silent for longer than the settings allow. Look at it: drains may come late."),
+        of(4, "cdRefusalsHigh", vec!["cdQueriesRefused", "cdQueriesFull"], "Of the queries of the last seconds more than the set share were refused or turned away. Look for nodes in trouble, or more load than there are nodes for."),
+        of(5, "cdDescriptorsLow", vec![], "The process holds more than nine tenths of the descriptors that it may. Look at who connects."),
+        of(6, "cdSecurityFailure", vec!["cdSnmpDenied"], "A management request of version 3 was not served for its security: a wrong secret, user or level, or one that was replayed."),
+        of(7, "cdStarted", vec![], "The process serves."),
+        of(8, "cdStopping", vec![], "The process was told to end, and finishes what it holds."),
+    ]
+}
+
 /// Hundredths of a second between two times; they start over after 497 days.
 pub fn ticks(begun: Nanos, at: Nanos) -> u32 {
     (at.saturating_sub(begun) / 10_000_000) as u32
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -27,6 +27,7 @@
 use crate::net::mail::{self, ListMsg};
 use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
+use crate::notices::{self, Stopping};
 use crate::snmp::{self, SnmpConfig};
 
 /// A coordinator that serves.
@@ -45,6 +46,8 @@
     limits: Arc<Limits>,
     list: Sender<ListMsg>,
     keep: Option<Arc<Keep>>,
+    /// Tells whoever is to be told that the process ends.
+    stopping: Option<Stopping>,
     /// The list's service as the configuration file last named it.
     named: Mutex<SocketAddr>,
 }
@@ -132,8 +135,10 @@
         }
         _ => None,
     };
+    let mut stopping = None;
     let snmp = match &edge.snmp {
         Some(agent) => {
+            stopping = notices::start(agent, core.clone(), &limits, config.sockets)?;
             let engine = kept.filter(|k| !k.engine.is_empty()).map(|k| (k.engine, k.boots));
             Some(snmp::start(agent, core.clone(), counters, limits.clone(), engine)?)
         }
@@ -146,7 +151,7 @@
         keep.start(core.clone()).map_err(|e| format!("cannot start to keep the state: {e}"))?;
     }
     let named = Mutex::new(config.named_discovery);
-    Ok(Coordinator { keep, listen, ogc, desk, snmp, core, service, limits, list, named })
+    Ok(Coordinator { keep, stopping, listen, ogc, desk, snmp, core, service, limits, list, named })
 }
 
 const LOOK: Duration = Duration::from_millis(10);
@@ -214,6 +219,9 @@
         let classes = &self.core.info.settings.classes;
         let longest = classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let (accept, answered) = self.limits.term(Duration::from_nanos(longest));
+        if let Some(stopping) = &self.stopping {
+            stopping.now();
+        }
         self.service.drain(answered);
         std::thread::sleep(accept);
         let start = Instant::now();
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -38,11 +38,34 @@
     /// What users, or with their name the community, may see; all where nothing is said.
     #[serde(default)]
     pub views: Vec<ViewConfig>,
+    /// Who is told of what happens.
+    #[serde(default)]
+    pub notify: Vec<NotifyConfig>,
+    /// Of the queries of ten seconds: where more than this share are refused, that is told.
+    #[serde(default = "a_tenth")]
+    pub refusal_share: f64,
     /// The agent's engine id in hexadecimal digits, for localised keys; one is made at the start where it is not given.
     #[serde(default)]
     pub engine_id: Option<String>,
 }
 
+fn a_tenth() -> f64 {
+    0.1
+}
+
+/// One who is told, with version 2c.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NotifyConfig {
+    /// Where.
+    pub to: SocketAddr,
+    /// The community.
+    pub community: String,
+    /// Whether an answer is waited for, and the notification repeated without one.
+    #[serde(default)]
+    pub inform: bool,
+}
+
 /// One view.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -170,7 +193,9 @@
     fn serve(&mut self, bytes: &[u8], from: SocketAddr) -> Option<Vec<u8>> {
         let now = self.core.clock.now();
         let time = (now.saturating_sub(self.begun) / 1_000_000_000) as u32;
-        let request = match self.agent.read(bytes, time) {
+        let incoming = self.agent.read(bytes, time);
+        Counters::set(&self.counters.snmp_denied, self.agent.denied());
+        let request = match incoming {
             Incoming::Drop => return None,
             Incoming::Reply(bytes) => return Some(bytes),
             Incoming::Ask(request) => request,
--- a/src/snmp_tool.rs
+++ b/src/snmp_tool.rs
@@ -8,6 +8,7 @@
 
 use curlewdeck_client::table::columns;
 use curlewdeck_snmp::manager::{Ask, Got, Reply, Security, Session, Walk};
+use curlewdeck_snmp::notify::receive;
 use curlewdeck_snmp::registry::{Module, Syntax};
 use curlewdeck_snmp::tree::Value;
 use curlewdeck_snmp::usm::User;
@@ -19,6 +20,8 @@
 
 /// What it takes, for the help page.
 pub const HELP: &str = "\
+    curlewdeck snmp listen ADDRESS [--count N] [--json]
+                                                      print notifications, and answer informs
     curlewdeck snmp get|walk|table ADDRESS NAME (--community C | --users FILE --user NAME)
                      [--timeout MS] [--tries N] [--json]
                                                       ask a management agent; NAME is an object of the MIB,
@@ -43,6 +46,74 @@
     Table,
 }
 
+/// `listen`: prints notifications of version 2c that come to an address, and answers informs; so many, or without end.
+///
+/// # Errors
+/// Says in one line what is missing, or why it cannot listen.
+pub fn listen(args: &mut Arguments) -> Result<impl FnOnce() -> Result<(), String>, String> {
+    let count = args.opt_value_from_str::<_, u64>("--count").map_err(|e| e.to_string())?.unwrap_or(u64::MAX);
+    let json = args.contains("--json");
+    let address: String =
+        args.free_from_str().map_err(|_| "snmp: ADDRESS is missing, see 'curlewdeck help'")?;
+    Ok(move || {
+        let socket = UdpSocket::bind(&address).map_err(|e| format!("{address}: {e}"))?;
+        let (module, mut buf, mut heard) = (mib::module(), vec![0; 65_536], 0);
+        while heard < count {
+            let (size, from) = socket.recv_from(&mut buf).map_err(|e| e.to_string())?;
+            let Some((oid, objects, answer)) = receive(&buf[..size]) else { continue };
+            if let Some(answer) = answer {
+                socket.send_to(&answer, from).map_err(|e| e.to_string())?;
+            }
+            heard += 1;
+            let name = module.notification_of(&oid).map_or_else(|| dotted(&oid), |n| n.name.to_string());
+            let objects: BTreeMap<String, String> =
+                objects.iter().map(|(oid, value)| (shown(&module, oid), text(&module, oid, value))).collect();
+            match json {
+                true => println!(
+                    "{}",
+                    serde_json::json!({"from": from.to_string(), "name": name, "objects": objects})
+                ),
+                false => {
+                    let objects: Vec<String> = objects.iter().map(|(n, v)| format!("{n}={v}")).collect();
+                    println!("{from} {name} {}", objects.join(" "));
+                }
+            }
+        }
+        Ok(())
+    })
+}
+
+/// A name as the MIB has it.
+fn shown(module: &Module, oid: &[u32]) -> String {
+    match module.object_of(oid) {
+        Some((name, [])) => name,
+        Some((name, instance)) => format!("{name}.{}", dotted(instance)),
+        None => dotted(oid),
+    }
+}
+
+/// A value in words; a number of a list by its name.
+fn text(module: &Module, oid: &[u32], value: &Value) -> String {
+    match value {
+        Value::Integer(n) => {
+            let object = module.objects().into_iter().rfind(|o| oid.starts_with(&o.0));
+            let named = object.and_then(|(_, o)| match o.syntax {
+                Syntax::Enum(names) => names.iter().find(|name| name.1 == *n).map(|name| name.0.to_string()),
+                _ => None,
+            });
+            named.unwrap_or_else(|| n.to_string())
+        }
+        Value::Text(text) => match std::str::from_utf8(text) {
+            Ok(text) if !text.chars().any(char::is_control) => text.to_string(),
+            _ => text.iter().map(|b| format!("{b:02x}")).collect(),
+        },
+        Value::Name(oid) => dotted(oid),
+        Value::Counter32(n) | Value::Gauge(n) => n.to_string(),
+        Value::Ticks(n) => format!("{}.{:02} s", n / 100, n % 100),
+        Value::Counter64(n) => n.to_string(),
+    }
+}
+
 /// Rounds of a bulk request: the agent fills its message with as many as fit.
 const ROUNDS: u32 = 50;
 
@@ -134,47 +205,18 @@
         Ok(())
     }
 
-    /// A name as the MIB has it.
     fn shown(&self, oid: &[u32]) -> String {
-        match self.module.object_of(oid) {
-            Some((name, [])) => name,
-            Some((name, instance)) => format!("{name}.{}", dotted(instance)),
-            None => dotted(oid),
-        }
+        shown(&self.module, oid)
     }
 
     fn line(&self, oid: &[u32], value: &Value) {
-        let (name, text) = (self.shown(oid), self.text(oid, value));
+        let (name, text) = (self.shown(oid), text(&self.module, oid, value));
         match self.json {
             true => println!("{}", serde_json::json!({"name": name, "oid": dotted(oid), "value": text})),
             false => println!("{name} = {text}"),
         }
     }
 
-    /// A value in words; a number of a list by its name.
-    fn text(&self, oid: &[u32], value: &Value) -> String {
-        match value {
-            Value::Integer(n) => {
-                let object = self.module.objects().into_iter().rfind(|o| oid.starts_with(&o.0));
-                let named = object.and_then(|(_, o)| match o.syntax {
-                    Syntax::Enum(names) => {
-                        names.iter().find(|name| name.1 == *n).map(|name| name.0.to_string())
-                    }
-                    _ => None,
-                });
-                named.unwrap_or_else(|| n.to_string())
-            }
-            Value::Text(text) => match std::str::from_utf8(text) {
-                Ok(text) if !text.chars().any(char::is_control) => text.to_string(),
-                _ => text.iter().map(|b| format!("{b:02x}")).collect(),
-            },
-            Value::Name(oid) => dotted(oid),
-            Value::Counter32(n) | Value::Gauge(n) => n.to_string(),
-            Value::Ticks(n) => format!("{}.{:02} s", n / 100, n % 100),
-            Value::Counter64(n) => n.to_string(),
-        }
-    }
-
     /// Rows by index; a column for each object. Tables that are met together follow each other.
     fn table(&self, met: &[(Oid, Value)]) -> String {
         let mut tables: BTreeMap<Oid, BTreeMap<Vec<u32>, BTreeMap<u32, String>>> = BTreeMap::new();
@@ -183,7 +225,7 @@
             let column = &oid[..oid.len() - instance.len()];
             let Some((&arc, row)) = column.split_last() else { continue };
             let rows = tables.entry(row.to_vec()).or_default();
-            rows.entry(instance.to_vec()).or_default().insert(arc, self.text(oid, value));
+            rows.entry(instance.to_vec()).or_default().insert(arc, text(&self.module, oid, value));
         }
         let one = |(base, rows): (&Oid, &BTreeMap<Vec<u32>, BTreeMap<u32, String>>)| {
             let arcs: BTreeSet<u32> = rows.values().flat_map(|r| r.keys().copied()).collect();
--- a/tests/snmp.rs
+++ b/tests/snmp.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bed::stand_in::{DataNode, Discovery, NodeReply};
-use bed::{member, query, ready, Bed};
+use bed::{change, member, query, ready, Bed};
 use rasn::types::ObjectIdentifier;
 use rasn_snmp::v2::{GetRequest, Pdu, Pdus, VarBind, VarBindValue};
 use rasn_snmp::v2c::Message;
@@ -165,3 +165,56 @@
     );
     assert_eq!(fault("community = \"c\""), "");
 }
+
+/// Who is told hears of the start, of a drain and a loss, and of a wrong secret, each with its objects; an inform comes
+/// again until it is answered.
+#[test]
+fn what_happens_is_told() {
+    use std::os::unix::fs::PermissionsExt;
+    let listener = UdpSocket::bind("127.0.0.1:0").unwrap();
+    listener.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    let folder = std::env::temp_dir().join(format!("curlewdeck-notices-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("users");
+    let users = format!("noc auth key:{}\n", "1b".repeat(32));
+    std::fs::write(&file, &users).unwrap();
+    std::fs::set_permissions(&file, PermissionsExt::from_mode(0o600)).unwrap();
+    let node = DataNode::start(|_| NodeReply::Answer(200, 0, "v".into()));
+    let discovery =
+        Discovery::start("127.0.0.1:0", vec![member("a", 0, node.addr), member("b", 1, node.addr)]);
+    let to = listener.local_addr().unwrap();
+    let edge = format!(
+        "[snmp]\nlisten = \"127.0.0.1:0\"\nusers = {file:?}\n\
+        [[snmp.notify]]\nto = \"{to}\"\ncommunity = \"c\"\ninform = true\n"
+    );
+    let coordinator = Bed::default().start(discovery.addr, &edge);
+    ready(&coordinator);
+    let module = curlewdeck::mib::module();
+    let mut buf = [0; 2048];
+    // The next notification that is not one that was heard already, with its first object; `answered`: or not.
+    let mut next = |answered: bool| {
+        let (size, from) = listener.recv_from(&mut buf).unwrap();
+        let (oid, objects, answer) = curlewdeck_snmp::notify::receive(&buf[..size]).unwrap();
+        if answered {
+            listener.send_to(&answer.unwrap(), from).unwrap();
+        }
+        (module.notification_of(&oid).unwrap().name, objects.get(1).cloned())
+    };
+    assert_eq!(next(false).0, "cdStarted");
+    assert_eq!(next(true).0, "cdStarted", "not answered, so it comes again");
+    change(&coordinator, &discovery, "b", "draining");
+    let (name, object) = next(true);
+    assert_eq!((name, object.unwrap().1), ("cdNodeDraining", Value::Text(b"b".to_vec())));
+    change(&coordinator, &discovery, "b", "removed");
+    assert_eq!(next(true).0, "cdNodeLost");
+    let wrong = users.replace("1b", "1c");
+    let mut eve = Session::new(Security::User(User::read_all(&wrong).unwrap().remove(0)), 1, 7);
+    let agent = coordinator.snmp.unwrap();
+    assert!(exchange(agent, &mut eve, &Ask::Get(vec![vec![1, 3]]))
+        .unwrap_err()
+        .to_string()
+        .contains("digest"));
+    let (name, object) = next(true);
+    assert_eq!((name, object.unwrap().1), ("cdSecurityFailure", Value::Counter64(1)));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
