Read hexadecimal digits with hex, and recall missing ranges in one place

Need: three hand-made readers of digits, and two loops over missing ranges that were alike. Change: the hex crate in merge, snmp and the agent's section; Merging::remembered serves figures and rankings.

--- a/crates/merge/src/cursor.rs
+++ b/crates/merge/src/cursor.rs
@@ -183,8 +183,8 @@
             if line.is_empty() {
                 continue;
             }
-            let bytes =
-                hex(line).ok_or_else(|| format!("line {n}: hexadecimal digits in pairs are expected"))?;
+            let bytes = hex::decode(line)
+                .map_err(|_| format!("line {n}: hexadecimal digits in pairs are expected"))?;
             if bytes.len() < KEY_BYTES {
                 return Err(format!("line {n}: a key needs {KEY_BYTES} bytes or more"));
             }
@@ -273,13 +273,6 @@
     }
 }
 
-fn hex(text: &str) -> Option<Vec<u8>> {
-    if !text.len().is_multiple_of(2) || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return None;
-    }
-    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/merge/src/merging.rs
+++ b/crates/merge/src/merging.rs
@@ -227,6 +227,24 @@
         }
     }
 
+    /// What is remembered of the ranges that are missing, in their order, and at which versions.
+    fn remembered(
+        &self,
+        cover: &Cover,
+        recall: &mut Recall,
+        now: Nanos,
+    ) -> (BTreeMap<Range, u64>, Vec<Option<Fact>>) {
+        let mut versions = BTreeMap::new();
+        let mut known = |&range: &Range| {
+            let (version, fact) = recall.recall(now, self.shape, range)?;
+            versions.insert(range, version);
+            Some(fact)
+        };
+        // A query's shape has facts of one kind: figures, or rows.
+        let facts = cover.missing.keys().map(&mut known).collect();
+        (versions, facts)
+    }
+
     fn figure(
         &self,
         cover: &Cover,
@@ -239,16 +257,12 @@
             folding.add(&value.header)?;
         }
         let known = folding.total()?;
-        let (mut bounded, mut folds) = (BTreeMap::new(), Vec::new());
-        for &range in cover.missing.keys() {
-            folds.push(match recall.recall(now, self.shape, range) {
-                Some((version, Fact::Total(fold))) => {
-                    bounded.insert(range, version);
-                    Some(fold)
-                }
-                _ => None::<Fold>,
-            });
-        }
+        let (bounded, facts) = self.remembered(cover, recall, now);
+        let fold = |fact| match fact {
+            Some(Fact::Total(fold)) => Some(fold),
+            _ => None::<Fold>,
+        };
+        let folds: Vec<Option<Fold>> = facts.into_iter().map(fold).collect();
         let within = fold::interval(&known, &folds)?;
         let figure = Some(figure_of(&self.query, &known, within.as_ref(), cover.whole()));
         let head = Head { figure, ..self.head(cover, &bounded) };
@@ -262,16 +276,12 @@
         recall: &mut Recall,
         now: Nanos,
     ) -> Result<Merged, Fault> {
-        let (mut bounded, mut known) = (BTreeMap::new(), Vec::new());
-        for &range in cover.missing.keys() {
-            known.push(match recall.recall(now, self.shape, range) {
-                Some((version, Fact::Rows(rows))) => {
-                    bounded.insert(range, version);
-                    rows
-                }
-                _ => Known::Nothing,
-            });
-        }
+        let (bounded, facts) = self.remembered(cover, recall, now);
+        let rows = |fact| match fact {
+            Some(Fact::Rows(rows)) => rows,
+            _ => Known::Nothing,
+        };
+        let known: Vec<Known> = facts.into_iter().map(rows).collect();
         let query = &self.query;
         let ranking = match query.grouped {
             true => rank::merge_groups(values, &known, query.order, query.limit)?,
--- a/crates/snmp/src/usm.rs
+++ b/crates/snmp/src/usm.rs
@@ -69,10 +69,8 @@
                 false => Err("a passphrase needs 8 characters or more"),
             };
         }
-        let hex = text.strip_prefix("key:").ok_or("a secret is pass:TEXT or key:HEX")?;
-        let digits = hex.len() == 2 * KEY_BYTES && hex.bytes().all(|b| b.is_ascii_hexdigit());
-        let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).ok();
-        let key: Option<Vec<u8>> = digits.then(|| (0..hex.len()).step_by(2).filter_map(byte).collect());
+        let digits = text.strip_prefix("key:").ok_or("a secret is pass:TEXT or key:HEX")?;
+        let key = hex::decode(digits).ok().filter(|key| key.len() == KEY_BYTES);
         key.map(Self::Localized).ok_or("a localised key has 64 hexadecimal digits")
     }
 
@@ -245,8 +243,7 @@
     use super::*;
 
     fn hex(text: &str) -> Vec<u8> {
-        let text: String = text.split_whitespace().collect();
-        (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).unwrap()).collect()
+        hex::decode(text.split_whitespace().collect::<String>()).unwrap()
     }
 
     /// RFC 3414, appendix A.3.2.
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -106,17 +106,8 @@
             return Ok([&ENGINE[..], &own].concat());
         };
         let wrong = || format!("snmp: engine_id '{text}': 5 to 32 bytes in hexadecimal digits are expected");
-        let digits = text.len() % 2 == 0 && text.bytes().all(|b| b.is_ascii_hexdigit());
-        let byte = |at| u8::from_str_radix(&text[at..at + 2], 16).ok();
-        let id: Vec<u8> = match digits {
-            true => (0..text.len()).step_by(2).filter_map(byte).collect(),
-            false => return Err(wrong()),
-        };
-        if (5..=32).contains(&id.len()) {
-            Ok(id)
-        } else {
-            Err(wrong())
-        }
+        let id = hex::decode(text).ok().filter(|id| (5..=32).contains(&id.len()));
+        id.ok_or_else(wrong)
     }
 
     /// The agent that this section describes, with the engine id and boots that were kept, if any were.
