Look again whether a frame is wanted until its first byte has gone out

What was found by reading: the writer looked whether a frame's parts were wanted before the first try, and where the socket took nothing it went on trying the same bytes for up to 500 ms, whatever had been answered meanwhile. Change: Stream::write_current takes the bytes anew at each try until one byte has gone, and gives a frame up midway, with its connection, once one of its parts is not wanted any more. Frames and links are otherwise as before. Measured: a full socket whose frame is no longer wanted gets nothing (the test fails without the second look).

--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -51,6 +51,14 @@
 }
 
 impl Frame {
+    /// How many of its parts are wanted; none of a frame without parts.
+    pub fn wanted(&self) -> usize {
+        match self {
+            Self::Call(parts, _) => parts.iter().filter(|d| d.wanted.yes()).count(),
+            Self::Whole(_) => 0,
+        }
+    }
+
     /// Its bytes as of now: parts of a call that are not wanted any more are left out. Nothing if it has
     /// none left.
     pub fn bytes(&self) -> Option<Vec<u8>> {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -202,6 +202,49 @@
         Ok(())
     }
 
+    /// Writes what `current` gives at the moment at which the first byte can go out, or nothing where that is nothing by
+    /// then: a socket may be full for long, and what is wanted changes meanwhile. Once it has begun, it goes on only as
+    /// long as `still` holds.
+    ///
+    /// # Errors
+    /// As [`Stream::write_all`], or it had begun and is not to be ended: the connection is of no further use.
+    pub fn write_current(
+        &self,
+        mut current: impl FnMut() -> Option<Vec<u8>>,
+        still: impl Fn() -> bool,
+        within: Duration,
+    ) -> io::Result<()> {
+        let start = Instant::now();
+        let Some(mut bytes) = current() else { return Ok(()) };
+        let mut begun = false;
+        while !bytes.is_empty() {
+            match (&mut self.inner.inner()).write(&bytes) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    bytes.drain(..n);
+                    begun = true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if start.elapsed() >= within {
+                        return Err(io::ErrorKind::TimedOut.into());
+                    }
+                    may::coroutine::sleep(WRITE_PAUSE);
+                    match begun {
+                        true if !still() => return Err(io::ErrorKind::ConnectionAborted.into()),
+                        true => {}
+                        false => match current() {
+                            Some(now) => bytes = now,
+                            None => return Ok(()),
+                        },
+                    }
+                }
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
     /// Ends the way out: the peer reads to the end of what was written.
     pub fn end_writing(&self) {
         // Shutting what the peer has reset already is no news.
@@ -252,6 +295,42 @@
 mod tests {
     use super::*;
 
+    /// Guards against sending a frame on for a query that has its answer, where the socket was full when the frame's
+    /// turn came: what is wanted is looked at again until the first byte has gone out.
+    #[test]
+    fn what_is_not_wanted_any_more_is_not_written_once_there_is_room() {
+        use std::io::Read;
+        use std::sync::atomic::AtomicBool;
+        let listener = may::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Stream::new(listener.accept().unwrap().0, None).unwrap();
+        // Until the socket takes no more.
+        let mut filled = 0;
+        while let Ok(n) = (&mut stream.inner.inner()).write(&[0; 65_536]) {
+            filled += n;
+        }
+        let wanted = AtomicBool::new(true);
+        let looks = AtomicUsize::new(0);
+        std::thread::scope(|scope| {
+            let (looks, wanted, stream) = (&looks, &wanted, &stream);
+            let current = move || {
+                looks.fetch_add(1, Ordering::SeqCst);
+                wanted.load(Ordering::SeqCst).then(|| b"frame".to_vec())
+            };
+            let writer = scope.spawn(move || stream.write_current(current, || true, Duration::from_secs(10)));
+            while looks.load(Ordering::SeqCst) == 0 {
+                std::thread::yield_now();
+            }
+            // There is never room here: without another look it would wait until its time is over, and fail.
+            wanted.store(false, Ordering::SeqCst);
+            writer.join().unwrap().unwrap();
+        });
+        stream.shut();
+        let mut got = Vec::new();
+        peer.read_to_end(&mut got).unwrap();
+        assert!(got.len() == filled && got.iter().all(|&b| b == 0), "it was sent on");
+    }
+
     /// Guards against an alarm that waits out an earlier setting, or a time already past.
     #[test]
     fn an_alarm_set_to_an_earlier_time_rings_then() {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,5 +1,6 @@
 //! The actor of one data node: carries out on sockets what [`Links`] decides.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -186,8 +187,13 @@
     let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
     spawn("link writer", context.limits.stack_words, move || {
         for frame in to_write.iter() {
-            // Nothing yields between this look and the first byte.
-            let written = frame.bytes().map_or(Ok(()), |bytes| writer_stream.write_all(&bytes, within));
+            // Nothing yields between the last look and the first byte, however long the socket was full before.
+            let wanted = Cell::new(0);
+            let current = || {
+                wanted.set(frame.wanted());
+                frame.bytes()
+            };
+            let written = writer_stream.write_current(current, || frame.wanted() == wanted.get(), within);
             let news = if written.is_ok() { Input::Written(id) } else { Input::WriteFailed(id) };
             // Nobody is left to be told once the actor has ended.
             let _ = writer_node.send(NodeMsg::Link(news));
