Wait for the core in one place, and share the cursors' default life

Need: three copies of asking the core and waiting in a thread, and two of a default. Change: Core::books_within and Core::saved share one wait; config::cursor_life serves both fronts. Behaviour is as before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -114,6 +114,11 @@
     std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))
 }
 
+/// How long a cursor can be used where the file does not say, in seconds.
+pub fn cursor_life() -> u64 {
+    3600
+}
+
 /// The keys that seal cursors: of a file, or one that is made now and ends with the process.
 ///
 /// # Errors
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -43,16 +43,12 @@
     #[serde(default)]
     pub cursor_keys: Option<PathBuf>,
     /// A cursor can be used for so many seconds.
-    #[serde(default = "an_hour")]
+    #[serde(default = "crate::config::cursor_life")]
     pub cursor_life_s: u64,
     /// The sets of data.
     pub sets: Vec<SetConfig>,
 }
 
-fn an_hour() -> u64 {
-    3600
-}
-
 /// One set of data.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -47,16 +47,12 @@
     #[serde(default)]
     pub cursor_keys: Option<PathBuf>,
     /// Such a cursor can be used for so many seconds.
-    #[serde(default = "an_hour")]
+    #[serde(default = "crate::config::cursor_life")]
     pub cursor_life_s: u64,
     /// The collections.
     pub collections: Vec<CollectionConfig>,
 }
 
-fn an_hour() -> u64 {
-    3600
-}
-
 impl OgcConfig {
     /// The collections with their classes.
     ///
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -62,13 +62,27 @@
         self.mail.send(Msg::Books(Box::new(take)));
     }
 
+    /// The same for a thread that waits; none if the core does not come to it within this. Not called from a coroutine.
+    pub fn books_within(&self, within: Duration) -> Option<Snapshot> {
+        self.wait_for(within, Msg::Books)
+    }
+
     /// What of the books outlives the process; none if the core does not come to it in time. Not called from a
     /// coroutine.
     pub fn saved(&self) -> Option<Saved> {
-        let (told, saved) = std::sync::mpsc::channel();
+        self.wait_for(SAVED, Msg::Save)
+    }
+
+    /// Asks the core for something, and waits.
+    fn wait_for<T: Send + 'static>(
+        &self,
+        within: Duration,
+        message: impl FnOnce(Box<dyn FnOnce(T) + Send>) -> Msg,
+    ) -> Option<T> {
+        let (told, given) = std::sync::mpsc::channel();
         // Nobody waits any more after the time-out.
-        self.mail.send(Msg::Save(Box::new(move |books| drop(told.send(books)))));
-        saved.recv_timeout(SAVED).ok()
+        self.mail.send(message(Box::new(move |it| drop(told.send(it)))));
+        given.recv_timeout(within).ok()
     }
 
     /// The client of a query has left.
--- a/src/notices.rs
+++ b/src/notices.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -180,12 +179,9 @@
 
 impl Teller {
     fn figures(&self) -> Option<Figures> {
-        let (told, figures) = channel();
-        // Nobody waits any more after the time-out.
-        self.core.books(move |snapshot| drop(told.send(snapshot)));
         let counters = &self.core.counters;
         Some(Figures {
-            books: figures.recv_timeout(BOOKS).ok()?,
+            books: self.core.books_within(BOOKS)?,
             list_overdue: counters.list_overdue.load(Ordering::Relaxed),
             denied: counters.snmp_denied.load(Ordering::Relaxed),
             descriptors: (descriptors(), self.sockets),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -201,10 +201,7 @@
 
     /// All figures of one moment; none if the core does not come to it in time. Not called from a coroutine.
     pub fn books(&self) -> Option<Snapshot> {
-        let (told, figures) = std::sync::mpsc::channel();
-        // Nobody waits any more after the time-out.
-        self.core.books(move |snapshot| drop(told.send(snapshot)));
-        figures.recv_timeout(BOOKS).ok()
+        self.core.books_within(BOOKS)
     }
 
     /// The counters, and the books by class and by data node, a line each. Not called from a coroutine.
