--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -32,6 +32,8 @@
     Up(LinkId),
     /// A connection did not come up.
     DialFailed(LinkId),
+    /// A connection was not even tried: this process holds as many as it may.
+    NoSocket(LinkId),
     /// The frame last given was written whole.
     Written(LinkId),
     /// The frame last given could not be written whole.
@@ -51,7 +53,7 @@
 /// What is to be done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
-    /// Open a connection: ends in `Up` or `DialFailed`.
+    /// Open a connection: ends in `Up`, `DialFailed` or `NoSocket`.
     Dial(LinkId),
     /// Write a frame: ends in `Written` or `WriteFailed`.
     Write(LinkId, Frame),
@@ -199,6 +201,7 @@
                 self.pump(id);
             }
             Input::DialFailed(id) => self.dial_failed(id),
+            Input::NoSocket(id) => self.no_socket(id),
             Input::Written(id) => self.written(id),
             Input::WriteFailed(id) => self.write_failed(id),
             Input::Frame(id, reply) => self.frame(id, reply),
@@ -350,6 +353,24 @@
         self.fail_waiting(link.waiting);
     }
 
+    /// What waited for a connection that this process has no socket for goes over an open one with room, silent or
+    /// not. Where there is none, it was not sent, which says nothing of the data node.
+    fn no_socket(&mut self, id: LinkId) {
+        let Some(link) = self.links.remove(&id) else { return };
+        for item in link.waiting {
+            let parts = if let Item::Call(call, _) = &item { call.len() } else { 0 };
+            let room = |l: &Link| l.state == State::Up && l.parts() + parts <= self.limits.multiplex;
+            let other = self.links.iter().find(|(_, l)| room(l)).map(|(&id, _)| id);
+            match (other, item) {
+                (Some(other), item) => self.put(other, item),
+                (None, Item::Call(call, _)) => {
+                    call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
+                }
+                (None, item) => self.fail_waiting([item].into()),
+            }
+        }
+    }
+
     fn fail_waiting(&mut self, waiting: VecDeque<Item>) {
         for item in waiting {
             match item {
@@ -660,7 +681,11 @@
                 4 => self.step(links, Input::TakesNew(!pick.is_multiple_of(4))),
                 5 => self.step(links, Input::CloseIdle),
                 6 => self.step(links, Input::Probe),
-                7 | 8 => self.dialled(links, one(&self.dialing), !pick.is_multiple_of(4)),
+                7 | 8 => {
+                    let up = if pick.is_multiple_of(4) { Input::DialFailed } else { Input::Up };
+                    self.dialled(links, one(&self.dialing), up);
+                }
+                20 => self.dialled(links, one(&self.dialing), Input::NoSocket),
                 9 | 10 => self.written(links, pick),
                 11 | 12 => {
                     let written =
@@ -712,13 +737,13 @@
             }
         }
 
-        fn dialled(&mut self, links: &mut Links, id: Option<LinkId>, well: bool) {
+        fn dialled(&mut self, links: &mut Links, id: Option<LinkId>, how: fn(LinkId) -> Input) {
             let Some(id) = id else { return };
             self.dialing.retain(|&d| d != id);
-            if well {
+            if how(id) == Input::Up(id) {
                 self.up.push(id);
             }
-            self.step(links, if well { Input::Up(id) } else { Input::DialFailed(id) });
+            self.step(links, how(id));
         }
 
         fn written(&mut self, links: &mut Links, pick: usize) {
@@ -731,7 +756,7 @@
         fn end(&mut self, links: &mut Links) {
             for _ in 0..1000 {
                 if let Some(&id) = self.dialing.first() {
-                    self.dialled(links, Some(id), false);
+                    self.dialled(links, Some(id), Input::DialFailed);
                 } else if let Some(&(id, _)) = self.writing.first() {
                     self.step(links, Input::WriteFailed(id));
                 } else if let Some(&id) = self.shut.first() {
@@ -755,7 +780,7 @@
         /// says, nothing is handed to a data node that takes nothing new, and no connection is left over.
         #[test]
         fn every_attempt_ends_once_and_as_it_went(
-            steps in proptest::collection::vec((0..20u8, any::<usize>()), 0..200),
+            steps in proptest::collection::vec((0..21u8, any::<usize>()), 0..200),
         ) {
             let (mut links, mut model) = (links(), Model::default());
             model.step(&mut links, Input::TakesNew(true));
@@ -863,6 +888,22 @@
         assert_eq!(ended[1..], [Output::Shut(LinkId(0)), lost(1), lost(2)], "{ended:?}");
     }
 
+    /// Guards against holding the process's own lack of sockets against a data node: a hundred coordinators that did
+    /// shunned sound ones. What waits goes over the connection that is there, or was not sent.
+    #[test]
+    fn a_lack_of_sockets_is_no_fault_of_the_data_node() {
+        let mut links = used(2);
+        assert_eq!(links.step(1 + SILENCE, Input::Call(vec![part(2, WAIT)])), [Output::Dial(LinkId(1))]);
+        let sent = links.step(1 + SILENCE, Input::NoSocket(LinkId(1)));
+        assert!(matches!(sent[..], [Output::Write(LinkId(0), _)]), "{sent:?}");
+        let mut links = self::links();
+        links.step(0, Input::TakesNew(true));
+        links.step(0, Input::Call(vec![part(0, WAIT)]));
+        let ended = links.step(0, Input::NoSocket(LinkId(0)));
+        assert_eq!(ended, [Output::End(AttemptId(0), Outcome::StaleSend, None)]);
+        assert_eq!(links.count(), 0);
+    }
+
     /// Guards against choosing such a connection again once all that was out on it is given up.
     #[test]
     fn a_connection_given_up_in_silence_is_closed() {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -159,7 +159,7 @@
         let (Some(addr), Some(permit)) = (self.addr, permit) else {
             log::warn!("no socket left for a connection to a data node");
             // The mailbox outlives the actor's own loop.
-            let _ = self.own.send(NodeMsg::Link(Input::DialFailed(id)));
+            let _ = self.own.send(NodeMsg::Link(Input::NoSocket(id)));
             return;
         };
         Counters::add(&self.context.counters.dials);
