Spread the asks for the list over what a call of each coordinator takes

Excluded: pushes to running watches (48 came within one second at 19.6 s), the length of the list (41 lines took as long as 13), resets.

At fault: Policy::watch (first ask at 0 for every coordinator) and Policy::ask_later (first pause 0.25 to 0.75 s whatever the number of coordinators).

Change: the first ask and the pauses after a failure are spread over must_ask_in / 200 for each other coordinator, half of must_ask_in at most: 5 s for 100. Where that is below a twentieth of must_ask_in, as for 3, the first ask goes out at once as before.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -94,6 +94,8 @@
 const OUTRANKS: f64 = 1.5;
 /// The held queue is cut once this share of `max_open` is in use.
 const OPEN_SHARE: f64 = 0.9;
+/// So many calls the list's service answers at least within the time in which each mixer must ask.
+const ASKS_SERVED: u64 = 200;
 /// Sums of weights may fall this much short.
 const SLACK: f64 = 5e-5;
 
@@ -1003,9 +1005,15 @@
 
     // ---- Asking for the list. ----
 
+    /// One service answers all mixers in turn, and works on for those that wait no longer. So this mixer's
+    /// asks are spread over what a call of each other takes there.
+    fn ask_span(&self, must_ask_in: Nanos) -> Nanos {
+        (must_ask_in / ASKS_SERVED).saturating_mul(u64::from(self.set.mixers - 1)).min(must_ask_in / 2)
+    }
+
     fn ask_later(&mut self) {
         let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
-        let base = must_ask_in / 20;
+        let base = (must_ask_in / 20).max(self.ask_span(must_ask_in));
         let span = (base << self.seen.failed_asks.min(3)).min(must_ask_in / 2);
         self.seen.failed_asks += 1;
         let wait = span / 2 + (span as f64 * self.rng.f64()) as Nanos;
@@ -1014,6 +1022,11 @@
 
     fn watch(&mut self) {
         let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
+        let span = self.ask_span(must_ask_in);
+        if self.ask_at == Some(0) && span > must_ask_in / 20 {
+            // All mixers may have started at once: more than the service answers at once.
+            self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
+        }
         if self.ask_at.is_some_and(|at| at <= self.now) {
             self.actions.push(Action::Watch);
             self.ask_at = Some(self.now + must_ask_in / 2);
