Spread the hold-off of refused queries; close untried connections whose part is given up

Observed by a test of a hundred modules that refuse at one moment: all 100 clients are told to come back within the same 50 ms (Policy::hold_off depends on the query's age and aim alone). It is now spread over its last three quarters; fewer than half come back within 50 ms. Excluded: max_retry_after, which is far above.

With a line for each frame written no frame leaves after its query's answer; what is left are frames written before it on new connections that a standing node takes up later. A part given up on a connection on which nothing has come yet now closes it, which is how a part may be given up, too. Whether this is the whole cause is not shown yet.

Tests: the hold-offs of a hundred mixers, a cold server under three and under a hundred mixers (the told bound is kept by all together), the closed connection.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -503,7 +503,8 @@
         }
         let unrun = q.parts.iter().all(|p| self.parts[p].proved_unrun());
         let harmless = class.effect == Effect::Safe || (unrun && q.stage != Stage::BetweenSteps);
-        let hold_off = self.hold_off(q);
+        // Others refuse at the same moment: their clients are not to come back at one.
+        let hold_off = (self.hold_off(q) as f64 * (1.0 - 0.75 * self.rng.f64())) as Nanos;
         self.actions.push(match harmless {
             true => Action::Refuse { query: id, hold_off },
             false => Action::Fail { query: id },
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -70,3 +70,112 @@
     let (told, made) = start_at_once(3, 1000 * MS);
     assert!(told.iter().all(|t| t.is_some_and(|t| t <= 320 * MS)) && made == 3, "{told:?}, {made} calls");
 }
+
+/// One module with a few queries of its own, each answered by its data nodes in `work`.
+struct Mixer {
+    policy: Policy,
+    /// Parts out: when they pass, the part, its attempt and its server.
+    out: Vec<(Nanos, PartId, u32, ServerId)>,
+    tries: std::collections::BTreeMap<PartId, u32>,
+    next: u64,
+}
+
+impl Mixer {
+    fn new(set: &Settings, seed: u64, entries: &[ListEntry]) -> Self {
+        let mut policy = Policy::new(set.clone(), seed).unwrap();
+        policy.round(START, vec![Event::List { kind: ListKind::Full, entries: entries.to_vec() }]);
+        Self { policy, out: Vec::new(), tries: Default::default(), next: 0 }
+    }
+
+    /// A round with a query of so many parts if any; returns where parts were sent, and what else was done.
+    fn round(&mut self, now: Nanos, parts: u64, work: Nanos) -> (Vec<ServerId>, Vec<Action>) {
+        let mut events = vec![Event::Wake];
+        self.out.retain(|&(at, part, attempt, server)| {
+            if at <= now {
+                let outcome = Outcome::Pass;
+                events.push(Event::Ended { part, attempt, server, outcome, latency: work });
+            }
+            at > now
+        });
+        if parts > 0 {
+            let query = QueryId(self.next);
+            self.next += 1 + parts;
+            let valid_until = now + 4000 * MS;
+            let (class, tenant, key) = (ClassId(0), None, None);
+            events.push(Event::Query { id: query, class, tenant, key, repeated: false, valid_until });
+            let part = |p| Event::Part { id: PartId(query.0 + p), query, shard: ShardId(0), weight: 1.0 / parts as f64 };
+            events.extend((1..=parts).map(part));
+        }
+        let actions = self.policy.round(now, events);
+        let sent = sends(&actions);
+        for s in &sent {
+            let tries = self.tries.entry(s.part).and_modify(|n| *n += 1).or_insert(0);
+            self.out.push((now + work, s.part, *tries, s.server));
+        }
+        (sent.into_iter().map(|s| s.server).collect(), actions)
+    }
+}
+
+/// The most parts that reached a server which has just started within one fall window, as a share of what the
+/// rule allows in it: all mixers send what eight servers of so many parts a second can do at 60%.
+fn pressed(mixers: u32, rate: f64) -> f64 {
+    let set = Settings { mixers, ..settings() };
+    let cold = set.cold;
+    let entries: Vec<ListEntry> = (0..8).map(|s| entry(s, Phase::In)).collect();
+    let mut fleet: Vec<Mixer> = (0..mixers).map(|n| Mixer::new(&set, u64::from(n) + 1, &entries)).collect();
+    let mut rng = fastrand::Rng::with_seed(5);
+    let chance = 0.6 * 8.0 * rate / 4.0 / f64::from(mixers) * (STEP as f64 / 1e9);
+    let restart = START + 10_000 * MS;
+    let mut reached: Vec<Nanos> = Vec::new();
+    for now in (START..restart + 8000 * MS).step_by(STEP as usize) {
+        for mixer in &mut fleet {
+            if now == restart {
+                let entries = vec![ListEntry { started_at: now, ..entry(7, Phase::In) }];
+                mixer.policy.round(now, vec![Event::List { kind: ListKind::Diff, entries }]);
+            }
+            let parts = if rng.f64() < chance { 4 } else { 0 };
+            let (sent, _) = mixer.round(now, parts, (1e9 / rate * 2.0) as Nanos);
+            reached.extend(sent.iter().filter(|s| s.0 == 7 && now >= restart).map(|_| now));
+        }
+    }
+    assert!(!reached.is_empty(), "a cold server gets its share");
+    let window = |from: usize| {
+        let begin = reached[from];
+        let warmth = cold.share + (1.0 - cold.share) * (begin - restart) as f64 / cold.warm_after as f64;
+        let allowed = cold.multiple * warmth * rate * cold.fall as f64 / 1e9;
+        reached[from..].iter().take_while(|&&t| t < begin + cold.fall).count() as f64 / allowed
+    };
+    (0..reached.len()).map(window).fold(0.0, f64::max)
+}
+
+/// Guards against a cold server that each mixer alone sends little, and all together push over.
+#[test]
+fn a_cold_server_is_safe_from_three_mixers_and_from_a_hundred() {
+    for mixers in [3, 100] {
+        let share = pressed(mixers, 60.0);
+        assert!(share < 1.0, "{mixers} mixers send {share:.2} times what it bears");
+    }
+}
+
+/// Guards against clients that were turned away at one moment by a hundred mixers and come back at one moment.
+#[test]
+fn clients_refused_by_a_hundred_mixers_do_not_come_back_together() {
+    let set = Settings { mixers: 100, ..settings() };
+    let mut back: Vec<Nanos> = Vec::new();
+    for n in 0..100 {
+        // No data node is known: nothing can be served.
+        let mut mixer = Mixer::new(&set, n + 1, &[]);
+        mixer.round(START, 1, MS);
+        for now in (START..START + 4000 * MS).step_by(STEP as usize) {
+            let (_, actions) = mixer.round(now, 0, MS);
+            back.extend(actions.iter().filter_map(|a| match a {
+                Action::Refuse { hold_off, .. } => Some(now + hold_off),
+                _ => None,
+            }));
+        }
+    }
+    back.sort_unstable();
+    assert_eq!(back.len(), 100);
+    let together = back.iter().map(|t| back.iter().filter(|o| (*t..*t + 50 * MS).contains(o)).count()).max();
+    assert!(together < Some(50), "{together:?} of 100 come back within 50 ms");
+}
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -108,6 +108,8 @@
     heard: Nanos,
     /// A part was given up on it after a silence that lasts.
     mute: bool,
+    /// Something has come on it: its data node has taken it up.
+    taken_up: bool,
     /// Names of parts that are over: given up or answered. Their answers may come late or twice.
     past: VecDeque<(String, Past)>,
     probes: VecDeque<Nanos>,
@@ -250,6 +252,7 @@
             out: Vec::new(),
             heard: self.now,
             mute: false,
+            taken_up: false,
             past: VecDeque::new(),
             probes: VecDeque::new(),
             used: self.now,
@@ -335,7 +338,8 @@
             if let Some(name) = name {
                 link.is_over(name.clone(), Past::GivenUp, most);
                 if link.state == State::Up {
-                    let over = link.mute && link.at_rest();
+                    // A busy data node takes a new connection up late. What it would then read first is over.
+                    let over = link.mute && link.at_rest() || !link.taken_up && link.parts() == 0;
                     link.waiting.push_back(Item::GiveUp(name));
                     self.pump(link_id);
                     if over {
@@ -465,7 +469,7 @@
         let most = self.limits.past;
         let Some(link) = self.links.get_mut(&id).filter(|l| l.state == State::Up) else { return };
         link.used = self.now;
-        (link.heard, link.mute) = (self.now, false);
+        (link.heard, link.mute, link.taken_up) = (self.now, false, true);
         match reply {
             Reply::Answer { name, outcome, value } => {
                 let (mut attempt, mut overtaken) = (None, 0);
@@ -888,6 +892,22 @@
         assert_eq!(ended[1..], [Output::Shut(LinkId(0)), lost(1), lost(2)], "{ended:?}");
     }
 
+    /// Guards against work for a query that has its answer: a data node that takes a new connection up late would read
+    /// the part first, and that it is given up after it.
+    #[test]
+    fn a_new_connection_is_closed_when_its_only_part_is_given_up() {
+        let mut links = links();
+        links.step(0, Input::TakesNew(true));
+        links.step(0, Input::Call(vec![part(0, WAIT)]));
+        links.step(0, Input::Call(vec![part(1, WAIT)]));
+        links.step(1, Input::Up(LinkId(0)));
+        links.step(1, Input::Written(LinkId(0)));
+        // The other's frame is handed out, and no word yet that it is written.
+        let kept = links.step(2, Input::Drop(AttemptId(0)));
+        assert_eq!(kept, [], "another part is out");
+        assert!(links.step(3, Input::Drop(AttemptId(1))).contains(&Output::Shut(LinkId(0))));
+    }
+
     /// Guards against holding the process's own lack of sockets against a data node: a hundred coordinators that did
     /// shunned sound ones. What waits goes over the connection that is there, or was not sent.
     #[test]
