Bursts at cold nodes by many coordinators, doubt for thin traffic, copies over open links

After six in ten nodes are replaced, 46 of 102 rankings and 40 of 84 lookups that miss their aim are refused without one part sent: a cold node takes a second part of a query from nobody, and every bound is one coordinator's.

At fault: DOUBT_AIMS and Policy::cleared; Policy::pick and Policy::send at cold servers; LIMIT_START for every number of mixers.

Change: doubt halves in up to half of the told warming time, and where a mixer sends to a server less than once in two aims a pass clears half of it and not three quarters. Gaps left unused at a cold server add up to a third of the square root of the number of mixers, as does the first bound of parts at a server (10 for 100, as before for 9 and fewer); a cold server's share of its peers' load is three quarters of its warmth instead of half.

Tests: unused gaps with 3 and with 100 mixers, a server that stands still half of the time, the connection of a copy; a cold server under 3 and 100 mixers keeps the told bound as before.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -223,6 +223,11 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// Bursts of so many mixers seldom meet: what each may send a server at once, where that is more than a few.
+    pub fn bursts(&self) -> f64 {
+        f64::from(self.mixers).sqrt()
+    }
+
     /// The shortest aim of all classes.
     pub fn shortest_aim(&self) -> Nanos {
         self.classes.iter().map(|c| c.aim).min().unwrap_or(1)
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -65,6 +65,7 @@
 /// Doubt halves in the shortest aim, or in twice the time between our sends to one server where that is
 /// longer (thin evidence lasts), up to so many aims; doubled by each failure in a row up to `DOUBLINGS`.
 const DOUBT_AIMS: f64 = 6.0;
+const DOUBT_WARM: f64 = 0.5;
 const DOUBLINGS: u32 = 3;
 /// A server whose connection broke is tried at most this many times an aim.
 const TRIAL_SHARE: u64 = 4;
@@ -83,7 +84,7 @@
 /// a repeat, whose first try may have broken elsewhere, sends one part ahead.
 const KILLS: u32 = 2;
 /// Part of a cold server's bound that one mixer uses: beside its peers, and of one core's work.
-const COLD_AS_PEERS: f64 = 0.5;
+const COLD_AS_PEERS: f64 = 0.75;
 const COLD_ONE_CORE: f64 = 0.8;
 /// A late answer must be worth this share, or its query ends at the aim: what it would still take at the
 /// servers, and what ending later costs, is then more than the little that it may earn.
@@ -228,8 +229,9 @@
             let server = &self.fleet.servers[&id];
             let extra = planned.sent(id);
             let tried = !again && part.attempts.iter().any(|a| a.server == id);
-            let cold = extra > 0 && self.cold_gap(server) > 0;
-            if tried || cold || self.now < server.next_at {
+            let paced = Nanos::from(extra).saturating_mul(self.cold_gap(server));
+            let cold = paced > 0 && Nanos::from(extra) >= self.cold_burst();
+            if tried || cold || self.now < server.next_at.saturating_add(paced) {
                 continue;
             }
             let tier = self.tier(server, class, extra);
@@ -277,13 +279,16 @@
         self.turn += 1;
         let idle = self.connection(server);
         let gap = self.fleet.servers.get(&server).map_or(0, |s| self.cold_gap(s));
+        let burst = self.cold_burst();
         if let Some(s) = self.fleet.servers.get_mut(&server) {
             s.pending.push(Pending { part: id, attempt, sent: now, call, aim, class, idle });
             s.used_at = Some(now);
             self.seen.out += 1;
             s.last_turn = self.turn;
             let pace = if s.limit < 1.0 { self.seen.median as f64 / s.limit } else { 0.0 };
-            s.next_at = s.next_at.max(now + gap.max(pace as Nanos));
+            // What a cold one's gaps have left over adds up to a burst.
+            let saved = gap.saturating_mul(burst - 1);
+            s.next_at = (s.next_at.max(now.saturating_sub(saved)) + gap).max(now + pace as Nanos);
         }
         self.counts.sent(kind, attempt, now);
         self.actions.push(Action::Send { part: id, server, within });
@@ -685,6 +690,10 @@
         let Some(server) = self.pick(p, false, &Planned::default(), worst).or_else(again) else {
             return false;
         };
+        // A copy that may prove needless is worth no connection; on a new one it may begin once it is over.
+        if kind == Kind::Copy && self.set.idle.is_some() && !self.open(&self.fleet.servers[&server]) {
+            return false;
+        }
         if kind == Kind::Retry {
             self.cancel_out(id);
         }
@@ -827,7 +836,8 @@
     fn doubt(&mut self, id: ServerId, class: ClassId, amount: f64) {
         let gap = self.send_gap();
         let aim = self.set.shortest_aim();
-        let base = (2.0 * gap).clamp(aim as f64, DOUBT_AIMS * aim as f64) as Nanos;
+        let most = (DOUBT_AIMS * aim as f64).max(DOUBT_WARM * self.set.cold.warm_after as f64);
+        let base = (2.0 * gap).clamp(aim as f64, most) as Nanos;
         let now = self.now;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
         let half = base << s.failures.min(DOUBLINGS);
@@ -865,10 +875,13 @@
 
     fn cleared(&mut self, id: ServerId, class: ClassId) {
         let now = self.now;
+        // Where we seldom send, one pass tells little: a server that stands still now and then has many.
+        let thin = self.send_gap() > 2.0 * self.set.shortest_aim() as f64;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
-        s.failures = 0;
-        s.doubt.scale(now, DOUBT_CLEARED);
-        s.class_doubt[class.0].scale(now, DOUBT_CLEARED);
+        s.failures = if thin { s.failures.saturating_sub(2) } else { 0 };
+        let left = if thin { DOUBT_CLEARED.sqrt() } else { DOUBT_CLEARED };
+        s.doubt.scale(now, left);
+        s.class_doubt[class.0].scale(now, left);
         s.broke = false;
         // One that is back within the time in which a cold one falls over has not been away.
         if s.broke_at.take().is_some_and(|at| now.saturating_sub(at) >= self.set.cold.fall) {
@@ -962,11 +975,12 @@
             self.seen.failed_asks = 0;
         }
         let (mut rng, classes) = (self.rng.fork(), self.set.classes.len());
-        let fresh = || Server::new(rng.u64(1..64), LIMIT_START, classes);
+        let start = self.set.bursts().max(LIMIT_START);
+        let fresh = || Server::new(rng.u64(1..64), start, classes);
         for id in self.fleet.update(kind, entries, fresh) {
             let phase = self.rng.f64();
             if let Some(s) = self.fleet.servers.get_mut(&id) {
-                s.restarted(LIMIT_START);
+                s.restarted(start);
                 s.cold_since = Some(s.started_at.min(self.now));
             }
             self.start_cold(id, phase);
@@ -990,6 +1004,11 @@
         (fall / (bound * (COLD_AS_PEERS * mean).max(one_core)).max(1e-6)) as Nanos
     }
 
+    /// Parts that a cold server may be sent at once after as many gaps.
+    fn cold_burst(&self) -> Nanos {
+        ((self.set.bursts() / LIMIT_START) as Nanos).max(1)
+    }
+
     /// Mixers begin at different moments of their gaps, or all would send to a cold server at once.
     fn start_cold(&mut self, id: ServerId, phase: f64) {
         let Some(gap) = self.fleet.servers.get(&id).map(|s| self.cold_gap(s)) else { return };
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -103,7 +103,12 @@
             let valid_until = now + 4000 * MS;
             let (class, tenant, key) = (ClassId(0), None, None);
             events.push(Event::Query { id: query, class, tenant, key, repeated: false, valid_until });
-            let part = |p| Event::Part { id: PartId(query.0 + p), query, shard: ShardId(0), weight: 1.0 / parts as f64 };
+            let part = |p| Event::Part {
+                id: PartId(query.0 + p),
+                query,
+                shard: ShardId(0),
+                weight: 1.0 / parts as f64,
+            };
             events.extend((1..=parts).map(part));
         }
         let actions = self.policy.round(now, events);
@@ -179,3 +184,77 @@
     let together = back.iter().map(|t| back.iter().filter(|o| (*t..*t + 50 * MS).contains(o)).count()).max();
     assert!(together < Some(50), "{together:?} of 100 come back within 50 ms");
 }
+
+/// Guards against a fleet that turns queries away beside cold servers with room: among a hundred mixers each may send
+/// a few parts at once for the gaps that it left unused, which a few mixers may not.
+#[test]
+fn gaps_left_unused_at_a_cold_server_add_up_among_many_mixers_only() {
+    for (mixers, fit) in [(3, 1..=1), (100, 2..=3)] {
+        let set = Settings { mixers, ..settings() };
+        let mut mixer = Mixer::new(&set, 1, &[entry(0, Phase::In)]);
+        let restart = START + 1000 * MS;
+        let entries = vec![ListEntry { started_at: restart, ..entry(0, Phase::In) }];
+        mixer.policy.round(restart, vec![Event::List { kind: ListKind::Diff, entries }]);
+        // Warm enough that its gaps are over, all but the last.
+        let later = restart + set.cold.warm_after - 10 * MS;
+        let sent: usize = (0..4).map(|_| mixer.round(later, 1, 50 * MS).0.len()).sum();
+        assert!(fit.contains(&sent), "{mixers} mixers: {sent} parts at once");
+    }
+}
+
+/// Guards against trusting a server that stands still half of the time anew for each part that it answers: where a
+/// mixer sends to it once in seconds, it comes after the others for long.
+#[test]
+fn a_server_that_stands_still_now_and_then_is_left_for_others_where_traffic_is_thin() {
+    let mut set = Settings { mixers: 100, ..settings() };
+    set.classes.iter_mut().for_each(|c| c.aim = 300 * MS);
+    let entries: Vec<ListEntry> = (0..4).map(|s| entry(s, Phase::In)).collect();
+    let mut policy = Policy::new(set, 3).unwrap();
+    policy.round(START, vec![Event::List { kind: ListKind::Full, entries }]);
+    let (mut now, mut at_bad, mut all) = (START, 0, 0);
+    for n in 0..120u64 {
+        now += 1000 * MS;
+        let (id, part) = (QueryId(2 * n), PartId(2 * n + 1));
+        let query = Event::Query {
+            id,
+            class: ClassId(0),
+            tenant: None,
+            key: None,
+            repeated: false,
+            valid_until: now + 4000 * MS,
+        };
+        let mut events = vec![query, Event::Part { id: part, query: id, shard: ShardId(0), weight: 1.0 }];
+        let mut attempt = 0;
+        while let Some(sent) = sends(&policy.round(now, std::mem::take(&mut events))).first() {
+            all += 1;
+            let standing = sent.server.0 == 0 && at_bad % 2 == 0;
+            at_bad += usize::from(sent.server.0 == 0);
+            let (outcome, latency) =
+                if standing { (Outcome::TooSlow, 200 * MS) } else { (Outcome::Pass, 50 * MS) };
+            now += latency;
+            events = vec![Event::Ended { part, attempt, server: sent.server, outcome, latency }];
+            attempt += 1;
+        }
+    }
+    assert!(at_bad > 2 && at_bad * 6 < all, "{at_bad} of {all} parts");
+}
+
+/// Guards against opening connections for work that may prove needless: a hundred that do cost their nodes a handshake
+/// each, and what is sent on a new connection may begin when its query is over. The copy of an overdue part goes over
+/// an open connection; without one the part is called off and tried elsewhere.
+#[test]
+fn a_copy_goes_over_an_open_connection_only() {
+    for (idle, called_off) in [(30_000 * MS, 0), (50 * MS, 1)] {
+        let mut bed = Bed::new(Settings { idle: Some(idle), ..settings() }, 2);
+        for _ in 0..12 {
+            let sent = [bed.query(0, 1).2, bed.query(0, 1).2].map(|actions| sends(&actions)[0]);
+            assert_ne!(sent[0].server, sent[1].server);
+            bed.now += 100 * MS;
+            bed.round(sent.map(|s| bed.ended(&s, 0, Outcome::Pass)).to_vec());
+        }
+        bed.query(0, 1);
+        let later = bed.pass(600 * MS);
+        let cancels = later.iter().filter(|a| matches!(a, Action::Cancel { .. })).count();
+        assert_eq!((sends(&later).len(), cancels), (1, called_off), "idle after {idle}");
+    }
+}
