--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -268,11 +268,13 @@
         let Some(query) = self.parts.get(&id).and_then(|p| self.queries.get(&p.query)) else { return };
         let within = self.ends_at(query).saturating_sub(now);
         let class = query.class;
+        let free = self.parts.get(&id).is_some_and(|p| self.free(p));
         let Some(part) = self.parts.get_mut(&id) else { return };
         if within == 0 || part.attempts.len() >= self.set.max_attempts as usize {
             return;
         }
         let attempt = part.attempts.len() as u32;
+        let counted = if free { 0 } else { attempt };
         part.attempts.push(Attempt { server, sent: now, kind, fate: Fate::Out });
         let aim = self.set.classes[class.0].aim;
         let call = self.seen.call(server, self.set.layout.batch);
@@ -290,7 +292,7 @@
             let saved = gap.saturating_mul(burst - 1);
             s.next_at = (s.next_at.max(now.saturating_sub(saved)) + gap).max(now + pace as Nanos);
         }
-        self.counts.sent(kind, attempt, now);
+        self.counts.sent(kind, counted, now);
         self.actions.push(Action::Send { part: id, server, within });
     }
 
@@ -639,6 +641,11 @@
         permitted && part.attempts.len() < self.set.max_attempts as usize
     }
 
+    /// Whether another try repeats no work: nothing of the part has run. A told budget counts all tries.
+    fn free(&self, part: &Part) -> bool {
+        self.set.budget.is_none() && part.proved_unrun()
+    }
+
     /// Whether the budget has room for another attempt; for a query that has an answer in already, beyond
     /// what is kept for those that would otherwise get none.
     fn budget_left(&mut self, query: QueryId) -> bool {
@@ -682,7 +689,7 @@
     /// Sends a part to the best replica that may take it, one not tried yet if there is any.
     fn resend(&mut self, id: PartId, kind: Kind, worst: u8) -> bool {
         let retry = kind != Kind::First;
-        if retry && !self.budget_left(self.parts[&id].query) {
+        if retry && !self.free(&self.parts[&id]) && !self.budget_left(self.parts[&id].query) {
             return false;
         }
         let p = &self.parts[&id];
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -258,3 +258,22 @@
         assert_eq!((sends(&later).len(), cancels), (1, called_off), "idle after {idle}");
     }
 }
+
+/// Guards against giving up queries whose parts were turned away unrun by full servers, as happens to many mixers at once:
+/// where no budget is told, only tries that repeat work count towards the bound of our own.
+#[test]
+fn a_part_that_was_turned_away_is_tried_again_without_a_charge() {
+    let tried_again = |outcome| {
+        let mut bed = Bed::new(Settings { budget: None, ..settings() }, 60);
+        let mut again = 0;
+        for _ in 0..20 {
+            let first = sends(&bed.query(0, 1).2);
+            let ended = first.iter().map(|s| bed.ended_after(s, 0, outcome, MS)).collect();
+            again += sends(&bed.round(ended)).len();
+            bed.now += 10 * MS;
+        }
+        again
+    };
+    let (unrun, run) = (tried_again(Outcome::NoRoom), tried_again(Outcome::Fault));
+    assert!(unrun > 15 && run < 15, "{unrun} of 20 turned away, {run} of 20 that failed");
+}
