--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -189,6 +189,7 @@
 #[derive(Debug, Default)]
 pub struct Seen {
     pub parts: Vec<Part>,
+    /// Parts given up by a word, or with their connection.
     pub given_up: Vec<String>,
     pub connections: usize,
 }
@@ -234,11 +235,13 @@
         let (noted, reply) = (seen.clone(), Arc::new(reply));
         let addr = accept("127.0.0.1:0", move |mut stream| {
             lock(&noted).connections += 1;
+            let mut held: Vec<String> = Vec::new();
             while let Some((letter, rest)) = read_frame(&mut stream) {
                 match letter {
                     b'D' => {
                         for part in read_parts(&rest) {
                             lock(&noted).parts.push(part.clone());
+                            held.push(part.id.clone());
                             let Ok(mut out) = stream.try_clone() else { return };
                             let reply = reply.clone();
                             // Parts are worked on side by side.
@@ -257,13 +260,18 @@
                             });
                         }
                     }
-                    b'K' => lock(&noted).given_up.push(String::from_utf8_lossy(&rest).into_owned()),
+                    b'K' => {
+                        let id = String::from_utf8_lossy(&rest).into_owned();
+                        held.retain(|h| *h != id);
+                        lock(&noted).given_up.push(id);
+                    }
                     b'I' => {
                         let _ = stream.write_all(&frame(b'I', b"200"));
                     }
                     _ => return,
                 }
             }
+            lock(&noted).given_up.append(&mut held);
         });
         Self { addr, seen }
     }
