Name the new thresholds; look at a cold node's gap only where a part is planned there

Found on reading the change again: Policy::pick computed a cold server's gap for every candidate, which the check before it had avoided; three thresholds stood unnamed in the code; one test of thin traffic built the query that the bed of the module's tests builds. Behaviour is unchanged, all assertions stay.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -63,10 +63,15 @@
 /// A pass this many times slower than the typical one, and slow for its aim, speaks against its server.
 const SLOW_TIMES: f64 = 2.5;
 /// Doubt halves in the shortest aim, or in twice the time between our sends to one server where that is
-/// longer (thin evidence lasts), up to so many aims; doubled by each failure in a row up to `DOUBLINGS`.
+/// longer (thin evidence lasts), up to so many aims or this part of the time in which a cold one is warm;
+/// doubled by each failure in a row up to `DOUBLINGS`.
 const DOUBT_AIMS: f64 = 6.0;
 const DOUBT_WARM: f64 = 0.5;
 const DOUBLINGS: u32 = 3;
+/// Traffic is thin where we send to one server less than once in so many shortest aims. A pass takes back so
+/// many failures there, and clears less.
+const THIN_AIMS: f64 = 2.0;
+const THIN_FORGIVEN: u32 = 2;
 /// A server whose connection broke is tried at most this many times an aim.
 const TRIAL_SHARE: u64 = 4;
 /// Bad outcomes share a way (or idle connections) from this share there on, the latest weighing so much, if
@@ -93,6 +98,8 @@
 const AIM_TICKS: u64 = 2;
 /// A query worth so many times more for each part is not kept out by parts of others.
 const OUTRANKS: f64 = 1.5;
+/// Hold-offs lie in this last share of what they may be.
+const HOLD_OFF_SPREAD: f64 = 0.75;
 /// The held queue is cut once this share of `max_open` is in use.
 const OPEN_SHARE: f64 = 0.9;
 /// So many calls the list's service answers at least within the time in which each mixer must ask.
@@ -229,7 +236,8 @@
             let server = &self.fleet.servers[&id];
             let extra = planned.sent(id);
             let tried = !again && part.attempts.iter().any(|a| a.server == id);
-            let paced = Nanos::from(extra).saturating_mul(self.cold_gap(server));
+            let gap = if extra > 0 { self.cold_gap(server) } else { 0 };
+            let paced = gap.saturating_mul(Nanos::from(extra));
             let cold = paced > 0 && Nanos::from(extra) >= self.cold_burst();
             if tried || cold || self.now < server.next_at.saturating_add(paced) {
                 continue;
@@ -511,7 +519,7 @@
         let unrun = q.parts.iter().all(|p| self.parts[p].proved_unrun());
         let harmless = class.effect == Effect::Safe || (unrun && q.stage != Stage::BetweenSteps);
         // Others refuse at the same moment: their clients are not to come back at one.
-        let hold_off = (self.hold_off(q) as f64 * (1.0 - 0.75 * self.rng.f64())) as Nanos;
+        let hold_off = (self.hold_off(q) as f64 * (1.0 - HOLD_OFF_SPREAD * self.rng.f64())) as Nanos;
         self.actions.push(match harmless {
             true => Action::Refuse { query: id, hold_off },
             false => Action::Fail { query: id },
@@ -883,9 +891,9 @@
     fn cleared(&mut self, id: ServerId, class: ClassId) {
         let now = self.now;
         // Where we seldom send, one pass tells little: a server that stands still now and then has many.
-        let thin = self.send_gap() > 2.0 * self.set.shortest_aim() as f64;
+        let thin = self.send_gap() > THIN_AIMS * self.set.shortest_aim() as f64;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
-        s.failures = if thin { s.failures.saturating_sub(2) } else { 0 };
+        s.failures = if thin { s.failures.saturating_sub(THIN_FORGIVEN) } else { 0 };
         let left = if thin { DOUBT_CLEARED.sqrt() } else { DOUBT_CLEARED };
         s.doubt.scale(now, left);
         s.class_doubt[class.0].scale(now, left);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -208,31 +208,20 @@
 fn a_server_that_stands_still_now_and_then_is_left_for_others_where_traffic_is_thin() {
     let mut set = Settings { mixers: 100, ..settings() };
     set.classes.iter_mut().for_each(|c| c.aim = 300 * MS);
-    let entries: Vec<ListEntry> = (0..4).map(|s| entry(s, Phase::In)).collect();
-    let mut policy = Policy::new(set, 3).unwrap();
-    policy.round(START, vec![Event::List { kind: ListKind::Full, entries }]);
-    let (mut now, mut at_bad, mut all) = (START, 0, 0);
-    for n in 0..120u64 {
-        now += 1000 * MS;
-        let (id, part) = (QueryId(2 * n), PartId(2 * n + 1));
-        let query = Event::Query {
-            id,
-            class: ClassId(0),
-            tenant: None,
-            key: None,
-            repeated: false,
-            valid_until: now + 4000 * MS,
-        };
-        let mut events = vec![query, Event::Part { id: part, query: id, shard: ShardId(0), weight: 1.0 }];
+    let mut bed = Bed::new(set, 4);
+    let (mut at_bad, mut all) = (0, 0);
+    for _ in 0..120 {
+        bed.now += 1000 * MS;
+        let mut actions = bed.query(0, 1).2;
         let mut attempt = 0;
-        while let Some(sent) = sends(&policy.round(now, std::mem::take(&mut events))).first() {
+        while let Some(&sent) = sends(&actions).first() {
             all += 1;
             let standing = sent.server.0 == 0 && at_bad % 2 == 0;
             at_bad += usize::from(sent.server.0 == 0);
             let (outcome, latency) =
                 if standing { (Outcome::TooSlow, 200 * MS) } else { (Outcome::Pass, 50 * MS) };
-            now += latency;
-            events = vec![Event::Ended { part, attempt, server: sent.server, outcome, latency }];
+            bed.now += latency;
+            actions = bed.round(vec![bed.ended_after(&sent, attempt, outcome, latency)]);
             attempt += 1;
         }
     }
