Stand-in data node: a part that was answered is not given up with its connection

Found on reading the change again: when a connection ended the stand-in counted all its parts as given up, answered ones too. Only those unanswered count now; the tests keep their assertions.

--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -189,7 +189,7 @@
 #[derive(Debug, Default)]
 pub struct Seen {
     pub parts: Vec<Part>,
-    /// Parts given up by a word, or with their connection.
+    /// Parts given up by a word, or unanswered with their connection.
     pub given_up: Vec<String>,
     pub connections: usize,
 }
@@ -235,18 +235,20 @@
         let (noted, reply) = (seen.clone(), Arc::new(reply));
         let addr = accept("127.0.0.1:0", move |mut stream| {
             lock(&noted).connections += 1;
-            let mut held: Vec<String> = Vec::new();
+            let held = Arc::new(Mutex::new(Vec::<String>::new()));
             while let Some((letter, rest)) = read_frame(&mut stream) {
                 match letter {
                     b'D' => {
                         for part in read_parts(&rest) {
                             lock(&noted).parts.push(part.clone());
-                            held.push(part.id.clone());
+                            lock(&held).push(part.id.clone());
+                            let waiting = held.clone();
                             let Ok(mut out) = stream.try_clone() else { return };
                             let reply = reply.clone();
                             // Parts are worked on side by side.
                             thread::spawn(move || match reply(&part) {
                                 NodeReply::Answer(end, score, value) => {
+                                    lock(&waiting).retain(|h| *h != part.id);
                                     let line = format!("{} {end} {score} qps=1\n{value}", part.id);
                                     let _ = out.write_all(&frame(b'O', line.as_bytes()));
                                 }
@@ -262,7 +264,7 @@
                     }
                     b'K' => {
                         let id = String::from_utf8_lossy(&rest).into_owned();
-                        held.retain(|h| *h != id);
+                        lock(&held).retain(|h| *h != id);
                         lock(&noted).given_up.push(id);
                     }
                     b'I' => {
@@ -271,7 +273,7 @@
                     _ => return,
                 }
             }
-            lock(&noted).given_up.append(&mut held);
+            lock(&noted).given_up.append(&mut lock(&held));
         });
         Self { addr, seen }
     }
