--- a/benches/snmp.rs
+++ b/benches/snmp.rs
@@ -30,6 +30,8 @@
         need: 1.0,
         partial: None,
         second_step: 0,
+        attempts: 4,
+        retired: false,
     };
     let names: Vec<String> = (0..10).map(|n| format!("class-{n}")).collect();
     let mut account = Account::new(&vec![class; 10], &names, NodeBounds { rows: 64, keep: 1 });
--- /dev/null
+++ b/crates/account/src/figures.rs
@@ -0,0 +1,163 @@
+//! The figures that operators fetch from the second address: of one moment, a line each.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use crate::saved::Saved;
+use crate::{Account, ClassRow, End};
+
+/// What the books alone do not tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Beside {
+    /// Attempts whose frame was written whole to a data node.
+    pub attempts: u64,
+    /// Data nodes in the list.
+    pub known: usize,
+    /// Those of them that are avoided now.
+    pub excluded: usize,
+    /// Configurations taken at SIGHUP.
+    pub reloads_ok: u64,
+    /// Configurations turned down at SIGHUP.
+    pub reloads_failed: u64,
+}
+
+/// Ends of a class as its clients saw them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Ends {
+    /// Answered.
+    pub served: u64,
+    /// Turned away.
+    pub refused: u64,
+    /// Given up.
+    pub failed: u64,
+}
+
+/// All of one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Figures {
+    /// By the name of the class: one that was dropped, or has other rules since, keeps its ends.
+    pub classes: BTreeMap<String, Ends>,
+    /// Queries taken and not yet ended.
+    pub in_flight: usize,
+    /// The rest.
+    pub beside: Beside,
+}
+
+/// Queries that an earlier process had booked are not of this one: every process counts from 0.
+pub fn figures(account: &Account, restored: Option<&Saved>, beside: Beside) -> Figures {
+    let mut classes: BTreeMap<String, Ends> = BTreeMap::new();
+    for row in account.rows() {
+        let ends = classes.entry(row.name.clone()).or_default();
+        ends.served += answered(|end| row.of(end));
+        ends.refused += row.of(End::Refused) + row.full;
+        ends.failed += row.of(End::Failed);
+    }
+    for saved in restored.iter().flat_map(|s| &s.classes) {
+        let Some(ends) = classes.get_mut(&saved.name) else { continue };
+        let of = |end| ClassRow::nth(&saved.ended, end);
+        ends.served = ends.served.saturating_sub(answered(of));
+        ends.refused = ends.refused.saturating_sub(of(End::Refused) + saved.full);
+        ends.failed = ends.failed.saturating_sub(of(End::Failed));
+    }
+    Figures { classes, in_flight: account.open(), beside }
+}
+
+fn answered(of: impl Fn(End) -> u64) -> u64 {
+    of(End::WholeInTime) + of(End::WholeLate) + of(End::Partial)
+}
+
+impl Figures {
+    /// A line a figure.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "edge_lb.{name}={value}");
+        };
+        for (class, ends) in &self.classes {
+            line(&format!("served.{class}"), ends.served);
+            line(&format!("refused.{class}"), ends.refused);
+            line(&format!("failed.{class}"), ends.failed);
+        }
+        let Beside { attempts, known, excluded, reloads_ok, reloads_failed } = self.beside;
+        line("attempts", attempts);
+        line("in_flight", self.in_flight as u64);
+        line("data_nodes_known", known as u64);
+        line("data_nodes_excluded", excluded as u64);
+        line("reloads_ok", reloads_ok);
+        line("reloads_failed", reloads_failed);
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::nodes::NodeBounds;
+    use curlewdeck_core::api::{Class, ClassId, Effect, QueryId};
+
+    const CLASS: Class = Class {
+        aim: 10,
+        deadline: 100,
+        importance: 1.0,
+        late_worth: 0.3,
+        effect: Effect::Safe,
+        repeat_window: 0,
+        floor: 1.0,
+        need: 1.0,
+        partial: None,
+        second_step: 0,
+        attempts: 4,
+        retired: false,
+    };
+
+    fn account(names: &[&str]) -> Account {
+        let names: Vec<String> = names.iter().map(|n| n.to_string()).collect();
+        Account::new(&vec![CLASS; names.len()], &names, NodeBounds { rows: 4, keep: 1 })
+    }
+
+    fn end(account: &mut Account, id: u64, class: usize, end: Option<End>) {
+        account.taken(1, QueryId(id), ClassId(class));
+        match end {
+            Some(end) => account.ended(QueryId(id), end),
+            None => account.answered(2, QueryId(id), true, 1.0),
+        };
+    }
+
+    /// Guards the form, and that a class that went and came again under other rules has one figure.
+    #[test]
+    fn a_class_has_one_figure_whatever_its_rules_were() {
+        let mut account = account(&["a", "b", "a"]);
+        for (id, class, ended) in
+            [(1, 0, None), (2, 2, None), (3, 2, Some(End::Refused)), (4, 1, Some(End::Failed))]
+        {
+            end(&mut account, id, class, ended);
+        }
+        account.full(ClassId(0), 2);
+        account.taken(1, QueryId(9), ClassId(1));
+        let beside = Beside { attempts: 7, known: 3, excluded: 1, reloads_ok: 2, reloads_failed: 5 };
+        let text = figures(&account, None, beside).text();
+        let expected =
+            "served.a=2 refused.a=3 failed.a=0 served.b=0 refused.b=0 failed.b=1 attempts=7 in_flight=1 \
+                        data_nodes_known=3 data_nodes_excluded=1 reloads_ok=2 reloads_failed=5";
+        let lines: Vec<&str> = text.lines().map(|l| l.strip_prefix("edge_lb.").unwrap()).collect();
+        assert_eq!(lines.join(" "), expected);
+    }
+
+    /// Guards against counting what an earlier process had saved.
+    #[test]
+    fn every_process_counts_from_0() {
+        let mut first = account(&["a"]);
+        end(&mut first, 1, 0, None);
+        end(&mut first, 2, 0, Some(End::Refused));
+        first.full(ClassId(0), 3);
+        let saved = first.save();
+        let mut second = account(&["a"]);
+        second.restore(&saved);
+        let ends = |a: &Account| figures(a, Some(&saved), Beside::default()).classes["a"];
+        assert_eq!(ends(&second), Ends::default());
+        end(&mut second, 3, 0, Some(End::Failed));
+        second.full(ClassId(0), 1);
+        assert_eq!(ends(&second), Ends { served: 0, refused: 1, failed: 1 });
+    }
+}
--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -4,6 +4,7 @@
 //! earned; each attempt when it is started and at its one end, by kind and by node. In every [`Snapshot`] taken = ended
 //! + open, for queries by class and for attempts by node, and earned <= asked. Nothing here reads a clock.
 
+pub mod figures;
 pub mod nodes;
 pub mod saved;
 pub mod worth;
@@ -140,8 +141,12 @@
 
     /// Ended so.
     pub fn of(&self, end: End) -> u64 {
-        let at = End::ALL.iter().position(|e| *e == end).unwrap_or(0);
-        self.ended[at]
+        Self::nth(&self.ended, end)
+    }
+
+    /// Ended so, of figures in the order of [`End::ALL`].
+    pub fn nth(ended: &[u64; End::ALL.len()], end: End) -> u64 {
+        End::ALL.iter().zip(ended).find(|(e, _)| **e == end).map_or(0, |(_, n)| *n)
     }
 }
 
@@ -232,10 +237,22 @@
 impl Account {
     /// An account of these classes that has booked nothing.
     pub fn new(classes: &[Class], names: &[String], bounds: NodeBounds) -> Self {
-        let account = |(i, class): (usize, &Class)| ClassAccount {
+        let mut account = Self {
+            classes: Vec::new(),
+            open: HashMap::new(),
+            attempts: Attempts::default(),
+            nodes: Nodes::new(bounds),
+        };
+        account.extend(classes, names);
+        account
+    }
+
+    /// Takes in the classes behind those that it has: their indices are never given again.
+    pub fn extend(&mut self, classes: &[Class], names: &[String]) {
+        let account = |(class, name): (&Class, &String)| ClassAccount {
             class: class.clone(),
             row: ClassRow {
-                name: names.get(i).cloned().unwrap_or_default(),
+                name: name.clone(),
                 taken: 0,
                 full: 0,
                 ended: [0; End::ALL.len()],
@@ -249,12 +266,12 @@
             // The bounds are constants that a histogram can have.
             latency: Histogram::new_with_bounds(1, LONGEST_MS, DIGITS).expect("bounds of a histogram"),
         };
-        Self {
-            classes: classes.iter().enumerate().map(account).collect(),
-            open: HashMap::new(),
-            attempts: Attempts::default(),
-            nodes: Nodes::new(bounds),
-        }
+        self.classes.extend(classes.iter().zip(names).skip(self.classes.len()).map(account));
+    }
+
+    /// The classes as they stand, without latencies.
+    pub fn rows(&self) -> impl Iterator<Item = &ClassRow> {
+        self.classes.iter().map(|c| &c.row)
     }
 
     /// A query was taken.
@@ -430,6 +447,8 @@
             need: 1.0,
             partial: Some(0.8),
             second_step: 0,
+            attempts: 4,
+            retired: false,
         }
     }
 
--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -90,6 +90,10 @@
     pub partial: Option<f64>,
     /// Parts of the second step; 0 where there is one step.
     pub second_step: u32,
+    /// Most attempts for one part.
+    pub attempts: u32,
+    /// The settings name it no more, or with other rules: only queries that are open are of it.
+    pub retired: bool,
 }
 
 /// A tenant and its share.
@@ -165,8 +169,6 @@
     pub discovery: Discovery,
     /// Where shards are.
     pub layout: Layout,
-    /// Most attempts for one part.
-    pub max_attempts: u32,
     /// Most queries and parts held at once.
     pub max_open: usize,
     /// Whether attempts may be called off.
@@ -230,12 +232,38 @@
 
     /// The shortest aim of all classes.
     pub fn shortest_aim(&self) -> Nanos {
-        self.classes.iter().map(|c| c.aim).min().unwrap_or(1)
+        self.aims().min().unwrap_or(1)
     }
 
     /// The longest aim of all classes.
     pub fn longest_aim(&self) -> Nanos {
-        self.classes.iter().map(|c| c.aim).max().unwrap_or(1)
+        self.aims().max().unwrap_or(1)
+    }
+
+    fn aims(&self) -> impl Iterator<Item = Nanos> + '_ {
+        self.classes.iter().filter(|c| !c.retired).map(|c| c.aim)
+    }
+
+    /// These settings, taken over from `before` while queries are open. Classes of the same rules keep their
+    /// indices, others are added behind them, and those that are gone are retired: an index is never given again,
+    /// so that each query keeps the rules it came under. Where shards, zones and tenants are and how the list
+    /// comes holds from one start to the next. `names` are those of both, and become those of the result.
+    pub fn after(self, before: &Self, names: (&[String], &[String])) -> (Self, Vec<String>) {
+        let (mut classes, mut all) = (before.classes.clone(), names.0.to_vec());
+        classes.iter_mut().for_each(|c| c.retired = true);
+        for (class, name) in self.classes.into_iter().zip(names.1) {
+            let same =
+                |i: &usize| all[*i] == *name && Class { retired: false, ..classes[*i].clone() } == class;
+            match (0..classes.len()).find(same) {
+                Some(i) => classes[i].retired = false,
+                None => {
+                    classes.push(class);
+                    all.push(name.clone());
+                }
+            }
+        }
+        let Self { tenants, discovery, layout, zones, home, .. } = before.clone();
+        (Self { classes, tenants, discovery, layout, zones, home, ..self }, all)
     }
 
     /// Checks that the settings can be used.
@@ -259,7 +287,6 @@
         let tenants = self.tenants.iter().all(|t| good(t.quota) && good(t.share));
         let figures = [
             (self.mixers > 0, "mixers must be above 0"),
-            (self.max_attempts > 0, "max_attempts must be above 0"),
             (self.tick > 0, "tick must be above 0"),
             (self.zones <= MAX_ZONES, "zones must be at most 65536"),
             (budget, "the budget's figures must be 0 or more"),
@@ -280,6 +307,9 @@
         if self.aim == 0 || self.deadline == 0 {
             return Err("aim and deadline must be above 0");
         }
+        if self.attempts == 0 {
+            return Err("max_attempts must be above 0");
+        }
         if !(share(self.floor) && share(self.need) && share(self.late_worth)) {
             return Err("floor, need and late_worth must lie within 0 and 1");
         }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -212,6 +212,18 @@
     Failed,
 }
 
+impl Final {
+    /// In a word, for the log.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Answered { whole: true, .. } => "answered whole",
+            Self::Answered { .. } => "answered in part",
+            Self::Refused { .. } => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What became of an attempt, for the books: each is started once and ends once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Note {
@@ -376,9 +388,11 @@
         })
     }
 
-    /// The class of this name.
-    pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.info.classes.iter().position(|c| c == name).map(ClassId)
+    /// Takes over what the settings say now. Queries that are open go on under the rules they came under.
+    pub fn reset(&mut self, info: Info) -> &Info {
+        self.info = info.after(&self.info);
+        self.policy.reset(self.info.settings.clone());
+        &self.info
     }
 
     /// The data node's name.
@@ -406,6 +420,11 @@
         self.servers.len()
     }
 
+    /// Data nodes in the list, and how many of those get nothing now: they drain, or the module avoids them.
+    pub fn listed(&self) -> (usize, usize) {
+        (self.servers.values().filter(|s| s.phase != Phase::Out).count(), self.policy.avoided())
+    }
+
     /// Takes a query under an id that the embedder has not used before.
     ///
     /// # Errors
@@ -719,12 +738,12 @@
     fn send(&mut self, part_id: PartId, server: ServerId, within: Nanos) {
         let id = AttemptId(self.next_attempt);
         self.next_attempt += 1;
-        let max = self.info.settings.max_attempts;
         let Some(part) = self.parts.get_mut(&part_id) else { return };
         let number = part.attempts;
         part.attempts += 1;
         let (shard, text, copy) = (part.shard, part.text.clone(), !part.out.is_empty());
         let Some(query) = self.open.get(&part.query) else { return };
+        let max = self.info.settings.classes[query.class.0].attempts;
         let until = query.valid_until.min(self.now.saturating_add(within));
         let wanted = Wanted::new();
         let attempt = Attempt { part: part_id, number, server, sent: self.now, wanted: wanted.clone() };
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -181,11 +181,25 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes over settings whose classes begin with those it has: see [`Settings::after`].
+    pub fn reset(&mut self, set: Settings) {
+        let (n, kept) = (set.classes.len(), set.longest_aim().saturating_mul(SAMPLE_AIMS));
+        self.patience.resize(n, RecentSamples::new(PATIENCE_SAMPLES, kept));
+        self.fleet.servers.values_mut().for_each(|s| s.class_doubt.resize_with(n, Default::default));
+        self.set = set;
+    }
+
     /// How many servers it remembers.
     pub fn servers(&self) -> usize {
         self.fleet.servers.len()
     }
 
+    /// How many servers in the list it sends nothing now, or only what no other can take.
+    pub fn avoided(&self) -> usize {
+        let shunned = |s: &Server| s.broke || s.doubt.get(self.now) >= SHUNNED || self.way_bad(s.zone);
+        self.fleet.servers.values().filter(|s| !s.gone && (!s.listed || shunned(s))).count()
+    }
+
     fn take(&mut self, event: Event) {
         match event {
             Event::List { kind, entries } => self.take_list(kind, entries),
@@ -278,7 +292,7 @@
         let class = query.class;
         let free = self.parts.get(&id).is_some_and(|p| self.free(p));
         let Some(part) = self.parts.get_mut(&id) else { return };
-        if within == 0 || part.attempts.len() >= self.set.max_attempts as usize {
+        if within == 0 || part.attempts.len() >= self.set.classes[class.0].attempts as usize {
             return;
         }
         let attempt = part.attempts.len() as u32;
@@ -340,7 +354,7 @@
         let allowed = self.set.may_duplicate
             && self.set.classes[class.0].effect == Effect::Safe
             && !part.copied()
-            && part.attempts.len() < self.set.max_attempts as usize;
+            && part.attempts.len() < self.set.classes[class.0].attempts as usize;
         if !allowed || self.seen.strain > STRAINED || self.kills(part.query) {
             return false;
         }
@@ -646,7 +660,7 @@
             }
             Effect::Unsafe => part.proved_unrun(),
         };
-        permitted && part.attempts.len() < self.set.max_attempts as usize
+        permitted && part.attempts.len() < class.attempts as usize
     }
 
     /// Whether another try repeats no work: nothing of the part has run. A told budget counts all tries.
@@ -723,18 +737,14 @@
     /// A silent or stalled server must not cost the whole aim: an overdue part gets its copy without a
     /// release, or is called off and tried elsewhere. Only while a sound replica is at hand.
     fn chase_overdue(&mut self, query: QueryId) {
+        if self.seen.strain > STRAINED || self.kills(query) {
+            return;
+        }
         let class = self.queries[&query].class;
         for (sent, id) in self.queries[&query].lone_attempts(&self.parts) {
             let due = self.now >= sent.saturating_add(self.overdue_after(class));
-            if !due
-                || self.seen.strain > STRAINED
-                || self.kills(query)
-                || self.parts[&id].copied()
-                || self.copy(id)
-            {
-                continue;
-            }
-            if self.may_resend(&self.parts[&id], class) {
+            let alone = due && !self.parts[&id].copied() && !self.copy(id);
+            if alone && self.may_resend(&self.parts[&id], class) {
                 self.resend(id, Kind::Retry, 0);
             }
         }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,7 +1,9 @@
 //! The settings object, as the simulator's first message and the configuration file carry it, to the
 //! module's settings and the figures that sockets need. One parser for both programs.
 
-use crate::api::{Budget, Class, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant, ZoneId};
+use crate::api::{
+    Budget, Class, ClassId, ColdRule, Discovery, Effect, Layout, Nanos, Settings, Tenant, ZoneId,
+};
 use serde::Deserialize;
 
 /// The settings, with the names that the wire uses for classes, tenants and zones.
@@ -21,6 +23,26 @@
     pub connections: Connections,
 }
 
+impl Info {
+    /// The class of this name that new queries are of.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        let open = |i: &usize| !self.settings.classes[*i].retired && self.classes[*i] == name;
+        (0..self.classes.len()).find(open).map(ClassId)
+    }
+
+    /// The class that new queries are of where this one was meant: it may have other rules by now.
+    pub fn now(&self, class: ClassId) -> ClassId {
+        self.classes.get(class.0).and_then(|name| self.class(name)).unwrap_or(class)
+    }
+
+    /// What this says, taken over from `before` while queries are open: see [`Settings::after`].
+    #[must_use]
+    pub fn after(self, before: &Self) -> Self {
+        let (settings, classes) = self.settings.after(&before.settings, (&before.classes, &self.classes));
+        Self { settings, classes, ..before.clone() }
+    }
+}
+
 /// What the settings say of connections to data nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Connections {
@@ -144,7 +166,7 @@
         serde_json::from_str(text).map_err(|e| format!("settings are not as expected: {e}"))?;
     let mut classes = Vec::new();
     for (i, class) in info.classes.iter().enumerate() {
-        classes.push(read_class(class, &info.domain, i)?);
+        classes.push(read_class(class, &info, i)?);
     }
     let rules = &info.rules;
     let budget = rules.resend_ratio.map(|ratio| Budget {
@@ -169,7 +191,6 @@
             batch: info.domain.batch,
             call_overhead: info.domain.overhead_ns,
         },
-        max_attempts: info.limits.max_attempts,
         max_open: info.limits.max_open,
         may_cancel: info.limits.cancel,
         may_duplicate: info.limits.may_duplicate,
@@ -202,7 +223,8 @@
     })
 }
 
-fn read_class(class: &WireClass, domain: &WireDomain, i: usize) -> Result<Class, String> {
+fn read_class(class: &WireClass, info: &WireInfo, i: usize) -> Result<Class, String> {
+    let domain = &info.domain;
     let effect = match class.effect.as_str() {
         "idempotent" => Effect::Safe,
         "deduplicated" => Effect::Keyed,
@@ -221,5 +243,7 @@
         need,
         partial: domain.class_partial.get(i).copied(),
         second_step: domain.second_step.get(i).copied().unwrap_or(0),
+        attempts: info.limits.max_attempts,
+        retired: false,
     })
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -19,6 +19,8 @@
         need: 1.0,
         partial: None,
         second_step: 0,
+        attempts: 3,
+        retired: false,
     }
 }
 
@@ -30,7 +32,6 @@
         over_share_worth: 0.2,
         discovery: Discovery::Pushed,
         layout: Layout { cells: 1, in_a_row: 1, batch: 1, call_overhead: 0 },
-        max_attempts: 3,
         max_open: 200,
         may_cancel: true,
         may_duplicate: true,
--- a/crates/core/tests/module.rs
+++ b/crates/core/tests/module.rs
@@ -266,7 +266,7 @@
     set.classes[1].need = f64::NAN;
     assert!(matches!(Policy::new(set, 1), Err(SettingsError::BadClass(ClassId(1), _))));
     let mut set = settings();
-    set.max_attempts = 0;
+    set.classes[0].attempts = 0;
     assert!(Policy::new(set, 1).is_err_and(|e| e.to_string().contains("max_attempts")));
 }
 
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -173,7 +173,7 @@
         }
         p.attempts.push(Attempt { sent: self.now, outcome: None });
         let number = p.attempts.len() as u32 - 1;
-        assert!(p.attempts.len() <= self.set.max_attempts as usize);
+        assert!(p.attempts.len() <= class.attempts as usize);
         self.out.push((part, number, server, self.now));
         if number > 0 {
             self.extra.push(self.now);
@@ -287,7 +287,8 @@
     }
     set.layout = Layout { batch: 4, call_overhead: 58 * MS, ..set.layout };
     set.budget = Some(Budget { window: 5000 * MS, free: 5.0, ratio: 0.1 });
-    Settings { may_probe: false, max_attempts: 4, ..set }
+    set.classes.iter_mut().for_each(|c| c.attempts = 4);
+    Settings { may_probe: false, ..set }
 }
 
 fn hold_the_rules(set: fn() -> Settings) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use curlewdeck_merge::cursor::Keys;
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use serde_json::{Map, Value};
 
 use crate::front::desk::DeskConfig;
 use crate::front::ogc::OgcConfig;
@@ -23,6 +24,7 @@
     discovery: SocketAddr,
     #[serde(default)]
     seed: String,
+    control: Option<SocketAddr>,
     limits: FileLimits,
     known: Option<WireList>,
     #[serde(borrow)]
@@ -54,6 +56,12 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// The second address, for those who run it.
+    pub control: Option<SocketAddr>,
+    /// The number of the inherited descriptor that listens for clients.
+    pub listen_fd: Option<String>,
+    /// All that the file says, but for the list: a later one may lack nothing of it.
+    pub said: Value,
     /// The list as it was last held.
     pub known: Option<WireList>,
     /// The settings.
@@ -67,6 +75,10 @@
     /// Says in one line what is missing or out of place.
     pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("not as expected: {e}"))?;
+        let mut said: Value = serde_json::from_str(text).map_err(|e| format!("not as expected: {e}"))?;
+        if let Some(said) = said.as_object_mut() {
+            said.remove("known");
+        }
         let info = settings::read(file.settings.get())?;
         info.settings.check().map_err(|e| e.to_string())?;
         let address = |name: &str, told: SocketAddr| match variable(name) {
@@ -80,11 +92,25 @@
             name: variable("LB_NAME").unwrap_or(file.name),
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
             sockets: file.limits.sockets,
+            control: match variable("LB_CONTROL") {
+                Some(text) => Some(text.parse().map_err(|_| format!("LB_CONTROL: '{text}' is no address"))?),
+                None => file.control,
+            },
+            listen_fd: variable("LB_LISTEN_FD"),
+            said,
             known: file.known,
             info,
         })
     }
 
+    /// Whether this may take the place of `before` while the process runs: it lacks no key that was there.
+    ///
+    /// # Errors
+    /// Names the first key that it lacks.
+    pub fn follows(&self, before: &Self) -> Result<(), String> {
+        lacks(&before.said, &self.said).map_or(Ok(()), |key| Err(format!("the key '{key}' is missing")))
+    }
+
     /// Reads the file that `LB_CONFIG` names.
     ///
     /// # Errors
@@ -97,6 +123,33 @@
     }
 }
 
+/// The first key that was there and is not any more. Of a list of objects, which may be others by now, it counts what
+/// all of them had.
+fn lacks(before: &Value, now: &Value) -> Option<String> {
+    let within = |key: &str, inner: String| format!("{key}.{inner}");
+    match (before, now) {
+        (Value::Object(before), Value::Object(now)) => {
+            before.iter().find_map(|(key, before)| match now.get(key) {
+                None => Some(key.clone()),
+                Some(now) => lacks(before, now).map(|inner| within(key, inner)),
+            })
+        }
+        (Value::Array(before), Value::Array(now)) => {
+            let mut all: Vec<&Map<String, Value>> = before.iter().filter_map(Value::as_object).collect();
+            let first = all.pop()?;
+            let common = first.keys().filter(|key| all.iter().all(|b| b.contains_key(*key)));
+            let mut objects = now.iter().filter_map(Value::as_object).enumerate();
+            let keys: Vec<&String> = common.collect();
+            objects.find_map(|(i, now)| {
+                keys.iter()
+                    .find(|key| !now.contains_key(**key))
+                    .map(|key| within(&i.to_string(), key.to_string()))
+            })
+        }
+        _ => None,
+    }
+}
+
 /// Reads a file of secrets, which nobody but its owner may read.
 ///
 /// # Errors
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,169 @@
+//! The second address, for those who run the coordinator: readiness, figures, and emptying it.
+//!
+//! One call to a connection, each in a thread of its own with a small stack: nothing here waits for the worker that
+//! serves clients, for the core's mailbox or for another caller. Callers that say nothing are bounded in count and
+//! time; the one that has been here longest goes for a newcomer.
+
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::front::server::Reply;
+use crate::limits::Limits;
+use crate::net::http::{self, RequestReader};
+
+/// What the calls come to.
+pub trait Operated: Send + Sync + 'static {
+    /// Whether clients are taken; else why not, in a word.
+    fn ready(&self) -> Result<(), &'static str>;
+    /// The figures of one moment, a line each.
+    fn figures(&self) -> String;
+    /// Empties the coordinator; else why not, in a word.
+    fn drain(&self) -> Result<(), &'static str>;
+    /// Takes clients again; else why not, in a word.
+    fn resume(&self) -> Result<(), &'static str>;
+}
+
+/// The answer to one call.
+fn answer(operated: &dyn Operated, method: &str, path: &str) -> Reply {
+    type Call = fn(&dyn Operated) -> Result<String, &'static str>;
+    let (allowed, call): (&str, Call) = match path {
+        "/ops/readiness" => ("GET", |o| o.ready().map(|()| "yes\n".into())),
+        "/ops/stats" => ("GET", |o| Ok(o.figures())),
+        "/ops/drain/start" => ("POST", |o| o.drain().map(|()| "yes\n".into())),
+        "/ops/drain/stop" => ("POST", |o| o.resume().map(|()| "yes\n".into())),
+        _ => return Reply::text(404, "no such call"),
+    };
+    if method != allowed && !(allowed == "GET" && method == "HEAD") {
+        return Reply::text(405, &format!("this is called by {allowed}")).with("Allow", allowed);
+    }
+    match call(operated) {
+        Ok(text) => Reply { body: text.into_bytes(), ..Reply::text(200, "") },
+        Err(why) => Reply::text(503, &format!("no: {why}")),
+    }
+}
+
+/// Connections that are open, the oldest first.
+#[derive(Default)]
+struct Open {
+    next: u64,
+    calls: VecDeque<(u64, Arc<TcpStream>)>,
+}
+
+#[derive(Clone)]
+struct Callers {
+    open: Arc<Mutex<Open>>,
+    most: usize,
+}
+
+impl Callers {
+    fn open(&self) -> MutexGuard<'_, Open> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lists a newcomer; where there are too many, the oldest is shut, and its thread ends.
+    fn enter(&self, stream: &Arc<TcpStream>) -> Caller {
+        let mut open = self.open();
+        while open.calls.len() >= self.most {
+            let Some((_, oldest)) = open.calls.pop_front() else { break };
+            // One that has gone by itself needs no shutting.
+            let _ = oldest.shutdown(Shutdown::Both);
+        }
+        let id = open.next;
+        open.next += 1;
+        open.calls.push_back((id, stream.clone()));
+        Caller { callers: self.clone(), id }
+    }
+}
+
+/// A caller's entry, taken out when its thread ends or was never started.
+struct Caller {
+    callers: Callers,
+    id: u64,
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.callers.open().calls.retain(|c| c.0 != self.id);
+    }
+}
+
+/// A thread of a call needs little.
+const STACK: usize = 128 * 1024;
+/// After a failed accept or start, so that there is never a busy loop.
+const PAUSE: Duration = Duration::from_millis(10);
+const READ: usize = 1024;
+
+/// Listens, and starts to answer.
+///
+/// # Errors
+/// The address cannot be listened at, or there is no thread.
+pub fn start(addr: SocketAddr, operated: Arc<dyn Operated>, limits: Arc<Limits>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(addr)?;
+    let local = listener.local_addr()?;
+    let callers = Callers { open: Arc::default(), most: limits.control_calls };
+    let accept = move || loop {
+        let taken = listener.accept().and_then(|(stream, _)| {
+            let stream = Arc::new(stream);
+            let caller = callers.enter(&stream);
+            let (operated, limits) = (operated.clone(), limits.clone());
+            thread("call", move || {
+                // Whoever has left or is too slow needs no answer.
+                let _ = call(&stream, &*operated, &limits);
+                drop(caller);
+            })
+        });
+        if let Err(e) = taken {
+            log::warn!("second address: {e}");
+            std::thread::sleep(PAUSE);
+        }
+    };
+    thread("control", accept)?;
+    Ok(local)
+}
+
+fn thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    std::thread::Builder::new().name(name.into()).stack_size(STACK).spawn(run).map(drop)
+}
+
+/// Reads one call and answers it.
+fn call(stream: &TcpStream, operated: &dyn Operated, limits: &Limits) -> io::Result<()> {
+    let end = Instant::now() + limits.control_read;
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(limits.control_read))?;
+    let (mut requests, mut buf) = (RequestReader::default(), [0; READ]);
+    let reply = loop {
+        match requests.next(limits) {
+            Ok(Some(request)) => break answer(operated, &request.method, &request.path),
+            Ok(None) => {}
+            Err(bad) => break Reply::text(bad.status, bad.why),
+        }
+        match read_until(stream, &mut buf, end) {
+            Ok(0) => return Ok(()),
+            Ok(n) => requests.push(&buf[..n]),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                break Reply::text(http::TOO_SLOW.status, http::TOO_SLOW.why);
+            }
+            Err(e) => return Err(e),
+        }
+    };
+    let bytes = http::response(reply.status, reply.kind, &reply.more, &reply.body, false, false);
+    (&mut &*stream).write_all(&bytes)?;
+    stream.shutdown(Shutdown::Write)?;
+    // Closing with bytes unread would reset the connection, and the caller might lose the answer.
+    let end = Instant::now() + limits.control_linger;
+    while read_until(stream, &mut buf, end)? > 0 {}
+    Ok(())
+}
+
+/// Reads what comes until then.
+fn read_until(stream: &TcpStream, buf: &mut [u8], end: Instant) -> io::Result<usize> {
+    let left = end.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    stream.set_read_timeout(Some(left))?;
+    (&mut &*stream).read(buf)
+}
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -92,6 +92,12 @@
     recall_contradictions "cdRecallContradictions",
     /// Management requests that were not served for their security.
     snmp_denied "cdSnmpDenied",
+    /// Attempts whose frame was written whole to a data node.
+    attempts_written "cdAttemptsWritten",
+    /// Configurations taken at SIGHUP.
+    reloads_ok "cdReloadsOk",
+    /// Configurations turned down at SIGHUP.
+    reloads_failed "cdReloadsFailed",
 }
 
 impl Counters {
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -117,10 +117,9 @@
         if let Some(m) = self.measures.iter().find(|m| m.scale > MAX_SCALE) {
             return Err(format!("measure '{}': the scale is at most {MAX_SCALE}", m.name));
         }
-        let found = info.classes.iter().position(|c| *c == self.class);
-        let class = found.ok_or_else(|| format!("there is no class '{}'", self.class))?;
-        match info.settings.classes[class].second_step {
-            0 => Ok(ClassId(class)),
+        let class = info.class(&self.class).ok_or_else(|| format!("there is no class '{}'", self.class))?;
+        match info.settings.classes[class.0].second_step {
+            0 => Ok(class),
             _ => Err(format!("the class '{}' has a second step, whose answer is not mergeable", self.class)),
         }
     }
@@ -226,7 +225,7 @@
         memory: Memory,
         seed: u64,
     ) -> Result<Self, String> {
-        let classes = config.check(&core.info)?;
+        let classes = config.check(&core.info())?;
         Ok(Self {
             core,
             limits,
@@ -241,12 +240,13 @@
 
     fn sets(&self) -> Json {
         let set = |(s, class): &(SetConfig, ClassId)| {
-            let floor = self.core.info.settings.classes[class.0].floor;
+            let info = self.core.info();
+            let floor = info.settings.classes[info.now(*class).0].floor;
             let measures: Vec<Json> =
                 s.measures.iter().map(|m| json!({"name": m.name, "scale": m.scale})).collect();
             json!({"id": s.id, "title": s.title, "class": s.class, "leastShare": floor, "measures": measures})
         };
-        json!({"sets": self.sets.iter().map(set).collect::<Vec<_>>(), "ranges": self.core.info.ranges})
+        json!({"sets": self.sets.iter().map(set).collect::<Vec<_>>(), "ranges": self.core.info().ranges})
     }
 
     fn route(&self, request: &Request) -> Result<Option<Asked>, Reply> {
@@ -316,7 +316,7 @@
             limit,
             filter: body.filter,
         };
-        let ranges = self.core.info.ranges;
+        let ranges = self.core.info().ranges;
         let merging = match &body.cursor {
             None => Merging::new(query, ranges),
             Some(_) if !query.paged() => {
@@ -327,13 +327,13 @@
                 Merging::resume(query, cursor.map_err(|why| at_field("cursor", &why.to_string()))?)
             }
         };
-        Ok(Asked { merging: Arc::new(Mutex::new(merging)), class: *class, wait })
+        Ok(Asked { merging: Arc::new(Mutex::new(merging)), class: self.core.info().now(*class), wait })
     }
 
     /// Hands a query to the core: a part for each range, each with its own text.
     fn ask(&self, asked: Asked, out: Answer) -> Served {
         let Asked { merging, class, wait } = asked;
-        let ranges = self.core.info.ranges;
+        let ranges = self.core.info().ranges;
         let share = 1.0 / f64::from(ranges);
         let texts = {
             let merging = lock(&merging);
@@ -359,7 +359,7 @@
         };
         let end = End {
             merging,
-            floor: self.core.info.settings.classes[class.0].floor,
+            floor: self.core.info().settings.classes[class.0].floor,
             memory: self.memory.clone(),
             keys: self.keys.clone(),
             cursor_life: self.cursor_life,
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -213,7 +213,7 @@
         service: Arc<Service>,
         seed: u64,
     ) -> Result<Self, String> {
-        let (ranges, collections) = (core.info.ranges, config.check(&core.info)?);
+        let (ranges, collections) = (core.info().ranges, config.check(&core.info())?);
         let by_id = match config.by_id {
             true => Some(Sealed {
                 keys: Arc::new(cursor_keys(config.cursor_keys.as_deref())?),
@@ -396,7 +396,7 @@
 
     /// Hands a feature query to the core: a part for each of these ranges.
     fn ask(&self, at: usize, parts: Parts, reply: crate::net::mail::Reply) -> Served {
-        let class = self.collections[at].1;
+        let class = self.core.info().now(self.collections[at].1);
         let ranges: Vec<u32> = (parts.from.0..self.ranges).collect();
         let share = 1.0 / ranges.len() as f64;
         let number = self.next.fetch_add(1, Ordering::Relaxed);
@@ -502,12 +502,12 @@
     if id.is_empty() || http::encode(id) != *id || id.contains(',') {
         return Err(format!("ogc: the collection id '{id}' cannot stand in a path"));
     }
-    let found = info.classes.iter().position(|c| *c == collection.class);
-    let class = found.ok_or_else(|| format!("ogc: {id}: there is no class '{}'", collection.class))?;
-    if info.settings.classes[class].second_step > 0 {
+    let class = info.class(&collection.class);
+    let class = class.ok_or_else(|| format!("ogc: {id}: there is no class '{}'", collection.class))?;
+    if info.settings.classes[class.0].second_step > 0 {
         return Err(format!("ogc: {id}: the class '{}' has a second step", collection.class));
     }
-    Ok(ClassId(class))
+    Ok(class)
 }
 
 fn link(base: &str, path: &str, rel: &str, kind: &str, title: &str) -> Json {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -93,8 +93,8 @@
 impl Platform {
     fn ask(&self, request: &Request) -> Result<Ask, Reply> {
         let class = request.path.split('/').nth(1).unwrap_or("");
-        let found = self.core.info.classes.iter().position(|c| c == class);
-        let class = crate::api::ClassId(found.ok_or_else(|| Reply::text(404, "unknown class"))?);
+        let info = self.core.info();
+        let class = info.class(class).ok_or_else(|| Reply::text(404, "unknown class"))?;
         if request.method != "POST" {
             return Err(Reply::text(405, "queries are sent by POST").with("Allow", "POST"));
         }
@@ -106,7 +106,7 @@
             Some(text) => timeout(text)
                 .filter(|t| *t <= self.limits.client_wait)
                 .ok_or_else(|| Reply::text(400, "X-Timeout: a number and m or u, an hour at most"))?,
-            None => Duration::from_nanos(self.core.info.settings.classes[class.0].deadline),
+            None => Duration::from_nanos(info.settings.classes[class.0].deadline),
         };
         let body: Body = serde_json::from_slice(&request.body)
             .map_err(|e| Reply::text(400, &format!("the body is not as expected: {e}")))?;
@@ -125,9 +125,10 @@
 
     fn health(&self, method: &str) -> Reply {
         match method {
-            "GET" | "HEAD" if self.service.draining() => Reply::text(503, "draining"),
-            "GET" | "HEAD" if self.core.ready() => Reply::text(200, "ok"),
-            "GET" | "HEAD" => Reply::text(503, "no data node is known yet"),
+            "GET" | "HEAD" => match self.service.why_not(&self.core) {
+                None => Reply::text(200, "ok"),
+                Some(why) => Reply::text(503, why),
+            },
             _ => Reply::text(405, "health is read by GET").with("Allow", "GET, HEAD"),
         }
     }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -8,6 +8,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use curlewdeck_lifecycle::{Closing, Lifecycle};
+use curlewdeck_listener::Inherited;
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 
@@ -17,6 +19,7 @@
 use crate::net::core::Core;
 use crate::net::http::{self, BadMessage, Request, RequestReader};
 use crate::net::io::{nanos, spawn, Clock, Permit, Permits, Stream};
+use crate::net::mail::REQUEST;
 
 /// A client's connection, as those see it that look for room or end the process.
 struct Connection {
@@ -65,15 +68,10 @@
     None,
 }
 
-/// Whether the process serves, drains or closes: shared by all connections.
+/// The life of the process and its client connections: shared by all fronts.
 pub struct Service {
     clock: Clock,
-    /// SIGTERM has come.
-    draining: AtomicBool,
-    /// By when all must be answered.
-    answered_by: AtomicU64,
-    /// Connections are closed after their answers.
-    closing: AtomicBool,
+    lifecycle: Mutex<Lifecycle>,
     /// Requests read and not yet answered.
     busy: AtomicUsize,
     connections: Mutex<HashMap<u64, Arc<Connection>>>,
@@ -81,33 +79,40 @@
 }
 
 impl Service {
-    /// Serves, and has no connection.
-    pub fn new(clock: Clock) -> Self {
+    /// Starts, and has no connection.
+    pub fn new(clock: Clock, lifecycle: Lifecycle) -> Self {
         Self {
             clock,
-            draining: AtomicBool::default(),
-            answered_by: AtomicU64::new(Nanos::MAX),
-            closing: AtomicBool::default(),
+            lifecycle: Mutex::new(lifecycle),
             busy: AtomicUsize::default(),
             connections: Mutex::default(),
             next: AtomicU64::default(),
         }
     }
 
-    /// Whether SIGTERM has come.
-    pub fn draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+    /// The life of the process. Held for a few instructions and never over a yield.
+    pub fn lifecycle(&self) -> MutexGuard<'_, Lifecycle> {
+        self.lifecycle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// SIGTERM has come: health says so, and all is answered within this time; everything else goes on.
-    pub fn drain(&self, within: Duration) {
-        self.answered_by.store(self.clock.now().saturating_add(nanos(within)), Ordering::Release);
-        self.draining.store(true, Ordering::Release);
+    /// The time by which its life goes.
+    pub fn now(&self) -> Nanos {
+        self.clock.now()
+    }
+
+    /// Which connections are to be closed now.
+    pub fn closing(&self) -> Closing {
+        self.lifecycle().closing(self.now())
+    }
+
+    /// Why no new clients are wanted, in a word; nothing if they are.
+    pub fn why_not(&self, core: &Core) -> Option<&'static str> {
+        self.lifecycle().why_not().or_else(|| (!core.ready()).then_some("no data node is known yet"))
     }
 
     /// By when a request must be answered, whatever time its client gives it.
     pub fn answered_by(&self) -> Nanos {
-        self.answered_by.load(Ordering::Acquire)
+        self.lifecycle().answered_by()
     }
 
     /// Requests read and not yet answered.
@@ -115,10 +120,9 @@
         self.busy.load(Ordering::Acquire)
     }
 
-    /// Connections close after their answers; those at rest are closed now. Returns whether nothing is held
-    /// any more: no request, and nothing that has come and is not yet read.
+    /// Closes the connections at rest. Returns whether nothing is held any more: no request, and nothing that has
+    /// come and is not yet read.
     pub fn close_idle(&self) -> bool {
-        self.closing.store(true, Ordering::Release);
         let mut unread = false;
         for connection in self.connections().values().filter(|c| !c.in_use.load(Ordering::Acquire)) {
             unread |= !connection.given_up.load(Ordering::SeqCst) && !connection.give_up();
@@ -322,6 +326,62 @@
     Ok(local)
 }
 
+/// The same at a socket that the process inherited, and that others may accept from: a thread waits for connections
+/// and hands over one at a time, so that none is taken that could not be read; it ends when the process finishes.
+///
+/// # Errors
+/// The socket is of no use, or there is no thread.
+pub fn listen_inherited(
+    inherited: Inherited,
+    front: Arc<dyn Front>,
+    shared: Shared,
+) -> io::Result<SocketAddr> {
+    let local = inherited.local_addr()?;
+    let service = shared.service.clone();
+    let (streams, accepted) = channel::<may::net::TcpStream>();
+    let (done, next) = std::sync::mpsc::channel();
+    spawn("accept", shared.limits.stack_words, move || {
+        for stream in accepted.iter() {
+            accept(stream, &front, &shared);
+            if done.send(()).is_err() {
+                return;
+            }
+        }
+    });
+    let wait = move || loop {
+        match inherited.waits(ACCEPT_LOOK) {
+            Ok(_) if service.lifecycle().finishing() => return,
+            Ok(false) => continue,
+            Ok(true) => {}
+            Err(e) => {
+                log::warn!("accept: {e}");
+                std::thread::sleep(ACCEPT_PAUSE);
+                continue;
+            }
+        }
+        match inherited.accept() {
+            Ok(Some(stream)) => {
+                if streams.send(stream).is_err() || next.recv().is_err() {
+                    return;
+                }
+            }
+            Ok(None) => {}
+            Err(e) => {
+                log::warn!("accept: {e}");
+                std::thread::sleep(ACCEPT_PAUSE);
+            }
+        }
+    };
+    std::thread::Builder::new().name("accept".into()).stack_size(ACCEPT_STACK).spawn(wait)?;
+    Ok(local)
+}
+
+/// How soon the thread that accepts sees that the process finishes.
+const ACCEPT_LOOK: Duration = Duration::from_millis(20);
+/// Never a busy loop, whatever the cause.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const ACCEPT_STACK: usize = 128 * 1024;
+
 /// A place for a new connection, for which one at rest may have to go.
 fn room(shared: &Shared) -> Option<Permit> {
     let start = Instant::now();
@@ -366,7 +426,7 @@
     shared.service.connections().insert(key, connection.clone());
     spawn("client", shared.limits.stack_words, move || {
         let listed = Listed(shared.service.clone(), key);
-        Client { connection, front, shared }.run();
+        Client { key, connection, front, shared }.run();
         drop(listed);
     });
 }
@@ -381,6 +441,7 @@
 }
 
 struct Client {
+    key: u64,
     connection: Arc<Connection>,
     front: Arc<dyn Front>,
     shared: Shared,
@@ -393,11 +454,13 @@
         let (writer, outbox) = channel::<Out>();
         let (done, answered) = channel::<bool>();
         let (connection, within) = (self.connection.clone(), self.shared.limits.client_write);
-        let service = self.shared.service.clone();
+        let (service, key) = (self.shared.service.clone(), self.key);
         spawn("client writer", self.shared.limits.stack_words, move || {
             for mut out in outbox.iter() {
-                let open = out.keep_alive && !service.closing.load(Ordering::Acquire);
-                match out.write(&connection.stream, open, within) {
+                let open = out.keep_alive && service.closing() == Closing::None;
+                let written = out.write(&connection.stream, open, within);
+                log::debug!(target: REQUEST, "connection {key}: {} written, {written:?}", out.reply.status);
+                match written {
                     Ok(()) if open => {}
                     Ok(()) => connection.stream.end_writing(),
                     Err(_) => connection.stream.shut(),
@@ -491,6 +554,7 @@
         }
         self.connection.stream.shut();
         if let (true, Some(id), None) = (pending, query, poll()) {
+            log::debug!(target: REQUEST, "connection {}: its client has left query {}", self.key, id.0);
             self.shared.core.gone(id);
         }
         false
@@ -534,7 +598,10 @@
         let answer = self.answer(writer, request.keep_alive, request.method == "HEAD", request.chunks);
         match self.front.serve(request, answer) {
             Served::Now => None,
-            Served::Later(id) => Some(id),
+            Served::Later(id) => {
+                log::debug!(target: REQUEST, "connection {}: a request read whole is query {}", self.key, id.0);
+                Some(id)
+            }
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #![doc = include_str!("../README.md")]
 
 pub mod config;
+pub mod control;
 pub mod counters;
 pub mod front;
 pub mod group;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -95,6 +95,18 @@
     pub term_accept: Duration,
     /// What is held may take this long after that.
     pub term_finish: Duration,
+    /// Callers at the second address at once: the one that has been there longest goes for a newcomer.
+    pub control_calls: usize,
+    /// A call there must be whole within this, and its answer be taken.
+    pub control_read: Duration,
+    /// After the answer, what its caller still sends is read and dropped for this long.
+    pub control_linger: Duration,
+    /// Drained by an operator: connections are kept for so long, since the front still sends clients...
+    pub drain_notice: Duration,
+    /// ...and after so long, those at rest are closed, and those without a whole request.
+    pub drain_rest: Duration,
+    /// The figures of the second address are made anew this often at most.
+    pub figures_every: Duration,
     /// Pages that one part of a feature query may fetch.
     pub pages: usize,
     /// Most features on one page of an answer.
@@ -185,6 +197,12 @@
             term_last: Duration::from_millis(900),
             term_accept: Duration::from_millis(500),
             term_finish: Duration::from_secs(10),
+            control_calls: 12,
+            control_read: Duration::from_secs(2),
+            control_linger: Duration::from_millis(200),
+            drain_notice: Duration::from_millis(400),
+            drain_rest: Duration::from_millis(1500),
+            figures_every: Duration::from_millis(50),
             pages: 64,
             page_features: 1000,
             ogc_wait: Duration::from_secs(10),
@@ -241,6 +259,15 @@
     /// # Errors
     /// Too few descriptors to serve at all.
     pub fn for_sockets(sockets: usize) -> Result<Self, String> {
+        Self::beside(sockets, 0)
+    }
+
+    /// The same where so many other processes may serve at the same address under the same bound.
+    ///
+    /// # Errors
+    /// Too few descriptors to serve at all.
+    pub fn beside(sockets: usize, others: usize) -> Result<Self, String> {
+        let sockets = sockets / (others + 1);
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed"));
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -132,6 +132,7 @@
     env_logger::Builder::from_env(
         env_logger::Env::default().default_filter_or("info,may=warn,may::io::event_loop=off"),
     )
+    .format_timestamp_micros()
     .init();
     // Before anything else, so that no signal finds the process unprepared.
     let mut signals =
@@ -145,10 +146,11 @@
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => log::info!("counters:\n{}", coordinator.report()),
-                SIGHUP => match Config::load(file) {
-                    Ok(config) => coordinator.reload(&config),
-                    Err(why) => log::error!("the configuration stays as it was: {why}"),
-                },
+                SIGHUP => {
+                    if let Err(why) = coordinator.reload(file) {
+                        log::error!("the configuration stays as it was: {why}");
+                    }
+                }
                 _ if ending => {}
                 _ => {
                     ending = true;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use curlewdeck_account::figures::{self, Beside, Figures};
 use curlewdeck_account::nodes::NodeBounds;
 use curlewdeck_account::saved::Saved;
 use curlewdeck_account::{Account, End, Snapshot};
@@ -14,7 +15,7 @@
 use crate::counters::Counters;
 use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
 use crate::net::io::{spawn_vital, Alarm, Clock};
-use crate::net::mail::{CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply};
+use crate::net::mail::{CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply, REQUEST};
 use crate::net::members::ListNews;
 use crate::settings::Info;
 
@@ -27,9 +28,11 @@
     most: usize,
     ready: Arc<AtomicBool>,
     /// By class: queries turned away over the limit, which the books take over.
-    full: Arc<[AtomicU64]>,
-    /// What the settings say.
-    pub info: Arc<Info>,
+    full: Arc<Mutex<Vec<u64>>>,
+    /// What the settings say now.
+    info: Arc<Mutex<Arc<Info>>>,
+    /// The figures of the last moment at which they were made.
+    figures: Arc<Mutex<Arc<Figures>>>,
     /// The clock of all deadlines.
     pub clock: Clock,
     /// Counters.
@@ -52,9 +55,26 @@
 
     fn turned_away(&self, class: ClassId) {
         Counters::add(&self.counters.queries_full);
-        if let Some(full) = self.full.get(class.0) {
-            Counters::add(full);
+        let mut full = lock(&self.full);
+        if full.len() <= class.0 {
+            full.resize(class.0 + 1, 0);
         }
+        full[class.0] += 1;
+    }
+
+    /// What the settings say now.
+    pub fn info(&self) -> Arc<Info> {
+        lock(&self.info).clone()
+    }
+
+    /// Takes over what the settings say from now on; queries that are open keep the rules they came under.
+    pub fn reset(&self, info: Info) {
+        self.mail.send(Msg::Reset(Box::new(info)));
+    }
+
+    /// The figures of a moment a short while ago, without waiting for the core.
+    pub fn figures(&self) -> Arc<Figures> {
+        lock(&self.figures).clone()
     }
 
     /// All figures of one moment, handed over once the core comes to it.
@@ -97,11 +117,16 @@
 
     /// How long a client turned away over the limit should stay away.
     pub fn full_hold_off(&self) -> Nanos {
-        let settings = &self.info.settings;
+        let settings = &self.info().settings;
         settings.max_hold_off.unwrap_or(0).min(settings.shortest_aim() / 4)
     }
 }
 
+/// Held for a few instructions and never over a yield.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The core comes to what it is asked within this, or is so busy that it has to wait.
 const SAVED: Duration = Duration::from_secs(2);
 
@@ -111,6 +136,8 @@
     pub engine: Engine,
     /// What the settings say.
     pub info: Arc<Info>,
+    /// Figures are made anew this often at most; none are made where nobody fetches them.
+    pub figures_every: Option<Nanos>,
     /// The clock.
     pub clock: Clock,
     /// Counters.
@@ -159,8 +186,9 @@
         backlog: Arc::default(),
         most: parts.backlog,
         ready: Arc::default(),
-        full: parts.info.classes.iter().map(|_| AtomicU64::default()).collect(),
-        info: parts.info.clone(),
+        full: Arc::default(),
+        info: Arc::new(Mutex::new(parts.info.clone())),
+        figures: Arc::default(),
         clock: parts.clock,
         counters: parts.counters.clone(),
     };
@@ -186,6 +214,9 @@
         must_ask_in,
         heard,
         started: parts.started,
+        restored: parts.restored,
+        figures_every: parts.figures_every,
+        figures_at: 0,
     };
     spawn_vital("core", parts.stack_words, move || {
         actor.take(Msg::List(known));
@@ -208,13 +239,18 @@
     /// When the list was last heard of.
     heard: Nanos,
     started: Option<Started>,
+    restored: Option<Saved>,
+    figures_every: Option<Nanos>,
+    /// When the figures are made anew.
+    figures_at: Nanos,
 }
 
 impl Actor {
     fn run(&mut self, inbox: &Receiver<Msg>) {
         loop {
             self.act();
-            if let Some(at) = self.engine.next_due() {
+            let figures_at = self.publish();
+            if let Some(at) = self.engine.next_due().into_iter().chain(figures_at).min() {
                 self.alarm.set(at);
             }
             let Ok(message) = inbox.recv() else { return };
@@ -225,20 +261,58 @@
         }
     }
 
+    /// Makes the figures anew where that is due; returns when it is next, whatever else happens: what is avoided
+    /// changes with time alone.
+    fn publish(&mut self) -> Option<Nanos> {
+        let every = self.figures_every?;
+        let now = self.core.clock.now();
+        if now < self.figures_at {
+            return Some(self.figures_at);
+        }
+        self.figures_at = now.saturating_add(every);
+        self.take_over_full();
+        let (known, excluded) = self.engine.listed();
+        let counters = &self.core.counters;
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let beside = Beside {
+            attempts: count(&counters.attempts_written),
+            known,
+            excluded,
+            reloads_ok: count(&counters.reloads_ok),
+            reloads_failed: count(&counters.reloads_failed),
+        };
+        let made = Arc::new(figures::figures(&self.account, self.restored.as_ref(), beside));
+        *lock(&self.core.figures) = made;
+        Some(self.figures_at)
+    }
+
     fn take(&mut self, message: Msg) {
         let now = self.core.clock.now();
         match message {
             Msg::Ask(id, ask, reply) => {
                 self.core.backlog.fetch_sub(1, Ordering::AcqRel);
                 let class = ask.class;
+                let name = if log::log_enabled!(target: REQUEST, log::Level::Debug) {
+                    ask.name.clone()
+                } else {
+                    String::new()
+                };
                 match self.engine.ask(now, id, ask) {
                     Ok(()) => {
+                        log::debug!(target: REQUEST, "{name} taken as query {}", id.0);
                         self.account.taken(now, id, class);
                         self.replies.insert(id, reply);
                     }
                     Err(why) => {
-                        if why == Rejected::Full {
-                            self.core.turned_away(class);
+                        log::debug!(target: REQUEST, "{name} not taken: {why:?}");
+                        match why {
+                            Rejected::Full => self.core.turned_away(class),
+                            // Refused as any other; it was late before it could be taken.
+                            Rejected::Late => {
+                                self.account.taken(now, id, class);
+                                self.account.ended(id, End::Refused);
+                            }
+                            _ => {}
                         }
                         reply(Err(why));
                     }
@@ -246,12 +320,14 @@
             }
             Msg::Gone(id) => {
                 if self.replies.remove(&id).is_some() {
+                    log::debug!(target: REQUEST, "query {} ends: its client has left", id.0);
                     self.account.ended(id, End::Gone);
                     self.engine.gone(id);
                 }
             }
             Msg::List(news) => self.take_list(news),
             Msg::Ended(id, outcome, value) => {
+                log::debug!(target: REQUEST, "attempt {} ended: {outcome:?}", id.0);
                 let counted = self.engine.ended(now, id, outcome, value);
                 if counted != outcome {
                     Counters::add(&self.core.counters.values_unfit);
@@ -267,6 +343,11 @@
                 debug_assert_eq!(snapshot.check(), Ok(()));
                 take(snapshot);
             }
+            Msg::Reset(info) => {
+                let info = self.engine.reset(*info);
+                self.account.extend(&info.settings.classes, &info.classes);
+                *lock(&self.core.info) = Arc::new(info.clone());
+            }
             Msg::Rung => self.alarm.rung(),
             Msg::Probed(server, outcome) => self.engine.probed(now, server, outcome),
         }
@@ -274,8 +355,8 @@
 
     /// Queries that were turned away before they came here.
     fn take_over_full(&mut self) {
-        for (class, full) in self.core.full.iter().enumerate() {
-            self.account.full(ClassId(class), full.load(Ordering::Relaxed));
+        for (class, &full) in lock(&self.core.full).iter().enumerate() {
+            self.account.full(ClassId(class), full);
         }
     }
 
@@ -335,8 +416,16 @@
                     self.account.started(server, number, copy);
                 }
                 Command::Book(Note::Ended { server, outcome }) => self.account.attempt_ended(server, outcome),
-                Command::Send { server, call } => self.tell_node(server, NodeMsg::Call(call)),
-                Command::Drop { server, attempt } => self.tell_node(server, NodeMsg::Drop(attempt)),
+                Command::Send { server, call } => {
+                    for d in &call {
+                        log::debug!(target: REQUEST, "{} attempt {} to node {}", d.part.name, d.attempt.0, server.0);
+                    }
+                    self.tell_node(server, NodeMsg::Call(call));
+                }
+                Command::Drop { server, attempt } => {
+                    log::debug!(target: REQUEST, "attempt {} given up at node {}", attempt.0, server.0);
+                    self.tell_node(server, NodeMsg::Drop(attempt));
+                }
                 Command::Retire { server } => {
                     self.account.retired(now, server);
                     if let Some(node) = self.nodes.remove(&server) {
@@ -360,6 +449,7 @@
                     }
                     // Whoever has the answer finds it counted.
                     self.core.counters.view(&self.account);
+                    log::debug!(target: REQUEST, "query {} ends: {}", query.0, answer.word());
                     if let Some(reply) = self.replies.remove(&query) {
                         reply(Ok(answer));
                     }
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -50,6 +50,19 @@
     Whole(Vec<u8>),
 }
 
+impl std::fmt::Display for Frame {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Call(parts, _) => {
+                parts.iter().try_for_each(|d| write!(f, "attempt {} of {} ", d.attempt.0, d.part.name))
+            }
+            Self::Whole(bytes) => {
+                write!(f, "{}", String::from_utf8_lossy(bytes.get(HEAD..).unwrap_or_default()))
+            }
+        }
+    }
+}
+
 impl Frame {
     /// How many of its parts are wanted; none of a frame without parts.
     pub fn wanted(&self) -> usize {
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -15,6 +15,7 @@
 use crate::net::io::Stream;
 use crate::net::link::{Input, LinkId};
 use crate::net::members::{ListNews, WireList};
+use crate::settings::Info;
 
 /// How a query ends, for its front: called once.
 pub type Reply = Box<dyn FnOnce(Result<Final, Rejected>) + Send>;
@@ -31,6 +32,8 @@
     Ended(AttemptId, Outcome, Option<Value>),
     /// A probe has ended.
     Probed(ServerId, Outcome),
+    /// The settings have changed.
+    Reset(Box<Info>),
     /// The alarm has rung.
     Rung,
     /// Somebody wants to see the books.
@@ -75,6 +78,10 @@
     }
 }
 
+/// The log's target under which one request can be followed from its last byte in to its answer. Off by default:
+/// `RUST_LOG=info,request=debug` turns it on.
+pub const REQUEST: &str = "request";
+
 /// What the list's actor is told.
 #[derive(Debug)]
 pub enum ListMsg {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,7 @@
 use crate::net::frame::{self, Frame, FrameLimits};
 use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
-use crate::net::mail::{Come, CoreMail, Gate, Msg, NodeMsg, Rest};
+use crate::net::mail::{Come, CoreMail, Gate, Msg, NodeMsg, Rest, REQUEST};
 use crate::settings::Connections;
 
 /// What every actor of a data node needs.
@@ -119,6 +120,7 @@
                 }
             }
             NodeMsg::Up(id, stream, writer) => {
+                log::debug!(target: REQUEST, "link {} of node {} is up", id.0, self.id.0);
                 self.open.insert(id, (stream, writer));
                 self.step(Input::Up(id));
             }
@@ -142,6 +144,7 @@
                     }
                 }
                 Output::Shut(id) => {
+                    log::debug!(target: REQUEST, "link {} of node {} is shut", id.0, self.id.0);
                     if let Some((stream, _)) = self.open.remove(&id) {
                         stream.shut();
                     }
@@ -168,6 +171,10 @@
     }
 }
 
+fn word(written: &std::io::Result<()>) -> String {
+    written.as_ref().map_or_else(ToString::to_string, |()| "written whole".into())
+}
+
 /// Opens a connection, starts its writer and reads it to its end.
 fn connection(id: LinkId, addr: SocketAddr, permit: Permit, context: &NodeContext, node: &Sender<NodeMsg>) {
     let tell = |input| {
@@ -185,6 +192,7 @@
     };
     let (frames, to_write) = channel::<Frame>();
     let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
+    let counters = context.counters.clone();
     spawn("link writer", context.limits.stack_words, move || {
         for frame in to_write.iter() {
             // Nothing yields between the last look and the first byte, however long the socket was full before.
@@ -194,6 +202,10 @@
                 frame.bytes()
             };
             let written = writer_stream.write_current(current, || frame.wanted() == wanted.get(), within);
+            log::debug!(target: REQUEST, "link {}: {frame}, {} wanted, {}", id.0, wanted.get(), word(&written));
+            if written.is_ok() {
+                counters.attempts_written.fetch_add(wanted.get() as u64, Ordering::Relaxed);
+            }
             let news = if written.is_ok() { Input::Written(id) } else { Input::WriteFailed(id) };
             // Nobody is left to be told once the actor has ended.
             let _ = writer_node.send(NodeMsg::Link(news));
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,15 +2,19 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use curlewdeck_account::nodes::NodeBounds;
 use curlewdeck_account::{worth, End, Snapshot, OUTCOMES};
+use curlewdeck_lifecycle::{Called, Closing, Finish, Lifecycle, Spans};
+use curlewdeck_listener::Inherited;
 use may::sync::mpsc::Sender;
 
 use crate::api::{Discovery, ListKind};
 use crate::config::{Config, Edge, NodeProtocol};
+use crate::control::{self, Operated};
 use crate::counters::Counters;
 use crate::engine::Engine;
 use crate::front::desk::{Desk, Memory};
@@ -34,6 +38,8 @@
 pub struct Coordinator {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The second address, if there is one.
+    pub control: Option<SocketAddr>,
     /// Where the feature front listens, if it is on.
     pub ogc: Option<SocketAddr>,
     /// Where the desk front listens, if it is on.
@@ -48,8 +54,9 @@
     keep: Option<Arc<Keep>>,
     /// Tells whoever is to be told that the process ends.
     stopping: Option<Stopping>,
-    /// The list's service as the configuration file last named it.
-    named: Mutex<SocketAddr>,
+    /// The configuration that was last taken.
+    taken: Mutex<Config>,
+    edge: Edge,
 }
 
 /// Sets the coroutines' workers up; once in a process, before anything else.
@@ -63,7 +70,11 @@
 /// Says in one line what is out of place or cannot be had.
 pub fn start(config: Config, edge: Edge) -> Result<Coordinator, String> {
     edge.check(&config.info)?;
-    let limits = Arc::new(Limits::for_sockets(config.sockets)?);
+    let taken = config.clone();
+    let inherited = config.listen_fd.as_deref().map(Inherited::take);
+    let inherited = inherited.transpose().map_err(|why| format!("LB_LISTEN_FD: {why}"))?;
+    // Another version may serve beside this one from the same socket, within the same bounds.
+    let limits = Arc::new(Limits::beside(config.sockets, usize::from(inherited.is_some()))?);
     let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
     let info = Arc::new(config.info.clone());
     let engine = Engine::new(config.info, config.seed, nanos(limits.backstop), nanos(limits.name_rest))
@@ -85,7 +96,8 @@
         counters: counters.clone(),
         clock,
     };
-    let names = Arc::new(Names { range: edge.nodes.range_parameter, after: edge.nodes.after_parameter });
+    let nodes = edge.nodes.clone();
+    let names = Arc::new(Names { range: nodes.range_parameter, after: nodes.after_parameter });
     let start_node: core::StartNode = match edge.nodes.protocol {
         NodeProtocol::Frames => Box::new(move |id, gate| node::start(id, gate, context.clone())),
         NodeProtocol::Features => {
@@ -104,6 +116,7 @@
     let parts = core::Parts {
         restored: kept.as_ref().map(|k| k.books.clone()),
         nodes: NodeBounds { rows: limits.node_rows, keep: nanos(limits.node_row_keep) },
+        figures_every: config.control.map(|_| nanos(limits.figures_every)),
         started: memory.as_ref().map(Memory::forgetting),
         engine,
         info,
@@ -114,7 +127,12 @@
     };
     let core = core::start(parts, core_mail, inbox, known, list.clone(), start_node);
     let core = core.map_err(|e| format!("cannot start the core: {e}"))?;
-    let service = Arc::new(Service::new(clock));
+    let spans = Spans {
+        drain_notice: nanos(limits.drain_notice),
+        drain_rest: nanos(limits.drain_rest),
+        shared_listener: inherited.is_some(),
+    };
+    let service = Arc::new(Service::new(clock, Lifecycle::new(spans)));
     let permits = Permits::new(limits.clients);
     let shared = Shared { core: core.clone(), limits: limits.clone(), service: service.clone(), permits };
     let open = |addr, front: Arc<dyn Front>| {
@@ -145,15 +163,97 @@
         None => None,
     };
     let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
-    let listen = open(config.listen, Arc::new(platform))?;
+    let control = match config.control {
+        Some(addr) => {
+            let operated = Arc::new(Operation { core: core.clone(), service: service.clone() });
+            let cannot = |e| format!("cannot listen at the second address {addr}: {e}");
+            Some(control::start(addr, operated, limits.clone()).map_err(cannot)?)
+        }
+        None => None,
+    };
+    let listen = match inherited {
+        Some(inherited) => server::listen_inherited(inherited, Arc::new(platform), shared.clone())
+            .map_err(|e| format!("cannot listen at the inherited socket: {e}"))?,
+        None => open(config.listen, Arc::new(platform))?,
+    };
+    service.lifecycle().listening();
+    if let Some(control) = control {
+        log::info!("{} is operated at {control}", config.name);
+    }
     log::info!("{} serves at {listen}", config.name);
     if let Some(keep) = &keep {
         keep.start(core.clone()).map_err(|e| format!("cannot start to keep the state: {e}"))?;
     }
-    let named = Mutex::new(config.named_discovery);
-    Ok(Coordinator { keep, stopping, listen, ogc, desk, snmp, core, service, limits, list, named })
+    let taken = Mutex::new(taken);
+    Ok(Coordinator {
+        keep,
+        stopping,
+        listen,
+        control,
+        ogc,
+        desk,
+        snmp,
+        core,
+        service,
+        limits,
+        list,
+        taken,
+        edge,
+    })
+}
+
+/// What operators call at the second address.
+struct Operation {
+    core: Core,
+    service: Arc<Service>,
+}
+
+impl Operated for Operation {
+    fn ready(&self) -> Result<(), &'static str> {
+        self.service.why_not(&self.core).map_or(Ok(()), Err)
+    }
+
+    fn figures(&self) -> String {
+        self.core.figures().text()
+    }
+
+    fn drain(&self) -> Result<(), &'static str> {
+        let service = self.service.clone();
+        let (called, change) = {
+            let mut life = service.lifecycle();
+            (life.drain_start(service.now()), life.changes())
+        };
+        if called == Called::Changed {
+            log::info!("drained by an operator");
+            // Ends with the drain.
+            let empty = move || {
+                while service.lifecycle().changes() == change {
+                    if service.closing() == Closing::Resting {
+                        service.close_idle();
+                    }
+                    std::thread::sleep(LOOK);
+                }
+            };
+            let thread =
+                std::thread::Builder::new().name("drain".into()).stack_size(DRAIN_STACK).spawn(empty);
+            if let Err(e) = thread {
+                log::error!("no thread to close connections at rest: {e}");
+            }
+        }
+        Ok(())
+    }
+
+    fn resume(&self) -> Result<(), &'static str> {
+        match self.service.lifecycle().drain_stop() {
+            Called::Changed => log::info!("takes clients again"),
+            Called::Already => {}
+            Called::Finishing => return Err("the process ends"),
+        }
+        Ok(())
+    }
 }
 
+const DRAIN_STACK: usize = 128 * 1024;
 const LOOK: Duration = Duration::from_millis(10);
 /// The core comes to what it is asked within this, or is so busy that its figures have to wait.
 const BOOKS: Duration = Duration::from_secs(2);
@@ -186,17 +286,35 @@
 }
 
 impl Coordinator {
-    /// After SIGHUP: takes over what the file now says of the list's service. All else that it says holds
-    /// from the next start on. Not called from a coroutine, since reading a file blocks.
-    pub fn reload(&self, config: &Config) {
-        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
-        if *named == config.named_discovery {
-            return log::info!("the configuration names the same list's service as before");
-        }
-        *named = config.named_discovery;
-        if self.list.send(ListMsg::Moved(*named)).is_err() {
+    /// After SIGHUP: takes over what the file now says of the list's service and of the settings, or nothing of it.
+    /// All else that it says holds from the next start on. Not called from a coroutine, since reading a file blocks.
+    ///
+    /// # Errors
+    /// Says in one line what is missing or out of place.
+    pub fn reload(&self, file: &Path) -> Result<(), String> {
+        let done = self.take(file);
+        let counters = &self.core.counters;
+        Counters::add(if done.is_ok() { &counters.reloads_ok } else { &counters.reloads_failed });
+        done
+    }
+
+    fn take(&self, file: &Path) -> Result<(), String> {
+        let config = Config::load(file)?;
+        let mut taken = self.taken.lock().unwrap_or_else(PoisonError::into_inner);
+        let named = |why: String| format!("{}: {why}", file.display());
+        config.follows(&taken).map_err(named)?;
+        self.edge.check(&config.info).map_err(named)?;
+        if taken.named_discovery != config.named_discovery
+            && self.list.send(ListMsg::Moved(config.named_discovery)).is_err()
+        {
             log::error!("the list's actor has ended");
         }
+        if taken.said["settings"] != config.said["settings"] {
+            self.core.reset(config.info.clone());
+        }
+        *taken = config;
+        log::info!("the configuration is taken: {} classes", taken.info.classes.len());
+        Ok(())
     }
 
     /// All figures of one moment; none if the core does not come to it in time. Not called from a coroutine.
@@ -213,14 +331,17 @@
     /// After SIGTERM: goes on for a while, then finishes what is held and closes what is idle. Returns once
     /// all is answered, or when the time for that is over.
     pub fn finish(&self) {
-        let classes = &self.core.info.settings.classes;
-        let longest = classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let info = self.core.info();
+        let longest = info.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let (accept, answered) = self.limits.term(Duration::from_nanos(longest));
         if let Some(stopping) = &self.stopping {
             stopping.now();
         }
-        self.service.drain(answered);
-        std::thread::sleep(accept);
+        let finish = Finish { accept: nanos(accept), answered: nanos(answered) };
+        self.service.lifecycle().term(self.service.now(), finish);
+        while self.service.closing() < Closing::Resting {
+            std::thread::sleep(LOOK);
+        }
         let start = Instant::now();
         let mut at_rest = 0;
         // Twice, so that what came while connections were closed is seen.
