--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -416,6 +416,8 @@
         repeated: bool,
         /// When the client gives up on this try.
         valid_until: Nanos,
+        /// It would wait for longer, but this mixer ends before: its time tells nothing of the client.
+        cut: bool,
     },
     /// A part of a query that is held.
     Part {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -93,6 +93,8 @@
     pub repeated: bool,
     /// When the client gives up.
     pub valid_until: Nanos,
+    /// The client would wait for longer, but this process ends before.
+    pub cut: bool,
     /// Shards and their shares of the answer.
     pub parts: Vec<(ShardId, f64)>,
     /// What each part asks.
@@ -455,8 +457,9 @@
         if self.open.len() + self.parts.len() + 1 + ask.parts.len() > settings.max_open {
             return Err(Rejected::Full);
         }
-        let Ask { name, class, repeated, valid_until, parts, text, texts, accept } = ask;
-        self.events.push(Event::Query { id, class, tenant: None, key: None::<KeyId>, repeated, valid_until });
+        let Ask { name, class, repeated, valid_until, cut, parts, text, texts, accept } = ask;
+        let key = None::<KeyId>;
+        self.events.push(Event::Query { id, class, tenant: None, key, repeated, valid_until, cut });
         self.ends.push(Reverse((valid_until.saturating_add(self.backstop), id)));
         self.names.insert(name.clone());
         let parts_of = Vec::with_capacity(parts.len());
@@ -909,6 +912,7 @@
             class: ClassId(class),
             repeated: false,
             valid_until,
+            cut: false,
             parts,
             text: "t".into(),
             texts: Vec::new(),
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -203,8 +203,8 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::List { kind, entries } => self.take_list(kind, entries),
-            Event::Query { id, class, tenant, key: _, repeated, valid_until } => {
-                self.take_query(id, class, tenant, repeated, valid_until);
+            Event::Query { id, class, tenant, key: _, repeated, valid_until, cut } => {
+                self.take_query(id, class, tenant, repeated, valid_until, cut);
             }
             Event::Part { id, query, shard, weight } => self.take_part(id, query, shard, weight),
             Event::Ended { part, attempt, server, outcome, latency } => {
@@ -377,6 +377,7 @@
         tenant: Option<TenantId>,
         again: bool,
         until: Nanos,
+        cut: bool,
     ) {
         if class.0 >= self.set.classes.len() || self.queries.contains_key(&id) {
             return;
@@ -389,7 +390,7 @@
                 worth *= self.set.over_share_worth;
             }
         }
-        let first = self.first_asked(class, again, until);
+        let first = if cut { self.now } else { self.first_asked(class, again, until) };
         self.queries.insert(id, Query { scout: again, ..Query::new(class, worth, first, until) });
         self.seen.held.insert(id);
         self.seen.touched.insert(id);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -99,6 +99,7 @@
             key: None,
             repeated: false,
             valid_until,
+            cut: false,
         }];
         for p in 1..=parts {
             let weight = 1.0 / parts as f64;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -102,7 +102,15 @@
             self.next += 1 + parts;
             let valid_until = now + 4000 * MS;
             let (class, tenant, key) = (ClassId(0), None, None);
-            events.push(Event::Query { id: query, class, tenant, key, repeated: false, valid_until });
+            events.push(Event::Query {
+                id: query,
+                class,
+                tenant,
+                key,
+                repeated: false,
+                valid_until,
+                cut: false,
+            });
             let part = |p| Event::Part {
                 id: PartId(query.0 + p),
                 query,
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -21,7 +21,7 @@
 use serde::Deserialize;
 use serde_json::{json, Value as Json};
 
-use crate::api::{ClassId, ShardId};
+use crate::api::{ClassId, Nanos, ShardId};
 use crate::config::cursor_keys;
 use crate::counters::Counters;
 use crate::engine::{Accept, Ask, Final, Rejected};
@@ -352,6 +352,7 @@
             class,
             repeated: false,
             valid_until: valid_until(&self.core, &self.limits, &self.service, class, wait),
+            cut: self.service.answered_by() < Nanos::MAX,
             parts: (0..ranges).map(|r| (ShardId(r), share)).collect(),
             text: "".into(),
             texts,
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -17,7 +17,7 @@
 use serde_json::value::RawValue;
 use serde_json::{json, Value as Json};
 
-use crate::api::{ClassId, ShardId};
+use crate::api::{ClassId, Nanos, ShardId};
 use crate::config::cursor_keys;
 use crate::counters::Counters;
 use crate::engine::{Accept, Ask, Final, Rejected, Row};
@@ -405,6 +405,7 @@
             class,
             repeated: false,
             valid_until: valid_until(&self.core, &self.limits, &self.service, class, self.limits.ogc_wait),
+            cut: self.service.answered_by() < Nanos::MAX,
             parts: ranges.into_iter().map(|r| (ShardId(r), share)).collect(),
             text: parts.text.into(),
             texts: parts.texts,
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -410,6 +410,7 @@
 
     fn act(&mut self) {
         let now = self.core.clock.now();
+        let (mut given_up, mut answers) = (false, Vec::new());
         for command in self.engine.run(now) {
             match command {
                 Command::Book(Note::Started { server, number, copy }) => {
@@ -424,6 +425,7 @@
                 }
                 Command::Drop { server, attempt } => {
                     log::debug!(target: REQUEST, "attempt {} given up at node {}", attempt.0, server.0);
+                    given_up = true;
                     self.tell_node(server, NodeMsg::Drop(attempt));
                 }
                 Command::Retire { server } => {
@@ -450,13 +452,17 @@
                     // Whoever has the answer finds it counted.
                     self.core.counters.view(&self.account);
                     log::debug!(target: REQUEST, "query {} ends: {}", query.0, answer.word());
-                    if let Some(reply) = self.replies.remove(&query) {
-                        reply(Ok(answer));
-                    }
+                    answers.extend(self.replies.remove(&query).map(|reply| (reply, answer)));
                 }
             }
         }
         self.core.counters.view(&self.account);
+        if given_up && !answers.is_empty() {
+            // A data node that reads late must not come upon a part of a query that has its answer without the word
+            // that it is given up: those words go out first. One turn is the data nodes' actors', one their writers'.
+            (0..HOPS).for_each(|_| may::coroutine::yield_now());
+        }
+        answers.into_iter().for_each(|(reply, answer)| reply(Ok(answer)));
     }
 
     fn tell_node(&self, server: ServerId, message: NodeMsg) {
@@ -466,6 +472,10 @@
     }
 }
 
+/// From the core to a data node's connection there are two coroutines, which run in the order in which they are
+/// woken: one worker runs them all. As many again, since a frame that is being written goes first.
+const HOPS: usize = 4;
+
 fn tell(mail: &Sender<NodeMsg>, message: NodeMsg) {
     if mail.send(message).is_err() {
         log::error!("a data node's actor has ended");
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -4,15 +4,20 @@
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Once;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Once};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use curlewdeck::config::{Config, Edge};
 use curlewdeck::limits::Limits;
 use curlewdeck::serve::{self, Coordinator};
-use stand_in::{exchange, Answer, Discovery, Member};
+use stand_in::{exchange, Answer, DataNode, Discovery, Member, NodeReply, Part};
 
 /// What a test bed may differ in. Deadlines are long: nothing here waits for one to pass.
 pub struct Bed {
@@ -115,3 +120,134 @@
     );
     (head + &body).into_bytes()
 }
+
+pub fn served(part: &Part) -> NodeReply {
+    NodeReply::Answer(200, u64::from(part.shard), format!("v{}", part.id.split_once('.').unwrap().1))
+}
+
+/// A data node that serves once the test says so.
+pub fn held_back() -> (Arc<AtomicBool>, impl Fn(&Part) -> NodeReply + Clone + Send + Sync + 'static) {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let slow = move |part: &Part| {
+        until("the test to go on", || held.load(Ordering::SeqCst));
+        served(part)
+    };
+    (release, slow)
+}
+
+/// Two data nodes that hold every shard, and their list.
+pub fn two(
+    first: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
+    second: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
+) -> (DataNode, DataNode, Discovery) {
+    let (a, b) = (DataNode::start(first), DataNode::start(second));
+    let list = vec![member("a", 0, a.addr), member("b", 1, b.addr)];
+    let discovery = Discovery::start("127.0.0.1:0", list);
+    (a, b, discovery)
+}
+
+/// The program itself in a process of its own, with its configuration in a folder of its own.
+pub struct Program {
+    child: Child,
+    pub addr: SocketAddr,
+    /// The second address, if it has one.
+    pub control: Option<SocketAddr>,
+    dir: PathBuf,
+    log: Option<JoinHandle<String>>,
+}
+
+impl Program {
+    pub fn start(config: &str) -> Self {
+        Self::start_with(config, None)
+    }
+
+    /// The same, with a listener that it inherits as descriptor 3.
+    pub fn start_with(config: &str, listener: Option<&TcpListener>) -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let dir = std::env::temp_dir().join(format!("curlewdeck-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(dir.join("config.json"), config).unwrap();
+        let program = env!("CARGO_BIN_EXE_curlewdeck");
+        let mut command = Command::new("sh");
+        match listener {
+            Some(listener) => {
+                let listener = listener.try_clone().unwrap();
+                command.stdin(Stdio::from(OwnedFd::from(listener))).env("LB_LISTEN_FD", "3");
+                command.args(["-c", r#"exec 3<&0 </dev/null; exec "$0" "$@""#, program]);
+            }
+            None => drop(command.args(["-c", r#"exec "$0" "$@""#, program])),
+        }
+        command.args(["serve", "--config", "config.json"]).current_dir(&dir);
+        command.env_remove("LB_DISCOVERY").stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        // The log tells which ports it was given.
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let (mut control, mut line) = (None, String::new());
+        let addr = loop {
+            line.clear();
+            assert!(std::io::BufRead::read_line(&mut log, &mut line).unwrap() > 0, "it ended early");
+            if let Some((_, addr)) = line.split_once(" is operated at ") {
+                control = Some(addr.trim().parse().unwrap());
+            }
+            if let Some((_, addr)) = line.split_once(" serves at ") {
+                break addr.trim().parse().unwrap();
+            }
+        };
+        let log = Some(std::thread::spawn(move || std::io::read_to_string(log).unwrap()));
+        let program = Self { child, addr, control, dir, log };
+        match control {
+            Some(control) => until("readiness", || yes(control, "GET", "/ops/readiness")),
+            None => until("health", || stand_in::get(addr, "/_health").is_ok_and(|a| a.status == 200)),
+        }
+        program
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(kill.unwrap().success());
+    }
+
+    /// Puts a file in the place of its configuration, and has it read.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.dir.join("next.json"), text).unwrap();
+        std::fs::rename(self.dir.join("next.json"), self.dir.join("config.json")).unwrap();
+        self.signal("HUP");
+    }
+
+    /// Waits for its end, which must be a good one; returns its log.
+    pub fn ended(mut self) -> String {
+        assert!(self.child.wait().unwrap().success());
+        self.log.take().unwrap().join().unwrap()
+    }
+
+    /// One figure of the second address.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let text = operate(self.control.unwrap(), "GET", "/ops/stats").unwrap().body;
+        let line =
+            text.lines().find_map(|l| l.strip_prefix("edge_lb.")?.strip_prefix(name)?.strip_prefix('='));
+        line.map(|value| value.parse().unwrap())
+    }
+
+    /// A call of the second address that must be a yes.
+    pub fn operate(&self, method: &str, path: &str) {
+        assert!(yes(self.control.unwrap(), method, path), "{method} {path}");
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// One call of the second address.
+pub fn operate(control: SocketAddr, method: &str, path: &str) -> std::io::Result<Answer> {
+    exchange(control, format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n").as_bytes())
+}
+
+pub fn yes(control: SocketAddr, method: &str, path: &str) -> bool {
+    operate(control, method, path).is_ok_and(|a| a.status / 100 == 2)
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,44 +2,18 @@
 
 mod bed;
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::thread::JoinHandle;
 
+use curlewdeck::api::ShardId;
+use curlewdeck::engine::{Accept, Ask, Final};
 use curlewdeck::limits::Limits;
 
 use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply, Part};
-use bed::{change, member, query, query_bytes, ready, until, Bed};
-
-fn served(part: &Part) -> NodeReply {
-    NodeReply::Answer(200, u64::from(part.shard), format!("v{}", part.id.split_once('.').unwrap().1))
-}
-
-/// A data node that serves once the test says so.
-fn held_back() -> (Arc<AtomicBool>, impl Fn(&Part) -> NodeReply + Clone + Send + Sync + 'static) {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let slow = move |part: &Part| {
-        until("the test to go on", || held.load(Ordering::SeqCst));
-        served(part)
-    };
-    (release, slow)
-}
-
-/// Two data nodes that hold every shard, and their list.
-fn two(
-    first: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
-    second: impl Fn(&Part) -> NodeReply + Send + Sync + 'static,
-) -> (DataNode, DataNode, Discovery) {
-    let (a, b) = (DataNode::start(first), DataNode::start(second));
-    let list = vec![member("a", 0, a.addr), member("b", 1, b.addr)];
-    let discovery = Discovery::start("127.0.0.1:0", list);
-    (a, b, discovery)
-}
+use bed::{change, held_back, member, query, query_bytes, ready, served, two, until, Bed, Program};
 
 #[test]
 fn a_query_is_answered_whole_with_the_data_nodes_values() {
@@ -137,6 +111,57 @@
     }
 }
 
+/// Guards the rule on lost requests against a data node that reads late: what it finds is never a part of a query that
+/// has its answer without the word that the part is given up, since that word goes out before the answer does.
+#[test]
+fn parts_are_given_up_before_the_answer_goes_out() {
+    let late = TcpListener::bind("127.0.0.1:0").unwrap();
+    let a = DataNode::start(served);
+    let list = vec![member("a", 0, a.addr), member("b", 1, late.local_addr().unwrap())];
+    let discovery = Discovery::start("127.0.0.1:0", list);
+    // Half of the shards are at the late one alone; the class may be answered from the other half.
+    let coordinator = Bed { in_a_row: 1, ..Bed::default() }.start(discovery.addr, "");
+    ready(&coordinator);
+    let ask = Ask {
+        name: "late".into(),
+        class: coordinator.core.info().class("plaza-ranking").unwrap(),
+        repeated: false,
+        valid_until: coordinator.core.clock.now() + 60_000_000_000,
+        cut: false,
+        parts: (0..4).map(|shard| (ShardId(shard), 0.25)).collect(),
+        text: "c41e77d0".into(),
+        texts: Vec::new(),
+        accept: Accept::default(),
+    };
+    let (told, answered) = std::sync::mpsc::channel();
+    coordinator.core.ask(
+        ask,
+        Box::new(move |ended| {
+            // Right when the answer goes out: all that the late one's sockets hold by then.
+            late.set_nonblocking(true).unwrap();
+            let mut letters = Vec::new();
+            while let Ok((mut stream, _)) = late.accept() {
+                stream.set_nonblocking(true).unwrap();
+                let mut bytes = Vec::new();
+                // Ends with what is there, or at the connection's end, which gives up all on it.
+                let closed = stream.read_to_end(&mut bytes).is_ok();
+                let mut rest = &bytes[..];
+                while let Some((head, more)) = rest.split_first_chunk::<4>() {
+                    letters.push(more[0]);
+                    rest = &more[u32::from_le_bytes(*head) as usize..];
+                }
+                letters.extend(closed.then_some(b'E'));
+            }
+            told.send((ended, letters)).unwrap();
+        }),
+    );
+    let (ended, letters) = answered.recv().unwrap();
+    assert!(matches!(ended, Ok(Final::Answered { whole: false, .. })), "{ended:?}");
+    let count = |letter: u8| letters.iter().filter(|&&l| l == letter).count();
+    assert!(count(b'D') > 0, "nothing went to the late one: {letters:?}");
+    assert!(count(b'K') == count(b'D') || count(b'E') > 0, "{}", String::from_utf8_lossy(&letters));
+}
+
 /// Guards the drain rule: once the list's word is here, not one frame goes to that data node.
 #[test]
 fn nothing_new_reaches_a_data_node_that_drains() {
@@ -372,72 +397,12 @@
     until("the parts given up", || a.given_up().len() + b.given_up().len() >= 2);
 }
 
-/// The program itself in a process of its own, with its configuration in a folder of its own.
-struct Program {
-    child: Child,
-    addr: SocketAddr,
-    dir: PathBuf,
-    log: Option<JoinHandle<String>>,
-}
-
-impl Program {
-    fn start(name: &str, discovery: SocketAddr) -> Self {
-        let dir = std::env::temp_dir().join(format!("curlewdeck-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&dir).unwrap();
-        std::fs::write(dir.join("config.json"), Bed::default().config(discovery)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_curlewdeck"))
-            .args(["serve", "--config", "config.json"])
-            .current_dir(&dir)
-            .env_remove("LB_DISCOVERY")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        // The log tells which port it was given.
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let addr = loop {
-            let mut line = String::new();
-            assert!(std::io::BufRead::read_line(&mut log, &mut line).unwrap() > 0, "it ended early");
-            if let Some((_, addr)) = line.split_once(" serves at ") {
-                break addr.trim().parse().unwrap();
-            }
-        };
-        let log = Some(std::thread::spawn(move || std::io::read_to_string(log).unwrap()));
-        until("health", || get(addr, "/_health").is_ok_and(|a| a.status == 200));
-        Self { child, addr, dir, log }
-    }
-
-    fn signal(&self, name: &str) {
-        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
-        assert!(kill.unwrap().success());
-    }
-
-    /// Puts a file in the place of its configuration, and has it read.
-    fn reload(&self, text: &str) {
-        std::fs::write(self.dir.join("next.json"), text).unwrap();
-        std::fs::rename(self.dir.join("next.json"), self.dir.join("config.json")).unwrap();
-        self.signal("HUP");
-    }
-
-    /// Waits for its end, which must be a good one; returns its log.
-    fn ended(mut self) -> String {
-        assert!(self.child.wait().unwrap().success());
-        self.log.take().unwrap().join().unwrap()
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
-}
-
 /// Guards a planned restart: what is held is answered, what is idle is closed, and the program ends with 0.
 #[test]
 fn sigterm_finishes_what_is_held() {
     let (release, slow) = held_back();
     let (a, b, discovery) = two(slow.clone(), slow);
-    let program = Program::start("sigterm", discovery.addr);
+    let program = Program::start(&Bed::default().config(discovery.addr));
     let addr = program.addr;
     let idle = TcpStream::connect(addr).unwrap();
     let asked = std::thread::spawn(move || query(addr, "tag-lookup", &[0, 1]).unwrap());
@@ -455,7 +420,7 @@
 #[test]
 fn what_comes_after_sigterm_is_answered_before_the_end() {
     let (_a, _b, discovery) = two(|_| NodeReply::Silence, |_| NodeReply::Silence);
-    let program = Program::start("sigterm-late", discovery.addr);
+    let program = Program::start(&Bed::default().config(discovery.addr));
     let addr = program.addr;
     program.signal("TERM");
     until("the drain", || get(addr, "/_health").map_or(true, |a| a.status == 503));
@@ -476,7 +441,7 @@
 fn sighup_moves_the_list() {
     let (release, slow) = held_back();
     let (a, b, first) = two(slow.clone(), slow);
-    let program = Program::start("sighup", first.addr);
+    let program = Program::start(&Bed::default().config(first.addr));
     until("the first watch", || first.watches() == 1);
     program.reload("{");
     // The second knows one data node of the two, and the third both.
