Nothing more goes out for a client that has left, looked at before each frame

Lines at fault: Wanted::yes, which knew only of queries that the engine had ended, and the writer in net::node, which goes on through a whole turn on it. Excluded: what went out after a query's end in the engine (none), parts on connections nothing had come on (frequent, none broke), timers acting on old news.

Change: a query carries a look at its client (Client, beside Accept); a front's connection answers by a peek. It is part of Wanted, looked at right before a frame's first byte. Tests: nothing_more_goes_out_for_a_client_that_has_left (without it all four parts go out), a_client_that_has_left_is_seen_without_reading. A listener that is inherited counts a process as one of two for cold data nodes (Info::beside).

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -82,6 +82,40 @@
     }
 }
 
+/// The client of a query, as its front sees it at any moment: whether it is still there. Without a look it is.
+#[derive(Clone, Default)]
+pub struct Client(Option<Arc<Look>>);
+
+/// Whether a client is still there.
+pub type Look = dyn Fn() -> bool + Send + Sync;
+
+impl Client {
+    /// One that is there for as long as this holds.
+    pub fn seen(look: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Self(Some(Arc::new(look)))
+    }
+
+    /// Whether it is.
+    pub fn here(&self) -> bool {
+        self.0.as_ref().is_none_or(|look| look())
+    }
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if self.0.is_some() { "Client(seen)" } else { "Client(any)" })
+    }
+}
+
+impl PartialEq for Client {
+    fn eq(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (a, b) => a.is_none() && b.is_none(),
+        }
+    }
+}
+
 /// A query as a front hands it in.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
@@ -103,6 +137,8 @@
     pub texts: Vec<Arc<str>>,
     /// What is demanded of a value.
     pub accept: Accept,
+    /// Its client.
+    pub client: Client,
 }
 
 /// Why a query is not taken.
@@ -136,29 +172,38 @@
 
 /// Whether an attempt is still wanted. The engine clears it the moment that the attempt has ended for it, ahead
 /// of the query's answer; it is looked at right before a frame's first byte, so that nothing is sent on for a
-/// query that has its answer, whatever waits in whichever mailbox.
+/// query that has its answer, whatever waits in whichever mailbox. The same holds for a query whose client has
+/// left: while its parts go out one after the other, nobody else has come to read that.
 #[derive(Debug, Clone, Default)]
-pub struct Wanted(Arc<AtomicBool>);
+pub struct Wanted {
+    flag: Arc<AtomicBool>,
+    client: Client,
+}
 
 impl Wanted {
     /// Wanted until it is cleared.
     pub fn new() -> Self {
-        Self(Arc::new(AtomicBool::new(true)))
+        Self::by(Client::default())
+    }
+
+    /// Wanted until it is cleared, by this client.
+    pub fn by(client: Client) -> Self {
+        Self { flag: Arc::new(AtomicBool::new(true)), client }
     }
 
     /// Whether it still is.
     pub fn yes(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.flag.load(Ordering::Acquire) && self.client.here()
     }
 
     fn clear(&self) {
-        self.0.store(false, Ordering::Release);
+        self.flag.store(false, Ordering::Release);
     }
 }
 
 impl PartialEq for Wanted {
     fn eq(&self, other: &Self) -> bool {
-        Arc::ptr_eq(&self.0, &other.0)
+        Arc::ptr_eq(&self.flag, &other.flag)
     }
 }
 
@@ -298,6 +343,7 @@
     valid_until: Nanos,
     text: Arc<str>,
     accept: Accept,
+    client: Client,
     parts: Vec<PartId>,
     second: bool,
     first_whole: bool,
@@ -457,7 +503,7 @@
         if self.open.len() + self.parts.len() + 1 + ask.parts.len() > settings.max_open {
             return Err(Rejected::Full);
         }
-        let Ask { name, class, repeated, valid_until, cut, parts, text, texts, accept } = ask;
+        let Ask { name, class, repeated, valid_until, cut, parts, text, texts, accept, client } = ask;
         let key = None::<KeyId>;
         self.events.push(Event::Query { id, class, tenant: None, key, repeated, valid_until, cut });
         self.ends.push(Reverse((valid_until.saturating_add(self.backstop), id)));
@@ -469,6 +515,7 @@
             valid_until,
             text,
             accept,
+            client,
             parts: parts_of,
             second: false,
             first_whole: false,
@@ -748,7 +795,7 @@
         let Some(query) = self.open.get(&part.query) else { return };
         let max = self.info.settings.classes[query.class.0].attempts;
         let until = query.valid_until.min(self.now.saturating_add(within));
-        let wanted = Wanted::new();
+        let wanted = Wanted::by(query.client.clone());
         let attempt = Attempt { part: part_id, number, server, sent: self.now, wanted: wanted.clone() };
         self.attempts.insert(id, attempt);
         self.commands.push(Command::Book(Note::Started { server, number, copy }));
@@ -873,6 +920,11 @@
     const NAME_REST: Nanos = 3 * MS;
 
     fn engine() -> Engine {
+        Engine::new(info(3), 7, BACKSTOP, NAME_REST).unwrap()
+    }
+
+    /// Settings with so many attempts for a part.
+    fn info(attempts: u32) -> Info {
         let class = |name: &str| {
             format!(
                 r#"{{"name":"{name}","aim_ns":500000000,"deadline_ns":2000000000,"effect":"idempotent","importance":1,"late_worth":0.3}}"#
@@ -881,14 +933,14 @@
         let text = format!(
             r#"{{"balancers":1,"classes":[{},{},{}],"discovery":"on_request","domain":{{"batch":2,"overhead_ns":1000,
             "class_floor":[1,0.5,1],"class_partial":[0.9,0.8,0.9],"complete_from":[1,1,1],"in_a_row":2,"positions":3,
-            "ranges":6,"second_step":[0,0,2]}},"limits":{{"cancel":true,"max_attempts":3,"max_open":60,"probes":true,
+            "ranges":6,"second_step":[0,0,2]}},"limits":{{"cancel":true,"max_attempts":{attempts},"max_open":60,"probes":true,
             "may_duplicate":true}},"rules":{{"cold_ns":1000000000,"cold_share":0.2,"fall_ns":1000000000,
             "must_ask_in_ns":1000000000,"tip_multiple":2}},"tick_ns":5000000,"zones":["a"]}}"#,
             class("a"),
             class("b"),
             class("c")
         );
-        Engine::new(settings::read(&text).unwrap(), 7, BACKSTOP, NAME_REST).unwrap()
+        settings::read(&text).unwrap()
     }
 
     fn member(n: u32, phase: Phase) -> Member {
@@ -917,6 +969,7 @@
             text: "t".into(),
             texts: Vec::new(),
             accept: Accept::default(),
+            client: Client::default(),
         }
     }
 
@@ -931,6 +984,10 @@
         phases: BTreeMap<u32, Phase>,
         started: usize,
         ended: usize,
+        /// The indices of the classes under their present rules.
+        classes: [usize; 3],
+        /// By the name of a part: how often it was sent.
+        sent: BTreeMap<String, u32>,
     }
 
     impl World {
@@ -945,6 +1002,14 @@
                             let held = (0..2).any(|j| (d.part.shard.0 + j) % 3 == number % 3);
                             assert!(held, "sent to a data node without the shard");
                             assert!(d.until > self.now);
+                            let sent = self.sent.entry(d.part.name.clone()).or_default();
+                            *sent += 1;
+                            let part = &engine.parts[&engine.attempts[&d.attempt].part];
+                            let class = engine.open[&part.query].class;
+                            assert!(
+                                *sent <= engine.info.settings.classes[class.0].attempts,
+                                "sent too often"
+                            );
                             assert!(self.out.insert(d.attempt, (server, d)).is_none());
                         }
                     }
@@ -986,7 +1051,7 @@
                     let id = QueryId(self.asked.len() as u64);
                     let shards: Vec<u32> = (0..1 + pick as u32 % 5).collect();
                     let until = self.now + (1 + pick as Nanos % 2000) * MS;
-                    if engine.ask(self.now, id, ask(pick % 3, &shards, until)).is_ok() {
+                    if engine.ask(self.now, id, ask(self.classes[pick % 3], &shards, until)).is_ok() {
                         self.asked.insert(id, (pick % 3, shards.len(), until));
                     }
                 }
@@ -1017,6 +1082,15 @@
                     }
                 }
                 11 => drop(engine.list(ListKind::Error, &[])),
+                15 => {
+                    let before = engine.info.classes.len();
+                    let info = engine.reset(info(1 + pick as u32 % 3));
+                    assert!(
+                        info.classes.len() >= before && info.classes.len() <= 9,
+                        "classes are found again"
+                    );
+                    self.classes = ["a", "b", "c"].map(|name| info.class(name).unwrap().0);
+                }
                 _ => return self.pass(engine, pick as Nanos % 300 * MS),
             }
             self.act(engine);
@@ -1038,8 +1112,9 @@
         /// Whatever happens in whatever order: each query gets exactly one honest answer in time, each
         /// attempt one end, and nothing is sent where it may not be.
         #[test]
-        fn every_query_gets_one_answer(steps in proptest::collection::vec((0..15u8, any::<usize>()), 0..150)) {
-            let (mut engine, mut world) = (engine(), World { now: MS, ..World::default() });
+        fn every_query_gets_one_answer(steps in proptest::collection::vec((0..16u8, any::<usize>()), 0..150)) {
+            let mut engine = engine();
+            let mut world = World { now: MS, classes: [0, 1, 2], ..World::default() };
             let all: Vec<Member> = (0..6).map(|n| member(n, Phase::In)).collect();
             world.phases = (0..6).map(|n| (n, Phase::In)).collect();
             engine.list(ListKind::Full, &all);
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -357,6 +357,7 @@
             text: "".into(),
             texts,
             accept,
+            client: out.client(),
         };
         let end = End {
             merging,
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -20,7 +20,7 @@
 use crate::api::{ClassId, Nanos, ShardId};
 use crate::config::cursor_keys;
 use crate::counters::Counters;
-use crate::engine::{Accept, Ask, Final, Rejected, Row};
+use crate::engine::{Accept, Ask, Client, Final, Rejected, Row};
 use crate::front::pages::{by_id, by_offset, check_ids, Range};
 use crate::front::problem::{problem, unix_now, unserved, valid_until};
 use crate::front::server::{Answer, Front, Reply, Served, Service};
@@ -395,7 +395,7 @@
     }
 
     /// Hands a feature query to the core: a part for each of these ranges.
-    fn ask(&self, at: usize, parts: Parts, reply: crate::net::mail::Reply) -> Served {
+    fn ask(&self, at: usize, parts: Parts, client: Client, reply: crate::net::mail::Reply) -> Served {
         let class = self.core.info().now(self.collections[at].1);
         let ranges: Vec<u32> = (parts.from.0..self.ranges).collect();
         let share = 1.0 / ranges.len() as f64;
@@ -410,6 +410,7 @@
             text: parts.text.into(),
             texts: parts.texts,
             accept: parts.accept,
+            client,
         };
         Served::Later(self.core.ask(ask, reply))
     }
@@ -426,13 +427,14 @@
         };
         let (hold_off, ranges) = (self.core.full_hold_off(), self.ranges);
         let seal = self.by_id.clone().map(|sealed| Seal { sealed, digest: filter.digest(id) });
+        let client = out.client();
         let reply = Box::new(move |ended| {
             out.send(match unserved(&ended, hold_off) {
                 Some(reply) => reply,
                 None => page(&base, &path, &filter, ranges, seal.as_ref(), ended),
             });
         });
-        self.ask(at, parts, reply)
+        self.ask(at, parts, client, reply)
     }
 
     fn item(&self, base: String, at: usize, fid: &str, out: Answer) -> Served {
@@ -440,13 +442,14 @@
         let collection = format!("/collections/{}", self.collections[at].0.id);
         let text = path.clone();
         let hold_off = self.core.full_hold_off();
+        let client = out.client();
         let reply = Box::new(move |ended| {
             out.send(match unserved(&ended, hold_off) {
                 Some(reply) => reply,
                 None => one(&base, &path, &collection, ended),
             });
         });
-        self.ask(at, Parts::new(text), reply)
+        self.ask(at, Parts::new(text), client, reply)
     }
 }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -7,7 +7,7 @@
 
 use crate::api::{Nanos, ShardId};
 use crate::counters::Counters;
-use crate::engine::{Accept, Ask, Final, Rejected};
+use crate::engine::{Accept, Ask, Client, Final, Rejected};
 use crate::front::server::{Answer, Front, Reply, Served, Service};
 use crate::limits::Limits;
 use crate::net::core::Core;
@@ -122,6 +122,7 @@
             text: body.expr.into(),
             texts: Vec::new(),
             accept: Accept::default(),
+            client: Client::default(),
         })
     }
 
@@ -144,6 +145,7 @@
         }
         match self.ask(&request) {
             Ok(ask) => {
+                let ask = Ask { client: out.client(), ..ask };
                 let hold_off = self.core.full_hold_off();
                 let reply = Box::new(move |ended| out.send(answer(ended, hold_off)));
                 Served::Later(self.core.ask(ask, reply))
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -15,6 +15,7 @@
 
 use crate::api::{Nanos, QueryId};
 use crate::counters::Counters;
+use crate::engine;
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::http::{self, BadMessage, Request, RequestReader};
@@ -54,6 +55,11 @@
         !self.given_up.load(Ordering::SeqCst)
     }
 
+    /// Whether its client is there, as far as can be told without reading: at the end of what it sent, it has left.
+    fn here(&self) -> bool {
+        self.stream.open()
+    }
+
     fn rested(&self, now: Nanos) -> Nanos {
         now.saturating_sub(self.since.load(Ordering::Acquire))
     }
@@ -240,6 +246,13 @@
 }
 
 impl Answer {
+    /// Whoever waits for it.
+    pub fn client(&self) -> engine::Client {
+        // What is on its way to data nodes keeps no connection open.
+        let connection = Arc::downgrade(&self.busy.connection);
+        engine::Client::seen(move || connection.upgrade().is_some_and(|c| c.here()))
+    }
+
     /// Sends it.
     pub fn send(self, reply: Reply) {
         let Self { writer, keep_alive, head, busy, .. } = self;
@@ -642,4 +655,22 @@
         }
         assert!(!unread.give_up(), "shut with a request on its way");
     }
+
+    /// Guards against taking a client that waits, or has sent ahead, for one that has left, and the other way round.
+    #[test]
+    fn a_client_that_has_left_is_seen_without_reading() {
+        let (connection, mut client) = connection();
+        assert!(connection.here());
+        client.write_all(b"x").unwrap();
+        while !connection.stream.readable() {
+            std::thread::yield_now();
+        }
+        assert!(connection.here());
+        assert_eq!(connection.stream.read(&mut [0; 8], Duration::ZERO).unwrap(), 1);
+        drop(client);
+        while !connection.stream.readable() {
+            std::thread::yield_now();
+        }
+        assert!(!connection.here());
+    }
 }
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -72,15 +72,15 @@
         }
     }
 
-    /// Its bytes as of now: parts of a call that are not wanted any more are left out. Nothing if it has
-    /// none left.
-    pub fn bytes(&self) -> Option<Vec<u8>> {
+    /// As of now: how many of its parts are wanted, and its bytes, from which those that are not are left out. Nothing
+    /// if it has none left.
+    pub fn current(&self) -> (usize, Option<Vec<u8>>) {
         match self {
             Self::Call(parts, now) => {
                 let wanted: Vec<&Dispatch> = parts.iter().filter(|d| d.wanted.yes()).collect();
-                (!wanted.is_empty()).then(|| call(&wanted, *now))
+                (wanted.len(), (!wanted.is_empty()).then(|| call(&wanted, *now)))
             }
-            Self::Whole(bytes) => Some(bytes.clone()),
+            Self::Whole(bytes) => (0, Some(bytes.clone())),
         }
     }
 }
@@ -229,8 +229,8 @@
         let (kept, mut over) = (dispatch(None), dispatch(None));
         over.wanted = Wanted::default();
         let both = Frame::Call(vec![over.clone(), kept.clone()], 10 * MILLI);
-        assert_eq!(both.bytes(), Frame::Call(vec![kept], 10 * MILLI).bytes());
-        assert_eq!(Frame::Call(vec![over], 10 * MILLI).bytes(), None);
+        assert_eq!(both.current().1, Frame::Call(vec![kept], 10 * MILLI).current().1);
+        assert_eq!(Frame::Call(vec![over], 10 * MILLI).current().1, None);
     }
 
     /// Answers come in pieces: no prefix is an error or a frame.
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -179,6 +179,14 @@
         !matches!(self.inner.inner().peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the peer has not ended it, without waiting. What is not yet read hides an end behind it.
+    pub fn open(&self) -> bool {
+        match self.inner.inner().peek(&mut [0]) {
+            Ok(n) => n > 0,
+            Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
     /// Writes all, or fails after so long.
     ///
     /// # Errors
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -637,7 +637,7 @@
                     assert!(self.probes >= 0, "a probe ended twice");
                 }
                 Output::Write(id, frame) => {
-                    let bytes = frame.bytes().unwrap();
+                    let bytes = frame.current().1.unwrap();
                     assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
                     let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
                     let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -198,8 +198,9 @@
             // Nothing yields between the last look and the first byte, however long the socket was full before.
             let wanted = Cell::new(0);
             let current = || {
-                wanted.set(frame.wanted());
-                frame.bytes()
+                let (parts, bytes) = frame.current();
+                wanted.set(parts);
+                bytes
             };
             let written = writer_stream.write_current(current, || frame.wanted() == wanted.get(), within);
             log::debug!(target: REQUEST, "link {}: {frame}, {} wanted, {}", id.0, wanted.get(), word(&written));
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -32,6 +32,7 @@
 use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
 use crate::notices::{self, Stopping};
+use crate::settings::Info;
 use crate::snmp::{self, SnmpConfig};
 
 /// A coordinator that serves.
@@ -57,6 +58,8 @@
     /// The configuration that was last taken.
     taken: Mutex<Config>,
     edge: Edge,
+    /// Other processes that may serve from the same socket.
+    others: u32,
 }
 
 /// Sets the coroutines' workers up; once in a process, before anything else.
@@ -74,11 +77,13 @@
     let inherited = config.listen_fd.as_deref().map(Inherited::take);
     let inherited = inherited.transpose().map_err(|why| format!("LB_LISTEN_FD: {why}"))?;
     // Another version may serve beside this one from the same socket, within the same bounds.
-    let limits = Arc::new(Limits::beside(config.sockets, usize::from(inherited.is_some()))?);
+    let others = u32::from(inherited.is_some());
+    let limits = Arc::new(Limits::beside(config.sockets, others as usize)?);
     let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
-    let info = Arc::new(config.info.clone());
-    let engine = Engine::new(config.info, config.seed, nanos(limits.backstop), nanos(limits.name_rest))
-        .map_err(|e| e.to_string())?;
+    let info = Arc::new(config.info.beside(others));
+    let engine =
+        Engine::new(Info::clone(&info), config.seed, nanos(limits.backstop), nanos(limits.name_rest))
+            .map_err(|e| e.to_string())?;
     let (core_mail, inbox) = mail::mailbox();
     let rev = config.known.as_ref().map_or(0, |k| k.rev);
     let known = config.known.map_or(ListNews { kind: ListKind::Full, members: Vec::new() }, |known| {
@@ -199,6 +204,7 @@
         list,
         taken,
         edge,
+        others,
     })
 }
 
@@ -310,7 +316,7 @@
             log::error!("the list's actor has ended");
         }
         if taken.said["settings"] != config.said["settings"] {
-            self.core.reset(config.info.clone());
+            self.core.reset(config.info.clone().beside(self.others));
         }
         *taken = config;
         log::info!("the configuration is taken: {} classes", taken.info.classes.len());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,12 +5,13 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 use curlewdeck::api::ShardId;
-use curlewdeck::engine::{Accept, Ask, Final};
+use curlewdeck::engine::{Accept, Ask, Client, Final};
 use curlewdeck::limits::Limits;
+use curlewdeck::serve::Coordinator;
 
 use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply, Part};
 use bed::{change, held_back, member, query, query_bytes, ready, served, two, until, Bed, Program};
@@ -111,6 +112,41 @@
     }
 }
 
+/// A query for all four shards, as a front hands it in.
+fn whole(coordinator: &Coordinator, class: &str, client: Client) -> Ask {
+    Ask {
+        name: format!("whole-{class}"),
+        class: coordinator.core.info().class(class).unwrap(),
+        repeated: false,
+        valid_until: coordinator.core.clock.now() + 60_000_000_000,
+        cut: false,
+        parts: (0..4).map(|shard| (ShardId(shard), 0.25)).collect(),
+        text: "c41e77d0".into(),
+        texts: Vec::new(),
+        accept: Accept::default(),
+        client,
+    }
+}
+
+/// Guards against sending on for a client that has left: it leaves while the first of four parts goes out, and before
+/// anybody has read that it has, nothing more of its query goes out.
+#[test]
+fn nothing_more_goes_out_for_a_client_that_has_left() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = Bed::default().start(discovery.addr, "");
+    ready(&coordinator);
+    let looks = AtomicUsize::new(0);
+    let client = Client::seen(move || looks.fetch_add(1, Ordering::SeqCst) == 0);
+    coordinator.core.ask(whole(&coordinator, "tag-lookup", client), Box::new(|_| ()));
+    // What is asked after it goes over the same connections behind it.
+    let (told, answered) = std::sync::mpsc::channel();
+    let next = whole(&coordinator, "plaza-ranking", Client::default());
+    coordinator.core.ask(next, Box::new(move |ended| told.send(ended).unwrap()));
+    assert!(matches!(answered.recv().unwrap(), Ok(Final::Answered { whole: true, .. })));
+    let parts = a.parts().into_iter().chain(b.parts());
+    assert_eq!(parts.filter(|p| p.id.starts_with("whole-tag-lookup")).count(), 1);
+}
+
 /// Guards the rule on lost requests against a data node that reads late: what it finds is never a part of a query that
 /// has its answer without the word that the part is given up, since that word goes out before the answer does.
 #[test]
@@ -122,17 +158,7 @@
     // Half of the shards are at the late one alone; the class may be answered from the other half.
     let coordinator = Bed { in_a_row: 1, ..Bed::default() }.start(discovery.addr, "");
     ready(&coordinator);
-    let ask = Ask {
-        name: "late".into(),
-        class: coordinator.core.info().class("plaza-ranking").unwrap(),
-        repeated: false,
-        valid_until: coordinator.core.clock.now() + 60_000_000_000,
-        cut: false,
-        parts: (0..4).map(|shard| (ShardId(shard), 0.25)).collect(),
-        text: "c41e77d0".into(),
-        texts: Vec::new(),
-        accept: Accept::default(),
-    };
+    let ask = whole(&coordinator, "plaza-ranking", Client::default());
     let (told, answered) = std::sync::mpsc::channel();
     coordinator.core.ask(
         ask,
