What is avoided is counted as the module picks; young connections and HEAD at the second address

While connections at rest are closed, one that came within 20 ms and whose first request may be on its way is left. HEAD of a figure has no body.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -196,7 +196,7 @@
 
     /// How many servers in the list it sends nothing now, or only what no other can take.
     pub fn avoided(&self) -> usize {
-        let shunned = |s: &Server| s.broke || s.doubt.get(self.now) >= SHUNNED || self.way_bad(s.zone);
+        let shunned = |s: &Server| s.doubt.get(self.now) >= SHUNNED || self.way_bad(s.zone);
         self.fleet.servers.values().filter(|s| !s.gone && (!s.listed || shunned(s))).count()
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -134,9 +134,13 @@
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(limits.control_read))?;
     let (mut requests, mut buf) = (RequestReader::default(), [0; READ]);
+    let mut head = false;
     let reply = loop {
         match requests.next(limits) {
-            Ok(Some(request)) => break answer(operated, &request.method, &request.path),
+            Ok(Some(request)) => {
+                head = request.method == "HEAD";
+                break answer(operated, &request.method, &request.path);
+            }
             Ok(None) => {}
             Err(bad) => break Reply::text(bad.status, bad.why),
         }
@@ -149,7 +153,7 @@
             Err(e) => return Err(e),
         }
     };
-    let bytes = http::response(reply.status, reply.kind, &reply.more, &reply.body, false, false);
+    let bytes = http::response(reply.status, reply.kind, &reply.more, &reply.body, false, head);
     (&mut &*stream).write_all(&bytes)?;
     stream.shutdown(Shutdown::Write)?;
     // Closing with bytes unread would reset the connection, and the caller might lose the answer.
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -126,11 +126,16 @@
         self.busy.load(Ordering::Acquire)
     }
 
-    /// Closes the connections at rest. Returns whether nothing is held any more: no request, and nothing that has
-    /// come and is not yet read.
-    pub fn close_idle(&self) -> bool {
-        let mut unread = false;
+    /// Closes the connections at rest, but for those that have come within `young` and whose first request may be on
+    /// its way. Returns whether nothing is held any more: no request, none of those, and nothing that has come and is
+    /// not yet read.
+    pub fn close_idle(&self, young: Duration) -> bool {
+        let (mut unread, now) = (false, self.clock.now());
         for connection in self.connections().values().filter(|c| !c.in_use.load(Ordering::Acquire)) {
+            if !connection.asked.load(Ordering::Acquire) && connection.rested(now) < nanos(young) {
+                unread = true;
+                continue;
+            }
             unread |= !connection.given_up.load(Ordering::SeqCst) && !connection.give_up();
         }
         !unread && self.busy() == 0
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -170,7 +170,11 @@
     let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
     let control = match config.control {
         Some(addr) => {
-            let operated = Arc::new(Operation { core: core.clone(), service: service.clone() });
+            let operated = Arc::new(Operation {
+                core: core.clone(),
+                service: service.clone(),
+                young: limits.client_silent,
+            });
             let cannot = |e| format!("cannot listen at the second address {addr}: {e}");
             Some(control::start(addr, operated, limits.clone()).map_err(cannot)?)
         }
@@ -212,6 +216,8 @@
 struct Operation {
     core: Core,
     service: Arc<Service>,
+    /// A connection is not closed before this, since its first request may be on its way.
+    young: Duration,
 }
 
 impl Operated for Operation {
@@ -224,7 +230,7 @@
     }
 
     fn drain(&self) -> Result<(), &'static str> {
-        let service = self.service.clone();
+        let (service, young) = (self.service.clone(), self.young);
         let (called, change) = {
             let mut life = service.lifecycle();
             (life.drain_start(service.now()), life.changes())
@@ -235,7 +241,7 @@
             let empty = move || {
                 while service.lifecycle().changes() == change {
                     if service.closing() == Closing::Resting {
-                        service.close_idle();
+                        service.close_idle(young);
                     }
                     std::thread::sleep(LOOK);
                 }
@@ -352,7 +358,7 @@
         let mut at_rest = 0;
         // Twice, so that what came while connections were closed is seen.
         while at_rest < 2 && start.elapsed() < self.limits.term_finish {
-            at_rest = if self.service.close_idle() { at_rest + 1 } else { 0 };
+            at_rest = if self.service.close_idle(self.limits.client_silent) { at_rest + 1 } else { 0 };
             std::thread::sleep(LOOK);
         }
         if let Some(keep) = &self.keep {
