--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use nix::sys::socket::getsockopt;
+use nix::sys::socket::sockopt::AcceptConn;
 
 /// Descriptors below this are the standard streams.
 const FIRST: u16 = 3;
@@ -32,6 +34,9 @@
         let taken = listenfd::ListenFd::from_env().take_tcp_listener(usize::from(at));
         match taken {
             Ok(Some(listener)) => {
+                if !getsockopt(&listener, AcceptConn).unwrap_or(false) {
+                    return Err(bad("this is no listening TCP socket"));
+                }
                 listener.set_nonblocking(true).map_err(|e| bad(&e.to_string()))?;
                 Ok(Self(listener))
             }
@@ -122,5 +127,15 @@
             let said = Inherited::take(text).unwrap_err();
             assert!(said.contains(why) && said.contains(text), "{said}");
         }
+        // A connection is a TCP socket too, and a file is none.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let file = std::fs::File::open("Cargo.toml").unwrap();
+        for fd in [client.into_raw_fd(), file.into_raw_fd()] {
+            assert!(Inherited::take(&fd.to_string()).unwrap_err().contains("no listening TCP socket"));
+        }
+        let (one, _, addr) = pair();
+        let taken = Inherited::take(&one.0.into_raw_fd().to_string()).unwrap();
+        assert_eq!(taken.local_addr().unwrap(), addr);
     }
 }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -218,6 +218,12 @@
     assert_eq!((program.figure("reloads_ok"), other.watches() + other.lists()), (Some(0), 0));
     program.reload(&whole);
     until("a good file", || program.figure("reloads_ok") == Some(1) && other.lists() == 1);
+    // Files that come fast upon each other end in the last one.
+    let last = Discovery::start("127.0.0.1:0", Vec::new());
+    for n in 0..10 {
+        program.reload(&config(if n == 9 { &last } else { &other }, |_| ()));
+    }
+    until("the last file", || last.lists() == 1);
     program.signal("TERM");
     let log = program.ended();
     let told: Vec<&str> = log.lines().filter(|l| l.contains("the configuration stays as it was")).collect();
