--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -152,6 +152,8 @@
     pub multiple: f64,
     /// ...for this long, it falls over.
     pub fall: Nanos,
+    /// How many processes may stand in the place of one mixer at once, and share what it may send such a server.
+    pub processes: u32,
 }
 
 /// Everything an instance is told at its start.
@@ -230,6 +232,11 @@
         f64::from(self.mixers).sqrt()
     }
 
+    /// Processes that share what a cold server may be sent.
+    pub fn sharers(&self) -> f64 {
+        f64::from(self.mixers) * f64::from(self.cold.processes)
+    }
+
     /// The shortest aim of all classes.
     pub fn shortest_aim(&self) -> Nanos {
         self.aims().min().unwrap_or(1)
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -1026,7 +1026,7 @@
         let (bound, fall) = (cold.multiple * warmth, cold.fall as f64);
         let mean = fall / self.send_gap();
         let guess = if self.seen.quartile > 0 { self.seen.quartile } else { self.set.shortest_aim() / 6 };
-        let one_core = COLD_ONE_CORE * fall / (guess.max(1) as f64 * f64::from(self.set.mixers));
+        let one_core = COLD_ONE_CORE * fall / (guess.max(1) as f64 * self.set.sharers());
         (fall / (bound * (COLD_AS_PEERS * mean).max(one_core)).max(1e-6)) as Nanos
     }
 
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -35,11 +35,11 @@
         self.classes.get(class.0).and_then(|name| self.class(name)).unwrap_or(class)
     }
 
-    /// The same for a process beside which so many others may serve in its place: what each may do alone, at a cold
-    /// data node for one, is its share among them all.
+    /// The same for a process beside which so many others may serve in its place: what a cold data node may be sent
+    /// is shared with them. Other bounds are not: where they bind, the two halve their traffic anyway.
     #[must_use]
     pub fn beside(mut self, others: u32) -> Self {
-        self.settings.mixers = self.settings.mixers.saturating_mul(others.saturating_add(1));
+        self.settings.cold.processes = others.saturating_add(1);
         self
     }
 
@@ -210,6 +210,7 @@
             warm_after: rules.cold_ns,
             multiple: rules.tip_multiple,
             fall: rules.fall_ns,
+            processes: 1,
         },
         tick: info.tick_ns,
         zones: info.zones.len() as u32,
@@ -280,6 +281,14 @@
         read(&text).unwrap()
     }
 
+    /// Guards cold data nodes against two processes that stand in the place of one.
+    #[test]
+    fn processes_in_one_place_share_what_a_cold_node_may_be_sent() {
+        let (alone, beside) = (info(&[(0, 0)]), info(&[(0, 0)]).beside(1));
+        assert_eq!((alone.settings.sharers(), beside.settings.sharers()), (1.0, 2.0));
+        assert_eq!(beside.after(&alone).settings.sharers(), 2.0, "kept when settings change");
+    }
+
     proptest! {
         #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -38,7 +38,7 @@
         may_probe: true,
         max_hold_off: Some(1000 * MS),
         budget: Some(Budget { window: 5000 * MS, free: 10.0, ratio: 0.2 }),
-        cold: ColdRule { share: 0.2, warm_after: 16_000 * MS, multiple: 2.0, fall: 2000 * MS },
+        cold: ColdRule { share: 0.2, warm_after: 16_000 * MS, multiple: 2.0, fall: 2000 * MS, processes: 1 },
         tick: 5 * MS,
         zones: 0,
         home: None,
