--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -194,10 +194,12 @@
         self.fleet.servers.len()
     }
 
-    /// How many servers in the list it sends nothing now, or only what no other can take.
+    /// How many servers in the list it sends nothing now; doubt or a bad way of a moment sends nobody away.
     pub fn avoided(&self) -> usize {
+        let since = self.now.saturating_sub(self.set.shortest_aim() / TRIAL_SHARE);
         let shunned = |s: &Server| s.doubt.get(self.now) >= SHUNNED || self.way_bad(s.zone);
-        self.fleet.servers.values().filter(|s| !s.gone && (!s.listed || shunned(s))).count()
+        let rests = |s: &Server| !s.listed || shunned(s) && s.used_at.is_none_or(|t| t < since);
+        self.fleet.servers.values().filter(|s| !s.gone && rests(s)).count()
     }
 
     fn take(&mut self, event: Event) {
@@ -547,8 +549,7 @@
         let Some(longest) = self.set.max_hold_off else { return 0 };
         let useful = q.arrived.saturating_add(self.set.classes[q.class.0].aim);
         let left = useful.saturating_sub(self.now.saturating_add(self.seen.median));
-        let useful_wait = if left > 0 { left / 2 } else { longest };
-        longest.min(useful_wait)
+        longest.min(if left > 0 { left / 2 } else { longest })
     }
 
     fn forget(&mut self, id: QueryId) {
@@ -754,12 +755,11 @@
     fn take_ended(&mut self, id: PartId, n: u32, server: ServerId, outcome: Outcome, latency: Nanos) {
         self.judge(id, n, server, outcome, latency);
         let Some(part) = self.parts.get_mut(&id) else { return };
-        let query = part.query;
+        let (query, broken) = (part.query, part.broken + u32::from(outcome == Outcome::Cut));
         let Some(a) = part.attempts.get_mut(n as usize) else { return };
         let was_cancelled = a.fate == Fate::Cancelled;
         a.fate = Fate::Ended { never_ran: outcome.never_ran() };
-        part.broken += u32::from(outcome == Outcome::Cut);
-        let broken = part.broken;
+        part.broken = broken;
         self.queries.entry(query).and_modify(|q| q.broken = q.broken.max(broken));
         if outcome == Outcome::Pass && self.queries.get(&query).is_some_and(|q| q.stage == Stage::Running) {
             self.answered(id);
