One handling of a failed accept at an inherited socket; help names the settings at SIGHUP

Found on reading the change again: a failed wait and a failed accept had the same pause and log line twice, and the help still said that SIGHUP reads the file for the list's address alone. Behaviour is as before; clippy and the tests of platform and operation pass.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -367,17 +367,13 @@
         }
     });
     let wait = move || loop {
-        match inherited.waits(ACCEPT_LOOK) {
+        let accepted = match inherited.waits(ACCEPT_LOOK) {
             Ok(_) if service.lifecycle().finishing() => return,
-            Ok(false) => continue,
-            Ok(true) => {}
-            Err(e) => {
-                log::warn!("accept: {e}");
-                std::thread::sleep(ACCEPT_PAUSE);
-                continue;
-            }
-        }
-        match inherited.accept() {
+            Ok(false) => Ok(None),
+            Ok(true) => inherited.accept(),
+            Err(e) => Err(e),
+        };
+        match accepted {
             Ok(Some(stream)) => {
                 if streams.send(stream).is_err() || next.recv().is_err() {
                     return;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,8 @@
 curlewdeck: a coordinator of queries over many shards
 
     curlewdeck serve [--config FILE] [--edge FILE]    serve until SIGTERM; SIGUSR1 logs the counters,
-                                                      SIGHUP reads FILE again for the list's address
+                                                      SIGHUP reads FILE again for the settings and
+                                                      the list's address
     curlewdeck check [--config FILE] [--edge FILE]    read the files and say whether they can be used
 {QUERY}
 {SNMP}
