Elections of scripted groups wait as the script says, and are the same in each run

Change: a bound takes the drawing over in scripted runs; members of one group get different waits, moved round by the seed. Without it raft-rs draws as before.

--- a/crates/group/src/bounds.rs
+++ b/crates/group/src/bounds.rs
@@ -17,6 +17,9 @@
     /// Ticks without a leader's word after which a follower stands for election (raft-rs draws the real timeout at
     /// random between this and twice this, which spreads the candidates).
     pub election_ticks: usize,
+    /// Ticks beyond `election_ticks` that this member waits, in place of those drawn at random: a scripted run is then
+    /// the same each time. Members of one group need different ones.
+    pub election_wait: Option<usize>,
     /// Ticks between a leader's heartbeats.
     pub heartbeat_ticks: usize,
     /// Ticks that a proposal or read may wait before it is answered as unknown (it may still be applied later).
@@ -36,6 +39,7 @@
             waiting: 256,
             snapshot_every: 1024,
             election_ticks: 10,
+            election_wait: None,
             heartbeat_ticks: 1,
             wait_ticks: 30,
             inflight: 64,
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -15,6 +15,6 @@
 pub mod store;
 
 pub use bounds::Bounds;
-pub use member::{Answer, Member, Out, Persist, Refusal, Ticket};
+pub use member::{Answer, Letter, Member, Out, Persist, Refusal, Ticket};
 pub use promised::{Command, Outcome, Promised, Slot};
 pub use store::Store;
--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -11,7 +11,9 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use protobuf::Message as _;
-use raft::eraftpb::{ConfChange, ConfChangeType, Entry, EntryType, HardState, Message, Snapshot};
+use raft::eraftpb::{
+    ConfChange, ConfChangeType, Entry, EntryType, HardState, Message, MessageType, Snapshot,
+};
 use raft::{Config, RawNode, ReadState, StateRole, Storage};
 use serde::{Deserialize, Serialize};
 use slog::Drain;
@@ -38,6 +40,21 @@
 }
 
 impl Persist {
+    /// Adds what a later step hands out, so that both are written at once.
+    pub fn extend(&mut self, later: Self) {
+        if let Some(image) = later.image {
+            let covered = image.get_metadata().index;
+            self.entries.retain(|e| !later.fresh && e.index > covered);
+            self.image = Some(image);
+            self.fresh |= later.fresh;
+        }
+        if let Some(first) = later.entries.first().map(|e| e.index) {
+            self.entries.retain(|e| e.index < first);
+            self.entries.extend(later.entries);
+        }
+        self.hard = later.hard.or(self.hard.take());
+    }
+
     /// Whether there is nothing to write.
     pub fn is_empty(&self) -> bool {
         self.image.is_none() && self.entries.is_empty() && self.hard.is_none()
@@ -107,13 +124,24 @@
     }
 }
 
+/// A message for another member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Letter {
+    /// The member's id.
+    pub to: u64,
+    /// The message.
+    pub bytes: Vec<u8>,
+    /// It carries a snapshot: whether it was sent must be told by [`Member::snapshot_sent`], or raft-rs waits for ever.
+    pub snapshot: bool,
+}
+
 /// What one step hands the driver, to be carried out in this order.
 #[derive(Debug, Default)]
 pub struct Out {
     /// First: to disk.
     pub persist: Persist,
-    /// Then: messages, each to a member by id, as bytes.
-    pub send: Vec<(u64, Vec<u8>)>,
+    /// Then: messages.
+    pub send: Vec<Letter>,
     /// Last: answers to clients.
     pub done: Vec<(Ticket, Answer)>,
 }
@@ -216,9 +244,13 @@
     }
 
     fn start(id: u64, store: Store, machine: Promised, bounds: Bounds) -> Result<Self, StartError> {
+        // Both 0: raft-rs draws at random between one and two election timeouts.
+        let wait = bounds.election_wait.map_or(0, |wait| bounds.election_ticks + wait);
         let config = Config {
             id,
             election_tick: bounds.election_ticks,
+            min_election_tick: wait,
+            max_election_tick: if wait > 0 { wait + 1 } else { 0 },
             heartbeat_tick: bounds.heartbeat_ticks,
             applied: store.image_index(),
             max_size_per_msg: bounds.message_bytes,
@@ -371,6 +403,15 @@
         (ticket, out)
     }
 
+    /// Makes a snapshot now, if anything was applied since the last one.
+    pub fn snapshot(&mut self) -> Out {
+        let mut out = Out::default();
+        if !self.gone {
+            self.snapshot_if_due(&mut out, true);
+        }
+        out
+    }
+
     /// The driver could not reach a member: raft-rs then sends it less until it answers.
     pub fn unreachable(&mut self, member: u64) {
         self.guard(|node| node.report_unreachable(member));
@@ -579,6 +620,9 @@
     }
 }
 
-fn encode(messages: Vec<Message>) -> impl Iterator<Item = (u64, Vec<u8>)> {
-    messages.into_iter().filter_map(|m| Some((m.to, m.write_to_bytes().ok()?)))
+fn encode(messages: Vec<Message>) -> impl Iterator<Item = Letter> {
+    messages.into_iter().filter_map(|m| {
+        let snapshot = m.get_msg_type() == MessageType::MsgSnapshot;
+        Some(Letter { to: m.to, bytes: m.write_to_bytes().ok()?, snapshot })
+    })
 }
--- a/crates/group/tests/cluster.rs
+++ b/crates/group/tests/cluster.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use curlewdeck_group::member::Rejected;
-use curlewdeck_group::{Answer, Bounds, Command, Member, Out, Outcome, Persist, Store, Ticket};
+use curlewdeck_group::{Answer, Bounds, Command, Letter, Member, Out, Outcome, Persist, Store, Ticket};
 use curlewdeck_lab::history::{self, Event, Op};
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, HardState, Message, MessageType, Snapshot};
@@ -84,6 +84,7 @@
 }
 
 struct Group {
+    seed: u64,
     rng: Rng,
     now: u64,
     bounds: Bounds,
@@ -102,6 +103,7 @@
 impl Group {
     fn new(seed: u64, ids: &[u64], bounds: Bounds) -> Self {
         let mut group = Self {
+            seed,
             rng: Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
             now: 0,
             bounds: bounds.clone(),
@@ -117,20 +119,25 @@
             rejected: 0,
         };
         for &id in ids {
-            let (member, out) = Member::found(id, ids, bounds.clone()).unwrap();
+            let (member, out) = Member::found(id, ids, group.bounds_of(id)).unwrap();
             group.members.insert(id, member);
             group.carry(id, out);
         }
         group
     }
 
+    /// Different waits for all members of a group, moved round by the seed: raft-rs would draw them from outside the
+    /// script, and a vote that is split again and again would be a test that fails now and then.
+    fn bounds_of(&self, id: u64) -> Bounds {
+        let wait = (3 * id + self.seed) % 10;
+        Bounds { election_wait: usize::try_from(wait).ok(), ..self.bounds.clone() }
+    }
+
     fn carry(&mut self, id: u64, out: Out) {
         // In the driver's order: disk, then messages, then answers.
         self.disks.entry(id).or_default().write(&out.persist);
-        for (to, bytes) in out.send {
+        for Letter { to, bytes, snapshot } in out.send {
             // As the driver does: a snapshot that could not be sent is told, else raft-rs waits for it for ever.
-            let snapshot =
-                Message::parse_from_bytes(&bytes).is_ok_and(|m| m.get_msg_type() == MessageType::MsgSnapshot);
             let lost = self.rng.chance(self.drop) || self.cut.contains(&(id, to));
             if snapshot {
                 if let Some(member) = self.members.get_mut(&id) {
@@ -230,7 +237,7 @@
     fn restart(&mut self, id: u64) {
         let store = self.disks[&id].store();
         let boot = u32::try_from(self.now).unwrap();
-        self.members.insert(id, Member::recover(id, store, self.bounds.clone()).unwrap().with_boot(boot));
+        self.members.insert(id, Member::recover(id, store, self.bounds_of(id)).unwrap().with_boot(boot));
     }
 
     fn partition(&mut self, sides: &[&[u64]]) {
@@ -449,7 +456,7 @@
         g.ask_change(at, old, false);
         g.run(20);
         let at = g.settle();
-        g.members.insert(new, Member::join(new, g.bounds.clone()).unwrap());
+        g.members.insert(new, Member::join(new, g.bounds_of(new)).unwrap());
         g.ask_change(at, new, true);
         g.run(40);
     }
