A thread of its own reads the configuration at SIGHUP; memory bounds client places; state folder locked

Need: a configuration that is slow to read held up SIGTERM, since the thread that hears signals read it. limits.memory_mb was not read, so two processes beside each other, with many descriptors and little memory, could pass it: 19 MB each with 304 descriptors against 32 MB together. Two versions with one state folder wrote their totals over each other's.

Change: src/main.rs hands the word on to a thread that reads; Limits::within bounds client places by memory as by descriptors, halved beside a twin; the state folder is locked. Lines of target 'request' also tell what each link read.

Result: a pipe in the place of the file, slow or with nobody at its other end: clients, figures and SIGTERM go on, what was cut short is turned down, the file put in its place holds (tests/operation.rs).

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 use crate::front::desk::DeskConfig;
 use crate::front::ogc::OgcConfig;
 use crate::keep::StateConfig;
-use crate::limits::Limits;
+use crate::limits::{Limits, Platform};
 use crate::net::members::WireList;
 use crate::settings::{self, Info};
 use crate::snmp::SnmpConfig;
@@ -35,12 +35,18 @@
 struct FileLimits {
     #[serde(default = "most_sockets")]
     sockets: usize,
+    #[serde(default = "most_memory")]
+    memory_mb: usize,
 }
 
 fn most_sockets() -> usize {
     1024
 }
 
+fn most_memory() -> usize {
+    192
+}
+
 /// What a coordinator is told.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -54,8 +60,10 @@
     pub named_discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// Descriptors that the process may hold.
+    /// Descriptors that all its processes may hold together.
     pub sockets: usize,
+    /// Memory that they may take together.
+    pub memory_mb: usize,
     /// The second address, for those who run it.
     pub control: Option<SocketAddr>,
     /// The number of the inherited descriptor that listens for clients.
@@ -92,6 +100,7 @@
             name: variable("LB_NAME").unwrap_or(file.name),
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             control: match variable("LB_CONTROL") {
                 Some(text) => Some(text.parse().map_err(|_| format!("LB_CONTROL: '{text}' is no address"))?),
                 None => file.control,
@@ -103,6 +112,11 @@
         })
     }
 
+    /// What the platform allows, beside so many other processes.
+    pub fn platform(&self, others: usize) -> Platform {
+        Platform { sockets: self.sockets, memory_mb: self.memory_mb, others }
+    }
+
     /// Whether this may take the place of `before` while the process runs: it lacks no key that was there.
     ///
     /// # Errors
--- a/src/keep.rs
+++ b/src/keep.rs
@@ -1,7 +1,7 @@
 //! The state folder: what outlives the process, written by a thread of its own since files block. When and how is decided
 //! in `curlewdeck-keep`; on the platform there is no such folder, and nothing is written.
 
-use std::fs::{self, File};
+use std::fs::{self, File, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -31,6 +31,7 @@
 }
 
 const FILE: &str = "books";
+const LOCK: &str = "lock";
 const KIND: Kind = Kind { what: 1, form: 1 };
 
 /// What is kept.
@@ -52,6 +53,9 @@
     /// As it was found, with this process's boots. Held while a file is written.
     kept: Mutex<(Kept, Pace)>,
     begun: Instant,
+    /// Locked for as long as this process lives: two that count in one folder would write over each other's totals, and
+    /// give the same boots twice.
+    _lock: File,
 }
 
 impl Keep {
@@ -66,6 +70,11 @@
         if config.every_s == 0 {
             return Err(wrong(&"every_s must be above 0"));
         }
+        let lock = File::create(folder.join(LOCK)).map_err(|e| wrong(&e))?;
+        lock.try_lock().map_err(|e| match e {
+            TryLockError::WouldBlock => wrong(&"another process uses it: end that one first"),
+            TryLockError::Error(e) => wrong(&e),
+        })?;
         let mut kept = match read(&folder.join(FILE)).map_err(|e| wrong(&e))? {
             None => Kept::default(),
             Some(bytes) => match open::<Kept>(KIND, &bytes) {
@@ -85,8 +94,8 @@
             kept.engine = engine;
         }
         let every = Duration::from_secs(config.every_s);
-        let keep =
-            Self { folder, every, kept: Mutex::new((kept, Pace::new(nanos(every)))), begun: Instant::now() };
+        let kept = Mutex::new((kept, Pace::new(nanos(every))));
+        let keep = Self { folder, every, kept, begun: Instant::now(), _lock: lock };
         let first = keep.lock().0.clone();
         let bytes = seal(KIND, &first).ok_or_else(|| "the state is too large".to_string())?;
         write(&keep.folder, &bytes).map_err(|e| format!("state folder {}: {e}", keep.folder.display()))?;
@@ -202,6 +211,16 @@
         }
     }
 
+    /// Guards against an old and a new version that write over each other's totals.
+    #[test]
+    fn a_folder_serves_one_process_at_a_time() {
+        let folder = Folder::new("lock");
+        let first = folder.load().unwrap();
+        assert!(folder.load().unwrap_err().contains("another process uses it"));
+        drop(first);
+        assert_eq!(folder.load().unwrap().kept().boots, 2);
+    }
+
     /// A torn or foreign file is put aside, never overwritten; what lies about of a write that was cut off is not read.
     #[test]
     fn what_is_not_believed_is_put_aside() {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -236,6 +236,23 @@
 const RESERVED: usize = 32;
 const LEAST_SOCKETS: usize = 128;
 
+/// What a process takes without a client, and a client's connection with its two coroutines, its buffers and a query in
+/// flight, in KB, measured and rounded up: 10 MB, and 16 and 19 MB with 206 and 304 descriptors.
+const PROCESS_KB: usize = 11 * 1024;
+const CLIENT_KB: usize = 48;
+const LEAST_CLIENTS: usize = 32;
+
+/// What the platform allows all processes of a coordinator together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Platform {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Memory.
+    pub memory_mb: usize,
+    /// Other processes that may serve at the same address within the same bounds.
+    pub others: usize,
+}
+
 impl Limits {
     /// How long a connection may have been idle and still be used, if its data node closes it after `idle`.
     pub fn usable_idle(&self, idle: Duration) -> Duration {
@@ -254,26 +271,24 @@
         self.link_silence.max(shortest_aim / self.link_silence_part)
     }
 
-    /// The limits under a bound of descriptors: clients get what data nodes and the process leave.
-    ///
-    /// # Errors
-    /// Too few descriptors to serve at all.
-    pub fn for_sockets(sockets: usize) -> Result<Self, String> {
-        Self::beside(sockets, 0)
-    }
-
-    /// The same where so many other processes may serve at the same address under the same bound.
+    /// The limits under the platform's bounds: clients get what data nodes and the process leave.
     ///
     /// # Errors
-    /// Too few descriptors to serve at all.
-    pub fn beside(sockets: usize, others: usize) -> Result<Self, String> {
-        let sockets = sockets / (others + 1);
+    /// Too few descriptors, or too little memory, to serve at all.
+    pub fn within(platform: Platform) -> Result<Self, String> {
+        let Platform { sockets, memory_mb, others } = platform;
+        let (sockets, kilobytes) = (sockets / (others + 1), memory_mb.saturating_mul(1024) / (others + 1));
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed"));
         }
+        let places = kilobytes.saturating_sub(PROCESS_KB) / CLIENT_KB;
+        if places < LEAST_CLIENTS {
+            let least = (PROCESS_KB + LEAST_CLIENTS * CLIENT_KB).div_ceil(1024) * (others + 1);
+            return Err(format!("limits.memory_mb is {memory_mb}, at least {least} are needed"));
+        }
         let mut limits = Self::default();
         limits.node_sockets = limits.node_sockets.min(sockets / 3);
-        limits.clients = limits.clients.min(sockets - RESERVED - limits.node_sockets);
+        limits.clients = limits.clients.min(sockets - RESERVED - limits.node_sockets).min(places);
         Ok(limits)
     }
 }
@@ -308,11 +323,27 @@
     /// Guards against running out of descriptors: all kinds together stay below the bound.
     #[test]
     fn sockets_of_all_kinds_stay_below_the_bound() {
+        let within = |sockets, memory_mb, others| Limits::within(Platform { sockets, memory_mb, others });
         for sockets in [128, 256, 1024, 4096] {
-            let limits = Limits::for_sockets(sockets).unwrap();
+            let limits = within(sockets, 192, 0).unwrap();
             assert!(limits.clients + limits.node_sockets + RESERVED <= sockets);
             assert!(limits.clients > 0 && limits.node_sockets > 0);
         }
-        assert!(Limits::for_sockets(LEAST_SOCKETS - 1).is_err());
+        assert!(within(LEAST_SOCKETS - 1, 192, 0).is_err());
+    }
+
+    /// Guards against two processes that each keep the bounds and break them together, in memory as in descriptors.
+    #[test]
+    fn two_processes_share_one_budget() {
+        for (sockets, memory_mb) in [(256, 32), (1024, 32), (384, 48), (1024, 192)] {
+            let of = |others| Limits::within(Platform { sockets, memory_mb, others }).unwrap();
+            for (processes, limits) in [(1, of(0)), (2, of(1))] {
+                let kilobytes = processes * (PROCESS_KB + limits.clients * CLIENT_KB);
+                assert!(kilobytes <= memory_mb * 1024, "{processes} with {memory_mb} MB: {kilobytes} KB");
+                assert!(processes * (limits.clients + limits.node_sockets + RESERVED) <= sockets);
+            }
+        }
+        let why = Limits::within(Platform { sockets: 1024, memory_mb: 24, others: 1 }).unwrap_err();
+        assert_eq!(why, "limits.memory_mb is 24, at least 26 are needed");
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,14 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
 use std::thread;
 
 use curlewdeck::config::{Config, Edge};
 use curlewdeck::limits::Limits;
 use curlewdeck::query::{self, Command};
-use curlewdeck::serve;
+use curlewdeck::serve::{self, Coordinator};
 use curlewdeck::snmp_tool;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
@@ -80,7 +82,7 @@
             let config = Config::load(&config_file(config)?)?;
             let edge = load_edge(edge)?;
             edge.check(&config.info)?;
-            Limits::for_sockets(config.sockets)?;
+            Limits::within(config.platform(0))?;
             let state = |on| if on { "on" } else { "off" };
             println!(
                 "the configuration can be used: {} classes, feature front {}, desk front {}, management agent {}",
@@ -128,6 +130,24 @@
     }
 }
 
+/// A thread of its own reads the file at each word, since that may take as long as it likes: signals are heard, and
+/// the process ends, all the same.
+fn reloading(coordinator: Arc<Coordinator>, file: PathBuf) -> Result<SyncSender<()>, String> {
+    let (reload, words) = sync_channel(1);
+    let take = move || {
+        for () in words {
+            if let Err(why) = coordinator.reload(&file) {
+                log::error!("the configuration stays as it was: {why}");
+            }
+        }
+    };
+    let thread = thread::Builder::new().name("reload".into()).stack_size(RELOAD_STACK).spawn(take);
+    thread.map(|_| reload).map_err(|e| format!("no thread to read the configuration: {e}"))
+}
+
+/// The file is parsed on it.
+const RELOAD_STACK: usize = 512 * 1024;
+
 fn serve(file: &Path, config: Config, edge: Edge) -> Result<(), String> {
     // Each signal interrupts the poller, and may logs that as an error of its own each time.
     env_logger::Builder::from_env(
@@ -138,8 +158,9 @@
     // Before anything else, so that no signal finds the process unprepared.
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
-    serve::set_up_workers(&Limits::for_sockets(config.sockets)?);
-    let coordinator = serve::start(config, edge)?;
+    serve::set_up_workers(&Limits::within(config.platform(0))?);
+    let coordinator = Arc::new(serve::start(config, edge)?);
+    let reload = reloading(coordinator.clone(), file.to_path_buf())?;
     let (coordinator, handle) = (&coordinator, signals.handle());
     // Signals are heard to the end: the list's service may move while the last queries are finished.
     thread::scope(|scope| {
@@ -147,11 +168,8 @@
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => log::info!("counters:\n{}", coordinator.report()),
-                SIGHUP => {
-                    if let Err(why) = coordinator.reload(file) {
-                        log::error!("the configuration stays as it was: {why}");
-                    }
-                }
+                // Where one waits already, it will read the file as it is by then.
+                SIGHUP => drop(reload.try_send(())),
                 _ if ending => {}
                 _ => {
                     ending = true;
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -29,6 +29,16 @@
     Refused(String),
 }
 
+impl std::fmt::Display for Reply {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Answer { name, outcome, .. } => write!(f, "{name} {outcome:?}"),
+            Self::Probed(outcome) => write!(f, "probe {outcome:?}"),
+            Self::Refused(words) => write!(f, "'{words}'"),
+        }
+    }
+}
+
 /// Why bytes are no frame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BadFrame(pub &'static str);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -111,6 +111,7 @@
             }
             NodeMsg::Read(id, come) => {
                 for reply in come.frames {
+                    log::debug!(target: REQUEST, "link {} of node {}: {reply} read", id.0, self.id.0);
                     self.step(Input::Frame(id, reply));
                 }
                 match come.rest {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -78,7 +78,7 @@
     let inherited = inherited.transpose().map_err(|why| format!("LB_LISTEN_FD: {why}"))?;
     // Another version may serve beside this one from the same socket, within the same bounds.
     let others = u32::from(inherited.is_some());
-    let limits = Arc::new(Limits::beside(config.sockets, others as usize)?);
+    let limits = Arc::new(Limits::within(config.platform(others as usize))?);
     let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
     let info = Arc::new(config.info.beside(others));
     let engine =
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -7,7 +7,7 @@
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Once};
@@ -211,9 +211,16 @@
 
     /// Puts a file in the place of its configuration, and has it read.
     pub fn reload(&self, text: &str) {
-        std::fs::write(self.dir.join("next.json"), text).unwrap();
-        std::fs::rename(self.dir.join("next.json"), self.dir.join("config.json")).unwrap();
+        self.reload_made(|path| std::fs::write(path, text).unwrap());
+    }
+
+    /// The same with whatever is made at that path; returns where it is then.
+    pub fn reload_made(&self, make: impl FnOnce(&Path)) -> PathBuf {
+        let (next, config) = (self.dir.join("next.json"), self.dir.join("config.json"));
+        make(&next);
+        std::fs::rename(next, &config).unwrap();
         self.signal("HUP");
+        config
     }
 
     /// Waits for its end, which must be a good one; returns its log.
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -231,6 +231,34 @@
     assert!(told[3].contains("settings") && told[6].contains("'seed' is missing"), "{told:?}");
 }
 
+/// Guards against a file that is read for long, here a pipe with somebody slow at its other end: clients, figures and
+/// signals do not wait for it, what was cut short is turned down, and the file that was put in its place holds.
+#[test]
+fn a_file_may_be_replaced_while_it_is_read() {
+    let (_a, _b, discovery) = two(served, served);
+    let program = Program::start(&config(&discovery, |_| ()));
+    let pipe = |path: &std::path::Path| {
+        assert!(std::process::Command::new("mkfifo").arg(path).status().unwrap().success());
+    };
+    let path = program.reload_made(pipe);
+    // Opened once the program reads it.
+    let mut slow = std::fs::File::options().write(true).open(path).unwrap();
+    let whole = config(&discovery, without_the_last_class);
+    slow.write_all(&whole.as_bytes()[..whole.len() / 2]).unwrap();
+    program.reload(&whole);
+    assert_eq!(query(program.addr, "monthly-settle", &[0, 1]).unwrap().status, 200);
+    assert_eq!((program.figure("reloads_ok"), program.figure("reloads_failed")), (Some(0), Some(0)));
+    drop(slow);
+    until("both files", || {
+        (program.figure("reloads_ok"), program.figure("reloads_failed")) == (Some(1), Some(1))
+    });
+    until("the dropped class", || query(program.addr, "monthly-settle", &[0]).unwrap().status == 404);
+    // Nobody is at the other end of this one.
+    program.reload_made(pipe);
+    program.signal("TERM");
+    assert!(program.ended().contains("the configuration is taken"));
+}
+
 /// Guards a new version under load: two processes at one socket, the old one told to end; every request on new and on
 /// kept connections is answered, none refused or reset.
 #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,7 +10,7 @@
 
 use curlewdeck::api::ShardId;
 use curlewdeck::engine::{Accept, Ask, Client, Final};
-use curlewdeck::limits::Limits;
+use curlewdeck::limits::{Limits, Platform};
 use curlewdeck::serve::Coordinator;
 
 use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply, Part};
@@ -354,7 +354,7 @@
         stream
     };
     // Twice as many as there are places say nothing, and others are served between them.
-    let places = Limits::for_sockets(128).unwrap().clients;
+    let places = Limits::within(Platform { sockets: 128, memory_mb: 192, others: 0 }).unwrap().clients;
     let mut silent = Vec::new();
     for _ in 0..places {
         silent.extend((0..2).map(|_| TcpStream::connect(addr).unwrap()));
