Groups of coordinators over TCP: promised keys, members added and removed, state copied

Need: what a coordinator holds for others is lost with its machine and disk. crates/group had the decisions; nothing carried them out.

Change: src/group runs a member: a thread that owns it and its disk, a thread for each connection between members, calls for clients and operators over HTTP (the second address's server, which takes any set of calls now), 'curlewdeck group'. With [state] copied, the agent's starts and the totals go to the group, and a start counts only once it is promised.

--- a/crates/client/src/http.rs
+++ b/crates/client/src/http.rs
@@ -42,6 +42,25 @@
     }
 }
 
+/// One call that is answered in a line or a few: its status and its text.
+///
+/// # Errors
+/// Names the address and why it did not answer.
+pub fn call(method: &str, url: &str, body: &str, within: Duration) -> Result<(u16, String), String> {
+    let config = ureq::Agent::config_builder().http_status_as_error(false).timeout_global(Some(within));
+    let agent = config.build().new_agent();
+    let called = match method {
+        "GET" => agent.get(url).call(),
+        "DELETE" => agent.delete(url).call(),
+        "PUT" => agent.put(url).send(body),
+        _ => agent.post(url).send(body),
+    };
+    let read = |mut answer: ureq::http::Response<ureq::Body>| {
+        Ok((answer.status().as_u16(), answer.body_mut().with_config().limit(ANSWER_BYTES).read_to_string()?))
+    };
+    called.and_then(read).map_err(|e| format!("{url}: {e}"))
+}
+
 /// Walks to the end; each page is handed on as it comes.
 pub fn run(mut walk: Walk, service: &Service, mut page: impl FnMut(&Page)) -> (End, Walk) {
     loop {
--- a/crates/group/src/bounds.rs
+++ b/crates/group/src/bounds.rs
@@ -33,9 +33,9 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            keys: 4096,
+            keys: 1024,
             key_bytes: 256,
-            value_bytes: 4096,
+            value_bytes: 16 * 1024,
             waiting: 256,
             snapshot_every: 1024,
             election_ticks: 10,
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,6 +10,7 @@
 
 use crate::front::desk::DeskConfig;
 use crate::front::ogc::OgcConfig;
+use crate::group::config::GroupConfig;
 use crate::keep::StateConfig;
 use crate::limits::{Limits, Platform};
 use crate::net::members::WireList;
@@ -225,6 +226,8 @@
     pub state: Option<StateConfig>,
     /// The management agent.
     pub snmp: Option<SnmpConfig>,
+    /// The group that this coordinator is a member of.
+    pub group: Option<GroupConfig>,
 }
 
 /// How the data nodes are spoken to.
@@ -285,6 +288,11 @@
                 ));
             }
         }
+        if let Some(group) = &self.group {
+            group.check()?;
+        } else if self.state.as_ref().is_some_and(|s| s.copied) {
+            return Err("state.copied: there is no group to copy it to".into());
+        }
         if let Some(snmp) = &self.snmp {
             snmp.agent(&Limits::default(), None)?;
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,7 @@
 
 use crate::front::server::Reply;
 use crate::limits::Limits;
-use crate::net::http::{self, RequestReader};
+use crate::net::http::{self, Request, RequestReader};
 
 /// What the calls come to.
 pub trait Operated: Send + Sync + 'static {
@@ -26,8 +26,22 @@
     fn resume(&self) -> Result<(), &'static str>;
 }
 
-/// The answer to one call.
-fn answer(operated: &dyn Operated, method: &str, path: &str) -> Reply {
+/// Who answers the calls at an address.
+pub trait Calls: Send + Sync + 'static {
+    /// The answer to one call, in a thread that may wait for it.
+    fn answer(&self, request: &Request) -> Reply;
+}
+
+/// The calls of those who run the coordinator.
+pub struct Operations<T>(pub T);
+
+impl<T: Operated> Calls for Operations<T> {
+    fn answer(&self, request: &Request) -> Reply {
+        operate(&self.0, &request.method, &request.path)
+    }
+}
+
+fn operate(operated: &dyn Operated, method: &str, path: &str) -> Reply {
     type Call = fn(&dyn Operated) -> Result<String, &'static str>;
     let (allowed, call): (&str, Call) = match path {
         "/ops/readiness" => ("GET", |o| o.ready().map(|()| "yes\n".into())),
@@ -96,22 +110,27 @@
 const PAUSE: Duration = Duration::from_millis(10);
 const READ: usize = 1024;
 
-/// Listens, and starts to answer.
+/// Listens, and starts to answer, so many callers at once at most.
 ///
 /// # Errors
 /// The address cannot be listened at, or there is no thread.
-pub fn start(addr: SocketAddr, operated: Arc<dyn Operated>, limits: Arc<Limits>) -> io::Result<SocketAddr> {
+pub fn start(
+    addr: SocketAddr,
+    calls: Arc<dyn Calls>,
+    most: usize,
+    limits: Arc<Limits>,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(addr)?;
     let local = listener.local_addr()?;
-    let callers = Callers { open: Arc::default(), most: limits.control_calls };
+    let callers = Callers { open: Arc::default(), most };
     let accept = move || loop {
         let taken = listener.accept().and_then(|(stream, _)| {
             let stream = Arc::new(stream);
             let caller = callers.enter(&stream);
-            let (operated, limits) = (operated.clone(), limits.clone());
+            let (calls, limits) = (calls.clone(), limits.clone());
             thread("call", move || {
                 // Whoever has left or is too slow needs no answer.
-                let _ = call(&stream, &*operated, &limits);
+                let _ = call(&stream, &*calls, &limits);
                 drop(caller);
             })
         });
@@ -129,7 +148,7 @@
 }
 
 /// Reads one call and answers it.
-fn call(stream: &TcpStream, operated: &dyn Operated, limits: &Limits) -> io::Result<()> {
+fn call(stream: &TcpStream, calls: &dyn Calls, limits: &Limits) -> io::Result<()> {
     let end = Instant::now() + limits.control_read;
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(limits.control_read))?;
@@ -139,7 +158,7 @@
         match requests.next(limits) {
             Ok(Some(request)) => {
                 head = request.method == "HEAD";
-                break answer(operated, &request.method, &request.path);
+                break calls.answer(&request);
             }
             Ok(None) => {}
             Err(bad) => break Reply::text(bad.status, bad.why),
--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -10,7 +10,7 @@
 use curlewdeck_group::store::{from_disk, to_disk};
 use curlewdeck_group::{Persist, Store};
 use raft::eraftpb::{Entry, HardState, Snapshot};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
@@ -109,12 +109,20 @@
         Ok(Found::Member(u64::from_le_bytes(id), Box::new(Store::recovered(image, hard, entries))))
     }
 
+    /// Committed in two phases: otherwise a store whose last commit has changed on disk goes back to the one before it,
+    /// without a word, and the member takes back what it has promised.
+    fn begin(&self) -> Result<WriteTransaction, DiskError> {
+        let mut tx = self.db.begin_write().map_err(write_fault)?;
+        tx.set_two_phase_commit(true);
+        Ok(tx)
+    }
+
     /// Marks the folder as the one of member `id`.
     ///
     /// # Errors
     /// If it cannot be written.
     pub fn claim(&self, id: u64) -> Result<(), DiskError> {
-        let tx = self.db.begin_write().map_err(write_fault)?;
+        let tx = self.begin()?;
         {
             let mut meta = tx.open_table(META).map_err(write_fault)?;
             meta.insert("id", id.to_le_bytes().as_slice()).map_err(write_fault)?;
@@ -122,6 +130,24 @@
         tx.commit().map_err(|e| fault("sync", e))
     }
 
+    /// Counts a start with this folder: tickets of this life then differ from those of earlier ones.
+    ///
+    /// # Errors
+    /// If it cannot be read or written.
+    pub fn boot(&self) -> Result<u32, DiskError> {
+        let tx = self.begin()?;
+        let boot = {
+            let mut meta = tx.open_table(META).map_err(write_fault)?;
+            let before = meta.get("boot").map_err(read_fault)?.map_or(Ok([0; 4]), |v| v.value().try_into());
+            let before = before.map_err(|_| DiskError("the count of starts is torn".into()))?;
+            let boot = u32::from_le_bytes(before).saturating_add(1);
+            meta.insert("boot", boot.to_le_bytes().as_slice()).map_err(write_fault)?;
+            boot
+        };
+        tx.commit().map_err(|e| fault("sync", e))?;
+        Ok(boot)
+    }
+
     /// Writes what a step hands out, in one transaction, synced.
     ///
     /// # Errors
@@ -130,7 +156,7 @@
         if persist.is_empty() {
             return Ok(());
         }
-        let tx = self.db.begin_write().map_err(write_fault)?;
+        let tx = self.begin()?;
         {
             let mut entries = tx.open_table(ENTRIES).map_err(write_fault)?;
             let mut meta = tx.open_table(META).map_err(write_fault)?;
@@ -216,20 +242,7 @@
         assert_eq!(store.image_index(), 1);
         drop(disk);
         // A byte of the last entry flipped on disk: found, and the folder goes aside whole.
-        let file = dir.join(FILE);
-        let mut bytes = std::fs::read(&file).unwrap();
-        let mark = to_disk(&store.log()[2]);
-        let places: Vec<usize> = bytes
-            .windows(mark.len())
-            .enumerate()
-            .filter(|(_, w)| *w == mark.as_slice())
-            .map(|(at, _)| at)
-            .collect();
-        assert!(!places.is_empty(), "the entry is not on disk as written");
-        for at in places {
-            bytes[at + 1] ^= 0x40;
-        }
-        std::fs::write(&file, bytes).unwrap();
+        flip(&dir.join(FILE), &to_disk(&store.log()[2]));
         let err = Disk::open(&dir).expect_err("a changed entry was believed");
         assert!(["not believed", "read", "cannot open"].iter().any(|w| err.0.contains(w)), "{err}");
         let aside = set_aside(&dir).unwrap();
@@ -238,4 +251,38 @@
         let _ = std::fs::remove_dir_all(&dir);
         let _ = std::fs::remove_dir_all(aside);
     }
+
+    /// Flips a bit wherever the file has these bytes.
+    fn flip(file: &Path, mark: &[u8]) {
+        let mut bytes = std::fs::read(file).unwrap();
+        let found = |(at, bytes): (usize, &[u8])| (bytes == mark).then_some(at);
+        let places: Vec<usize> = bytes.windows(mark.len()).enumerate().filter_map(found).collect();
+        assert!(!places.is_empty(), "the entry is not on disk as written");
+        places.into_iter().for_each(|at| bytes[at + 1] ^= 0x40);
+        std::fs::write(file, bytes).unwrap();
+    }
+
+    /// Guards against a store that goes back to the commit before the last where that one has changed, after a process
+    /// was killed: the member had told others that it holds it.
+    #[test]
+    fn a_changed_last_commit_is_not_taken_back() {
+        let (dir, killed) = (folder("last"), folder("killed"));
+        let (disk, _) = Disk::open(&dir).unwrap();
+        disk.claim(7).unwrap();
+        let (_, out) = Member::found(7, &[7], Bounds::default()).unwrap();
+        disk.write(&out.persist).unwrap();
+        for index in 2..5 {
+            let mut entry = Entry::default();
+            (entry.index, entry.term) = (index, 2);
+            entry.set_data(format!("the entry at {index}").into_bytes().into());
+            disk.write(&Persist { entries: vec![entry], ..Persist::default() }).unwrap();
+        }
+        // What a process leaves that never came to close its file.
+        std::fs::create_dir_all(&killed).unwrap();
+        std::fs::copy(dir.join(FILE), killed.join(FILE)).unwrap();
+        flip(&killed.join(FILE), b"the entry at 4");
+        assert!(Disk::open(&killed).is_err(), "it came back without its last entry");
+        let _ = std::fs::remove_dir_all(&dir);
+        let _ = std::fs::remove_dir_all(killed);
+    }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -97,6 +97,8 @@
     pub term_finish: Duration,
     /// Callers at the second address at once: the one that has been there longest goes for a newcomer.
     pub control_calls: usize,
+    /// The same of clients of a group, each of which may wait for the log.
+    pub group_calls: usize,
     /// A call there must be whole within this, and its answer be taken.
     pub control_read: Duration,
     /// After the answer, what its caller still sends is read and dropped for this long.
@@ -198,6 +200,7 @@
             term_accept: Duration::from_millis(500),
             term_finish: Duration::from_secs(10),
             control_calls: 12,
+            group_calls: 64,
             control_read: Duration::from_secs(2),
             control_linger: Duration::from_millis(200),
             drain_notice: Duration::from_millis(400),
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 use std::thread;
 
 use curlewdeck::config::{Config, Edge};
+use curlewdeck::group::tool;
 use curlewdeck::limits::Limits;
 use curlewdeck::query::{self, Command};
 use curlewdeck::serve::{self, Coordinator};
@@ -23,6 +24,7 @@
     curlewdeck check [--config FILE] [--edge FILE]    read the files and say whether they can be used
 {QUERY}
 {SNMP}
+{GROUP}
     curlewdeck mib                                    write the agent's MIB
     curlewdeck version
     curlewdeck help
@@ -49,7 +51,7 @@
     let mut args = pico_args::Arguments::from_env();
     let command = args.subcommand().map_err(|e| e.to_string())?;
     if args.contains(["-h", "--help"]) {
-        println!("{}", HELP.replace("{QUERY}", query::HELP).replace("{SNMP}", snmp_tool::HELP));
+        println!("{}", help());
         return Ok(0);
     }
     if command.as_deref() == Some("query") {
@@ -70,6 +72,11 @@
         no_more(args)?;
         return manager.run().map(|()| 0);
     }
+    if command.as_deref() == Some("group") {
+        let command = tool::Command::read(&mut args)?;
+        no_more(args)?;
+        return command.run(load_edge).map(|()| 0);
+    }
     let config: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| e.to_string())?;
     let edge: Option<PathBuf> = args.opt_value_from_str("--edge").map_err(|e| e.to_string())?;
     no_more(args)?;
@@ -102,7 +109,7 @@
             Ok(())
         }
         Some("help") | None => {
-            println!("{}", HELP.replace("{QUERY}", query::HELP).replace("{SNMP}", snmp_tool::HELP));
+            println!("{}", help());
             Ok(())
         }
         Some(other) => Err(format!("'{other}' is not known, see 'curlewdeck help'")),
@@ -110,6 +117,10 @@
     done.map(|()| 0)
 }
 
+fn help() -> String {
+    HELP.replace("{QUERY}", query::HELP).replace("{SNMP}", snmp_tool::HELP).replace("{GROUP}", tool::HELP)
+}
+
 fn no_more(args: pico_args::Arguments) -> Result<(), String> {
     match args.finish().first() {
         None => Ok(()),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,13 +14,14 @@
 
 use crate::api::{Discovery, ListKind};
 use crate::config::{Config, Edge, NodeProtocol};
-use crate::control::{self, Operated};
+use crate::control::{self, Operated, Operations};
 use crate::counters::Counters;
 use crate::engine::Engine;
 use crate::front::desk::{Desk, Memory};
 use crate::front::ogc::Ogc;
 use crate::front::platform::Platform;
 use crate::front::server::{self, Front, Service, Shared};
+use crate::group;
 use crate::keep::Keep;
 use crate::limits::Limits;
 use crate::net::core::{self, Core};
@@ -47,6 +48,8 @@
     pub desk: Option<SocketAddr>,
     /// Where the management agent listens, if it is on.
     pub snmp: Option<SocketAddr>,
+    /// Where clients of the group are answered, if this process is a member of one.
+    pub group: Option<SocketAddr>,
     /// The core.
     pub core: Core,
     service: Arc<Service>,
@@ -110,10 +113,12 @@
         }
     };
     let memory = edge.desk.as_ref().map(|_| Memory::new(&limits, info.ranges));
+    let group = edge.group.as_ref().map(|group| group::start(group, &limits)).transpose()?;
     let keep = match &edge.state {
         Some(state) => {
             let engine = edge.snmp.as_ref().map_or(Ok(Vec::new()), SnmpConfig::engine)?;
-            Some(Arc::new(Keep::load(state, engine)?))
+            let copy = group.as_ref().filter(|_| state.copied).map(|g| g.copy_of(&config.name));
+            Some(Arc::new(Keep::load(state, engine, copy)?))
         }
         None => None,
     };
@@ -170,13 +175,13 @@
     let platform = Platform { core: core.clone(), limits: limits.clone(), service: service.clone() };
     let control = match config.control {
         Some(addr) => {
-            let operated = Arc::new(Operation {
+            let operated = Arc::new(Operations(Operation {
                 core: core.clone(),
                 service: service.clone(),
                 young: limits.client_silent,
-            });
+            }));
             let cannot = |e| format!("cannot listen at the second address {addr}: {e}");
-            Some(control::start(addr, operated, limits.clone()).map_err(cannot)?)
+            Some(control::start(addr, operated, limits.control_calls, limits.clone()).map_err(cannot)?)
         }
         None => None,
     };
@@ -202,6 +207,7 @@
         ogc,
         desk,
         snmp,
+        group: group.map(|g| g.clients),
         core,
         service,
         limits,
--- /dev/null
+++ b/tests/group.rs
@@ -0,0 +1,444 @@
+//! Groups of several processes of the program on loopback, with a fault proxy on the way from each member to each other
+//! one. Every run's history of puts and reads is judged for linearizability, and every promise is read again at its end.
+
+mod bed;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use curlewdeck_lab::history::{self, Event, Op};
+use curlewdeck_lab::proxy::{Faults, Proxy};
+
+use bed::stand_in::{read_answer, Answer};
+use bed::{until, Bed};
+
+/// Longer than any call may wait: only a process that stands still takes so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> std::io::Result<Answer> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let head =
+        format!("{method} /group/{path} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes())?;
+    read_answer(&mut BufReader::new(stream))
+}
+
+/// One process of the program, a member of the group.
+struct Member {
+    child: Child,
+    log: Arc<Mutex<String>>,
+    id: u64,
+    listen: SocketAddr,
+    control: SocketAddr,
+}
+
+impl Member {
+    fn start(dir: &Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_curlewdeck"));
+        command.args(["serve", "--config", "config.json", "--edge", "edge.toml"]).current_dir(dir);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let log = Arc::new(Mutex::new(String::new()));
+        let (lines, told) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
+        std::thread::spawn(move || {
+            lines.lines().map_while(Result::ok).for_each(|l| *lock(&told) += &(l + "\n"))
+        });
+        let words = || -> Option<Vec<String>> {
+            let log = lock(&log);
+            let line = log.lines().find(|l| l.contains(", its clients at "))?;
+            let words = line.split_once(" member ")?.1.split([' ', ',']).filter(|w| !w.is_empty());
+            Some(words.map(str::to_string).collect())
+        };
+        until("the member", || words().is_some());
+        // N listens at A its clients at B
+        let words = words().unwrap();
+        let (id, listen, control) = (words[0].parse(), words[3].parse(), words[7].parse());
+        Self { child, log, id: id.unwrap(), listen: listen.unwrap(), control: control.unwrap() }
+    }
+
+    fn status(&self) -> BTreeMap<String, String> {
+        let text = call(self.control, "GET", "status", "").unwrap().body;
+        text.lines().filter_map(|l| l.split_once('=')).map(|(k, v)| (k.to_string(), v.to_string())).collect()
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(kill.unwrap().success());
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        assert!(std::thread::panicking() || !lock(&self.log).contains("panicked"), "{}", lock(&self.log));
+    }
+}
+
+/// A group whose founders are 1 to so many, each reached by each other one through a proxy of its own.
+struct Group {
+    dir: PathBuf,
+    members: Vec<Option<Member>>,
+    proxies: BTreeMap<(usize, usize), Proxy>,
+    /// Where clients call now.
+    controls: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+impl Group {
+    fn start(name: &str, size: usize) -> Self {
+        let dir = std::env::temp_dir().join(format!("curlewdeck-group-{name}-{}", std::process::id()));
+        let ways = (0..size).flat_map(|a| (0..size).map(move |b| (a, b))).filter(|(a, b)| a != b);
+        let proxies: BTreeMap<_, _> = ways.map(|way| (way, Proxy::start(None).unwrap())).collect();
+        let mut group = Self { dir, members: Vec::new(), proxies, controls: Arc::default() };
+        let nowhere = "127.0.0.1:1".parse().unwrap();
+        for n in 0..size {
+            let at = group.home(n);
+            std::fs::create_dir_all(&at).unwrap();
+            let config = Bed::default().config(nowhere).replace("\"n1\"", &format!("\"n{n}\""));
+            std::fs::write(at.join("config.json"), config).unwrap();
+            let named = |to| group.proxies.get(&(n, to)).map_or(nowhere, Proxy::addr);
+            let members: Vec<String> =
+                (0..size).map(|to| format!("{} = \"{}\"\n", to + 1, named(to))).collect();
+            std::fs::create_dir_all(at.join("state")).unwrap();
+            let edge = format!(
+                "[state]\nfolder = \"state\"\ncopied = true\n[group]\nfolder = \"log\"\nlisten = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\ntick_ms = 50\n[group.members]\n{}",
+                members.concat()
+            );
+            std::fs::write(at.join("edge.toml"), edge).unwrap();
+            let mut found = Command::new(env!("CARGO_BIN_EXE_curlewdeck"));
+            found.args(["group", "found", "--edge", "edge.toml", "--id", &(n + 1).to_string()]);
+            assert!(found.current_dir(&at).stdout(Stdio::null()).status().unwrap().success());
+            assert!(!found.stderr(Stdio::null()).status().unwrap().success(), "founded twice");
+        }
+        group.members = (0..size).map(|_| None).collect();
+        (0..size).for_each(|n| group.begin(n));
+        group.leader();
+        group
+    }
+
+    fn home(&self, n: usize) -> PathBuf {
+        self.dir.join(n.to_string())
+    }
+
+    /// Starts a process in its folder, as it is.
+    fn begin(&mut self, n: usize) {
+        let member = Member::start(&self.home(n));
+        self.proxies.iter().filter(|(way, _)| way.1 == n).for_each(|(_, p)| p.forward_to(member.listen));
+        lock(&self.controls).push(member.control);
+        self.members[n] = Some(member);
+    }
+
+    fn member(&self, n: usize) -> &Member {
+        self.members[n].as_ref().unwrap()
+    }
+
+    /// Kills a process at once, and where that is asked for, takes its disk away.
+    fn kill(&mut self, n: usize, wipe: bool) {
+        let member = self.members[n].take().unwrap();
+        lock(&self.controls).retain(|&c| c != member.control);
+        drop(member);
+        if wipe {
+            std::fs::remove_dir_all(self.home(n).join("log")).unwrap();
+            std::fs::remove_dir_all(self.home(n).join("state")).unwrap();
+            std::fs::create_dir_all(self.home(n).join("state")).unwrap();
+        }
+    }
+
+    /// Which member leads, in the view of one that most of the group follows.
+    fn leader_but(&self, not: &[usize]) -> usize {
+        let mut found = None;
+        until("a leader", || {
+            found = (0..self.members.len())
+                .filter(|n| !not.contains(n))
+                .find(|&n| self.members[n].as_ref().is_some_and(|m| m.status()["role"] == "leader"));
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    fn leader(&self) -> usize {
+        self.leader_but(&[])
+    }
+
+    /// Has the group do something that may have to be asked for again while a leader is being found.
+    fn done(&self, method: &str, path: &str, body: &str, by: usize) {
+        until(path, || call(self.member(by).control, method, path, body).is_ok_and(|a| a.status == 200));
+    }
+
+    /// Puts the process that came back with an empty folder in the place of the member that it was.
+    fn replace(&self, n: usize, old: u64, by: usize) {
+        let new = self.member(n);
+        assert!(new.id > 1 << 32, "an empty folder came back under an id that was in use");
+        self.done("PUT", &format!("members/{}", new.id), &new.listen.to_string(), by);
+        self.done("DELETE", &format!("members/{old}"), "", by);
+        self.caught_up(n, by);
+    }
+
+    fn caught_up(&self, n: usize, by: usize) {
+        let applied = |n: usize| self.member(n).status()["applied"].parse::<u64>().unwrap();
+        let want = applied(by);
+        until("the member to catch up", || {
+            self.member(n).status()["role"] != "without a leader" && applied(n) >= want
+        });
+    }
+
+    /// Cuts what goes from each of `from` to each of `to`.
+    fn cut(&self, from: &[usize], to: &[usize], faults: Faults) {
+        let ways = from.iter().flat_map(|&a| to.iter().map(move |&b| (a, b)));
+        ways.filter_map(|way| self.proxies.get(&way)).for_each(|p| p.set(faults));
+    }
+
+    fn heal(&self) {
+        self.proxies.values().for_each(Proxy::heal);
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        self.members.clear();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Clients that put and read the same keys at whichever member, until they are told to stop.
+struct Clients {
+    stop: Arc<AtomicBool>,
+    promised: Arc<AtomicU64>,
+    threads: Vec<JoinHandle<Vec<Event>>>,
+    begun: Instant,
+}
+
+/// Puts on one key by one client: few enough for the checker.
+const ON_A_KEY: u64 = 4;
+
+impl Clients {
+    fn start(group: &Group) -> Self {
+        let (stop, promised, begun) =
+            (Arc::<AtomicBool>::default(), Arc::<AtomicU64>::default(), Instant::now());
+        let client = |who: u64| {
+            let (stop, promised, controls) = (stop.clone(), promised.clone(), group.controls.clone());
+            std::thread::spawn(move || {
+                let mut events = Vec::new();
+                for n in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let at = {
+                        let controls = lock(&controls);
+                        controls[((n + who) % controls.len() as u64) as usize]
+                    };
+                    let (key, value) = (format!("k{}", n / ON_A_KEY), format!("{who}-{n}"));
+                    let (kept, read) = (put(begun, at, &key, &value), get(begun, at, &key));
+                    promised.fetch_add(
+                        u64::from(kept.as_ref().is_some_and(|e| e.done.is_some())),
+                        Ordering::SeqCst,
+                    );
+                    if read.is_none() {
+                        // No leader: it takes a while to find one.
+                        std::thread::sleep(Duration::from_millis(10));
+                    }
+                    events.extend(kept.into_iter().chain(read));
+                }
+                events
+            })
+        };
+        let threads = (0..3).map(client).collect();
+        Self { stop, promised, threads, begun }
+    }
+
+    fn promised(&self) -> u64 {
+        self.promised.load(Ordering::SeqCst)
+    }
+
+    /// Waits until so many more puts were promised.
+    fn go_on(&self, more: u64) {
+        let before = self.promised();
+        until("promises", || self.promised() >= before + more);
+    }
+
+    /// Stops them, reads every key again at that member, and judges the whole history.
+    fn judge(self, at: SocketAddr) {
+        self.stop.store(true, Ordering::SeqCst);
+        let mut events: Vec<Event> = self.threads.into_iter().flat_map(|t| t.join().unwrap()).collect();
+        let written = |e: &&Event| matches!(e.op, Op::Write(_)) && e.done.is_some();
+        let keys: std::collections::BTreeSet<String> =
+            events.iter().filter(written).map(|e| e.key.clone()).collect();
+        for key in &keys {
+            let mut last = None;
+            until("a last read", || {
+                last = get(self.begun, at, key);
+                last.is_some()
+            });
+            let last = last.unwrap();
+            assert_ne!(last.op, Op::Read(None), "{key} was promised and is gone");
+            events.push(last);
+        }
+        let judged = history::check(&events).unwrap_or_else(|v| panic!("{v}: {:?}", v.events));
+        assert!(judged >= keys.len() && !keys.is_empty());
+    }
+}
+
+fn micros(begun: Instant) -> u64 {
+    u64::try_from(begun.elapsed().as_micros()).unwrap()
+}
+
+/// A put that was promised, or of which nothing is known; nothing where it was refused.
+fn put(begun: Instant, at: SocketAddr, key: &str, value: &str) -> Option<Event> {
+    let (called, answer) = (micros(begun), call(at, "PUT", &format!("keys/{key}"), value));
+    let status = answer.map_or(0, |a| a.status);
+    let done = (status == 200).then(|| micros(begun));
+    let event = Event { key: key.into(), op: Op::Write(value.into()), call: called, done };
+    (!matches!(status, 503 | 410)).then_some(event)
+}
+
+/// A read that was answered.
+fn get(begun: Instant, at: SocketAddr, key: &str) -> Option<Event> {
+    let (called, answer) = (micros(begun), call(at, "GET", &format!("keys/{key}"), "").ok()?);
+    let op = match answer.status {
+        200 => Op::Read(Some(answer.body.into_bytes())),
+        404 => Op::Read(None),
+        _ => return None,
+    };
+    Some(Event { key: key.into(), op, call: called, done: Some(micros(begun)) })
+}
+
+/// Guards every promise given before a leader is lost with its disk in a burst of them; it comes back as a new member.
+#[test]
+fn a_leader_lost_with_its_disk_takes_no_promise_with_it() {
+    let mut group = Group::start("leader", 3);
+    let clients = Clients::start(&group);
+    clients.go_on(60);
+    let lost = group.leader();
+    let old = group.member(lost).id;
+    group.kill(lost, true);
+    clients.go_on(60);
+    group.begin(lost);
+    group.replace(lost, old, group.leader_but(&[lost]));
+    clients.go_on(30);
+    clients.judge(group.member(lost).control);
+    // What it counted itself before, its starts, goes on from the copy.
+    until("its state", || lock(&group.member(lost).log).contains(" start 2 with the state in "));
+    assert_eq!(group.member(lost).status()["voters"].split(',').count(), 3);
+    // A snapshot bounds the log, and the members go on from it.
+    group.done("POST", "snapshot", "", lost);
+    let log = group.member(lost).status()["log"].parse::<u64>().unwrap();
+    assert!(log < 20, "{log} entries after a snapshot");
+    group.kill(lost, false);
+    group.begin(lost);
+    // It listens at another port now, which is told as for a new one.
+    let (again, by) = (group.member(lost), group.leader_but(&[lost]));
+    group.done("PUT", &format!("members/{}", again.id), &again.listen.to_string(), by);
+    group.caught_up(lost, by);
+}
+
+/// Guards against a side without most of the group that answers stale or holds its clients, against a leader that
+/// hears and is not heard, and against a member that stood still for longer than an election.
+#[test]
+fn cuts_pauses_and_delays_neither_lose_nor_bend_what_was_promised() {
+    let group = Group::start("cuts", 5);
+    let clients = Clients::start(&group);
+    clients.go_on(30);
+    let leader = group.leader();
+    let with = (leader + 1) % 5;
+    let most: Vec<usize> = (0..5).filter(|n| ![leader, with].contains(n)).collect();
+    group.cut(&[leader, with], &most, Faults::partition());
+    group.cut(&most, &[leader, with], Faults::partition());
+    let refused = |n: usize| {
+        let answer = call(group.member(n).control, "GET", "keys/k0", "").unwrap();
+        answer.status == 503 && answer.header("retry-after").is_some()
+    };
+    until("the few to refuse", || refused(leader) && refused(with));
+    let by = group.leader_but(&[leader, with]);
+    group.done("PUT", "keys/cut", "most", by);
+    assert!(refused(leader) && refused(with), "the few answer while they are cut off");
+    group.heal();
+    until("the few to read what most promised", || {
+        call(group.member(with).control, "GET", "keys/cut", "").is_ok_and(|a| a.body == "most")
+    });
+    let leader = group.leader();
+    let others: Vec<usize> = (0..5).filter(|&n| n != leader).collect();
+    group.cut(&[leader], &others, Faults { cut_forward: true, ..Faults::default() });
+    let next = group.leader_but(&[leader]);
+    group.done("PUT", "keys/one-way", "heard", next);
+    group.heal();
+    clients.go_on(30);
+    let paused = (group.leader() + 1) % 5;
+    let control = group.member(paused).control;
+    lock(&group.controls).retain(|&c| c != control);
+    group.member(paused).signal("STOP");
+    let term = || group.member((paused + 1) % 5).status()["term"].clone();
+    let before = term();
+    // Twice as long as the longest election timeout: 40 ticks of 50 ms.
+    std::thread::sleep(Duration::from_secs(2));
+    clients.go_on(30);
+    group.member(paused).signal("CONT");
+    group.caught_up(paused, group.leader_but(&[paused]));
+    assert_eq!(term(), before, "a member that had stood still unseated a leader");
+    lock(&group.controls).push(control);
+    group.cut(
+        &[0, 1, 2, 3, 4],
+        &[0, 1, 2, 3, 4],
+        Faults { delay: Duration::from_millis(20), ..Faults::default() },
+    );
+    clients.go_on(20);
+    group.heal();
+    clients.judge(group.member(leader).control);
+}
+
+/// Guards a group of five that loses two machines with their disks at once.
+#[test]
+fn two_lost_with_their_disks_are_replaced() {
+    let mut group = Group::start("two", 5);
+    let clients = Clients::start(&group);
+    clients.go_on(40);
+    let first = group.leader();
+    let second = (first + 1) % 5;
+    let old = [first, second].map(|n| group.member(n).id);
+    group.kill(first, true);
+    group.kill(second, true);
+    clients.go_on(40);
+    for (n, old) in [(first, old[0]), (second, old[1])] {
+        group.begin(n);
+        group.replace(n, old, group.leader_but(&[first, second]));
+    }
+    clients.go_on(20);
+    clients.judge(group.member(second).control);
+}
+
+/// Guards against a log that has changed on the disk: it is not believed, the member comes back as a new one and gets
+/// all from others.
+#[test]
+fn a_changed_log_is_set_aside_and_its_member_catches_up() {
+    let mut group = Group::start("changed", 3);
+    let leader = group.leader();
+    group.done("PUT", "keys/plaza", "a value found on the disk", leader);
+    let changed = (leader + 1) % 3;
+    group.caught_up(changed, leader);
+    let old = group.member(changed).id;
+    group.kill(changed, false);
+    let file = group.home(changed).join("log/group.redb");
+    let (mut bytes, value) = (std::fs::read(&file).unwrap(), b"a value found on the disk");
+    let places: Vec<usize> =
+        bytes.windows(value.len()).enumerate().filter(|(_, w)| w == value).map(|(at, _)| at).collect();
+    assert!(!places.is_empty(), "the value is not on the disk as it was given");
+    places.iter().for_each(|&at| bytes[at] ^= 1);
+    std::fs::write(&file, bytes).unwrap();
+    group.begin(changed);
+    assert!(lock(&group.member(changed).log).contains("is set aside as "));
+    group.replace(changed, old, leader);
+    assert_eq!(
+        call(group.member(changed).control, "GET", "keys/plaza", "").unwrap().body,
+        "a value found on the disk"
+    );
+}
