Connections to data nodes are bounded by how many the list has, within half of the descriptors

Each such attempt ends unsent and is tried again at once, four times a part, for up to 280 parts a query; the one worker does nothing else meanwhile.

At fault: Limits::within, min(160, sockets / 3) whatever the fleet. Now one to each data node of the list at the start and a quarter more, at most half of the descriptors; fleets of up to 128 keep what they had. Its test fails with the old bound.

--- a/src/config.rs
+++ b/src/config.rs
@@ -115,7 +115,8 @@
 
     /// What the platform allows, beside so many other processes.
     pub fn platform(&self, others: usize) -> Platform {
-        Platform { sockets: self.sockets, memory_mb: self.memory_mb, others }
+        let nodes = self.known.as_ref().map_or(0, |known| known.targets.len());
+        Platform { sockets: self.sockets, memory_mb: self.memory_mb, others, nodes }
     }
 
     /// Whether this may take the place of `before` while the process runs: it lacks no key that was there.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -244,6 +244,8 @@
 const PROCESS_KB: usize = 11 * 1024;
 const CLIENT_KB: usize = 48;
 const LEAST_CLIENTS: usize = 32;
+/// Connections to data nodes beyond one to each, one in so many: some are opened anew before the old one has ended.
+const SPARE_PART: usize = 4;
 
 /// What the platform allows all processes of a coordinator together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -254,6 +256,8 @@
     pub memory_mb: usize,
     /// Other processes that may serve at the same address within the same bounds.
     pub others: usize,
+    /// Data nodes that are known at the start.
+    pub nodes: usize,
 }
 
 impl Limits {
@@ -279,7 +283,7 @@
     /// # Errors
     /// Too few descriptors, or too little memory, to serve at all.
     pub fn within(platform: Platform) -> Result<Self, String> {
-        let Platform { sockets, memory_mb, others } = platform;
+        let Platform { sockets, memory_mb, others, nodes } = platform;
         let (sockets, kilobytes) = (sockets / (others + 1), memory_mb.saturating_mul(1024) / (others + 1));
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets is {sockets}, at least {LEAST_SOCKETS} are needed"));
@@ -290,7 +294,9 @@
             return Err(format!("limits.memory_mb is {memory_mb}, at least {least} are needed"));
         }
         let mut limits = Self::default();
-        limits.node_sockets = limits.node_sockets.min(sockets / 3);
+        // A query of many parts may need each data node at once; a third of the descriptors stays for clients' requests.
+        let wanted = limits.node_sockets.min(sockets / 3).max(nodes + nodes / SPARE_PART);
+        limits.node_sockets = wanted.min(sockets / 2);
         limits.clients = limits.clients.min(sockets - RESERVED - limits.node_sockets).min(places);
         Ok(limits)
     }
@@ -326,7 +332,8 @@
     /// Guards against running out of descriptors: all kinds together stay below the bound.
     #[test]
     fn sockets_of_all_kinds_stay_below_the_bound() {
-        let within = |sockets, memory_mb, others| Limits::within(Platform { sockets, memory_mb, others });
+        let within =
+            |sockets, memory_mb, others| Limits::within(Platform { sockets, memory_mb, others, nodes: 12 });
         for sockets in [128, 256, 1024, 4096] {
             let limits = within(sockets, 192, 0).unwrap();
             assert!(limits.clients + limits.node_sockets + RESERVED <= sockets);
@@ -335,18 +342,32 @@
         assert!(within(LEAST_SOCKETS - 1, 192, 0).is_err());
     }
 
+    /// Guards against a fleet in which some data nodes can never be reached, since others hold all connections at rest;
+    /// and against few data nodes taking places from clients.
+    #[test]
+    fn each_data_node_of_a_large_fleet_may_have_a_connection() {
+        let of = |sockets, nodes| {
+            let limits = Limits::within(Platform { sockets, memory_mb: 192, others: 0, nodes }).unwrap();
+            assert!(limits.clients >= sockets / 3 - RESERVED, "{limits:?}");
+            limits.node_sockets
+        };
+        assert_eq!((of(512, 12), of(512, 0), of(1024, 100)), (160, 160, 160));
+        assert!(of(512, 200) >= 200 && of(672, 200) >= 200 && of(256, 200) == 128);
+    }
+
     /// Guards against two processes that each keep the bounds and break them together, in memory as in descriptors.
     #[test]
     fn two_processes_share_one_budget() {
         for (sockets, memory_mb) in [(256, 32), (1024, 32), (384, 48), (1024, 192)] {
-            let of = |others| Limits::within(Platform { sockets, memory_mb, others }).unwrap();
+            let of = |others| Limits::within(Platform { sockets, memory_mb, others, nodes: 12 }).unwrap();
             for (processes, limits) in [(1, of(0)), (2, of(1))] {
                 let kilobytes = processes * (PROCESS_KB + limits.clients * CLIENT_KB);
                 assert!(kilobytes <= memory_mb * 1024, "{processes} with {memory_mb} MB: {kilobytes} KB");
                 assert!(processes * (limits.clients + limits.node_sockets + RESERVED) <= sockets);
             }
         }
-        let why = Limits::within(Platform { sockets: 1024, memory_mb: 24, others: 1 }).unwrap_err();
+        let why =
+            Limits::within(Platform { sockets: 1024, memory_mb: 24, others: 1, nodes: 12 }).unwrap_err();
         assert_eq!(why, "limits.memory_mb is 24, at least 26 are needed");
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -354,7 +354,8 @@
         stream
     };
     // Twice as many as there are places say nothing, and others are served between them.
-    let places = Limits::within(Platform { sockets: 128, memory_mb: 192, others: 0 }).unwrap().clients;
+    let places =
+        Limits::within(Platform { sockets: 128, memory_mb: 192, others: 0, nodes: 0 }).unwrap().clients;
     let mut silent = Vec::new();
     for _ in 0..places {
         silent.extend((0..2).map(|_| TcpStream::connect(addr).unwrap()));
