--- a/crates/account/src/figures.rs
+++ b/crates/account/src/figures.rs
@@ -94,26 +94,12 @@
 mod tests {
     use super::*;
     use crate::nodes::NodeBounds;
-    use curlewdeck_core::api::{Class, ClassId, Effect, QueryId};
-
-    const CLASS: Class = Class {
-        aim: 10,
-        deadline: 100,
-        importance: 1.0,
-        late_worth: 0.3,
-        effect: Effect::Safe,
-        repeat_window: 0,
-        floor: 1.0,
-        need: 1.0,
-        partial: None,
-        second_step: 0,
-        attempts: 4,
-        retired: false,
-    };
+    use crate::tests::class;
+    use curlewdeck_core::api::{ClassId, QueryId};
 
     fn account(names: &[&str]) -> Account {
         let names: Vec<String> = names.iter().map(|n| n.to_string()).collect();
-        Account::new(&vec![CLASS; names.len()], &names, NodeBounds { rows: 4, keep: 1 })
+        Account::new(&vec![class(); names.len()], &names, NodeBounds { rows: 4, keep: 1 })
     }
 
     fn end(account: &mut Account, id: u64, class: usize, end: Option<End>) {
--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -435,7 +435,7 @@
 
     const MS: Nanos = 1_000_000;
 
-    fn class() -> Class {
+    pub(crate) fn class() -> Class {
         Class {
             aim: 100 * MS,
             deadline: 1000 * MS,
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,12 +7,13 @@
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use crate::front::server::Reply;
 use crate::limits::Limits;
 use crate::net::http::{self, Request, RequestReader};
+use crate::net::io::{lock, thread, SMALL_STACK};
 
 /// What the calls come to.
 pub trait Operated: Send + Sync + 'static {
@@ -74,7 +75,7 @@
 
 impl Callers {
     fn open(&self) -> MutexGuard<'_, Open> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.open)
     }
 
     /// Lists a newcomer; where there are too many, the oldest is shut, and its thread ends.
@@ -104,8 +105,6 @@
     }
 }
 
-/// A thread of a call needs little.
-const STACK: usize = 128 * 1024;
 /// After a failed accept or start, so that there is never a busy loop.
 const PAUSE: Duration = Duration::from_millis(10);
 const READ: usize = 1024;
@@ -128,7 +127,7 @@
             let stream = Arc::new(stream);
             let caller = callers.enter(&stream);
             let (calls, limits) = (calls.clone(), limits.clone());
-            thread("call", move || {
+            thread("call", SMALL_STACK, move || {
                 // Whoever has left or is too slow needs no answer.
                 let _ = call(&stream, &*calls, &limits);
                 drop(caller);
@@ -139,14 +138,10 @@
             std::thread::sleep(PAUSE);
         }
     };
-    thread("control", accept)?;
+    thread("control", SMALL_STACK, accept)?;
     Ok(local)
 }
 
-fn thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    std::thread::Builder::new().name(name.into()).stack_size(STACK).spawn(run).map(drop)
-}
-
 /// Reads one call and answers it.
 fn call(stream: &TcpStream, calls: &dyn Calls, limits: &Limits) -> io::Result<()> {
     let end = Instant::now() + limits.control_read;
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use curlewdeck_merge::answer::Answer as Merged;
@@ -30,6 +30,7 @@
 use crate::limits::Limits;
 use crate::net::core::{Core, Started};
 use crate::net::http::{self, BadMessage, Request};
+use crate::net::io::lock;
 use crate::settings::Info;
 
 /// What the edge's file says of this front.
@@ -151,7 +152,7 @@
 
     /// Held while an answer is made, and never over a yield.
     fn recall(&self) -> MutexGuard<'_, Recall> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
@@ -208,10 +209,6 @@
     wait: Duration,
 }
 
-fn lock(merging: &Mutex<Merging>) -> MutexGuard<'_, Merging> {
-    merging.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Desk {
     /// The front of these sets.
     ///
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use curlewdeck_lifecycle::{Closing, Lifecycle};
@@ -19,7 +19,7 @@
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::http::{self, BadMessage, Request, RequestReader};
-use crate::net::io::{nanos, spawn, Clock, Permit, Permits, Stream};
+use crate::net::io::{lock, nanos, spawn, thread, Clock, Permit, Permits, Stream, SMALL_STACK};
 use crate::net::mail::REQUEST;
 
 /// A client's connection, as those see it that look for room or end the process.
@@ -98,7 +98,7 @@
 
     /// The life of the process. Held for a few instructions and never over a yield.
     pub fn lifecycle(&self) -> MutexGuard<'_, Lifecycle> {
-        self.lifecycle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.lifecycle)
     }
 
     /// The time by which its life goes.
@@ -176,7 +176,7 @@
 
     /// Held for a few instructions and never over a yield.
     fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<Connection>>> {
-        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.connections)
     }
 }
 
@@ -386,7 +386,7 @@
             }
         }
     };
-    std::thread::Builder::new().name("accept".into()).stack_size(ACCEPT_STACK).spawn(wait)?;
+    thread("accept", SMALL_STACK, wait)?;
     Ok(local)
 }
 
@@ -394,7 +394,6 @@
 const ACCEPT_LOOK: Duration = Duration::from_millis(20);
 /// Never a busy loop, whatever the cause.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-const ACCEPT_STACK: usize = 128 * 1024;
 
 /// A place for a new connection, for which one at rest may have to go.
 fn room(shared: &Shared) -> Option<Permit> {
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use curlewdeck_group::{Answer, Bounds, Command, Letter, Member, Out, Outcome, Persist, Refusal, Ticket};
@@ -12,6 +12,7 @@
 use super::config::GroupConfig;
 use super::disk::{self, Disk, DiskError, Found};
 use super::peers::{self, Peers};
+use crate::net::io::{lock, thread};
 
 /// Messages that wait for the member; past them clients are refused as busy.
 const INBOX: usize = 1024;
@@ -157,11 +158,7 @@
     let mut driver =
         Driver { member, disk, peers, named, asked, snapshots, standings: standings.clone(), tick };
     let run = move || driver.run(&inbox);
-    std::thread::Builder::new()
-        .name("group".into())
-        .stack_size(STACK)
-        .spawn(run)
-        .map_err(|e| format!("no thread for the group: {e}"))?;
+    thread("group", STACK, run).map_err(|e| format!("no thread for the group: {e}"))?;
     Ok(Running { id, listen, inbox: tell, standings })
 }
 
@@ -261,11 +258,11 @@
 impl Standings {
     /// As it was last published.
     pub fn now(&self) -> Arc<Standing> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.0).clone()
     }
 
     fn publish(&self, standing: Standing) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(standing);
+        *lock(&self.0) = Arc::new(standing);
     }
 }
 
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -18,7 +18,7 @@
 use curlewdeck_group::{Answer, Bounds, Command, Outcome};
 
 use crate::control;
-use crate::keep::Copy;
+use crate::keep::Replica;
 use crate::limits::Limits;
 use config::GroupConfig;
 use driver::{Ask, Inbox, Standings};
@@ -41,9 +41,9 @@
 pub fn start(config: &GroupConfig, limits: &Arc<Limits>) -> Result<Group, String> {
     let running = driver::start(config)?;
     let bounds = Bounds::default();
-    let wait = config.wait(&bounds) + config.retry_after(&bounds);
-    let (inbox, standings) = (running.inbox, running.standings);
     let retry_after = config.retry_after(&bounds);
+    let wait = config.wait(&bounds) + retry_after;
+    let (inbox, standings) = (running.inbox, running.standings);
     let api = api::Api { inbox: inbox.clone(), standings: standings.clone(), wait, retry_after };
     let cannot = |e: io::Error| format!("cannot listen for clients of the group at {}: {e}", config.control);
     let clients =
@@ -54,7 +54,7 @@
 
 impl Group {
     /// A copy of the state of the coordinator of that name.
-    pub fn copy_of(&self, name: &str) -> Box<dyn Copy> {
+    pub fn copy_of(&self, name: &str) -> Box<dyn Replica> {
         Box::new(StateCopy { inbox: self.inbox.clone(), wait: self.wait, key: format!("state/{name}") })
     }
 }
@@ -71,7 +71,7 @@
 const START: Duration = Duration::from_secs(60);
 const AGAIN: Duration = Duration::from_millis(200);
 
-impl Copy for StateCopy {
+impl Replica for StateCopy {
     fn read(&mut self) -> Result<(Option<Vec<u8>>, u64), String> {
         let begun = Instant::now();
         loop {
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -7,13 +7,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
 use curlewdeck_group::Letter;
 
 use super::driver::{Inbox, Msg};
 use super::wire;
+use crate::net::io::thread;
 
 /// Messages that wait for one member; past them new ones are dropped, as a network drops them.
 const WAITING: usize = 256;
@@ -53,7 +53,7 @@
             let (letters, waiting) = sync_channel(WAITING);
             let (own, inbox) = (self.own, self.inbox.clone());
             let run = move || deliver(own, to, addr, &waiting, &inbox);
-            if let Err(e) = thread::Builder::new().name(format!("to {to}")).stack_size(STACK).spawn(run) {
+            if let Err(e) = thread(&format!("to {to}"), STACK, run) {
                 log::warn!(target: "group", "no thread to send to member {to}: {e}");
                 return false;
             }
@@ -137,20 +137,18 @@
                     }
                     count.fetch_sub(1, Ordering::AcqRel);
                 };
-                if let Err(e) =
-                    thread::Builder::new().name("from member".into()).stack_size(STACK).spawn(read)
-                {
+                if let Err(e) = thread("from member", STACK, read) {
                     held.fetch_sub(1, Ordering::AcqRel);
                     log::warn!(target: "group", "no thread to read from {from}: {e}");
                 }
             }
             Err(e) => {
                 log::warn!(target: "group", "accept: {e}");
-                thread::sleep(AGAIN);
+                std::thread::sleep(AGAIN);
             }
         }
     };
-    thread::Builder::new().name("members".into()).stack_size(STACK).spawn(accept)?;
+    thread("members", STACK, accept)?;
     Ok(local)
 }
 
--- a/src/keep.rs
+++ b/src/keep.rs
@@ -4,7 +4,7 @@
 use std::fs::{self, File, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use curlewdeck_account::saved::Saved;
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::net::core::Core;
-use crate::net::io::nanos;
+use crate::net::io::{lock, nanos};
 
 /// What the edge's file says of the state folder.
 #[derive(Debug, Clone, Deserialize)]
@@ -34,7 +34,7 @@
 }
 
 /// A copy that outlives the machine with its disk.
-pub trait Copy: Send + std::fmt::Debug {
+pub trait Replica: Send + std::fmt::Debug {
     /// What it holds, and at which version; waits until that is known.
     ///
     /// # Errors
@@ -51,7 +51,7 @@
 /// The copy, and its version where that is known.
 #[derive(Debug)]
 struct Copied {
-    copy: Box<dyn Copy>,
+    copy: Box<dyn Replica>,
     version: Option<u64>,
 }
 
@@ -112,7 +112,11 @@
     ///
     /// # Errors
     /// Names the folder and what is wrong with it.
-    pub fn load(config: &StateConfig, engine: Vec<u8>, copy: Option<Box<dyn Copy>>) -> Result<Self, String> {
+    pub fn load(
+        config: &StateConfig,
+        engine: Vec<u8>,
+        copy: Option<Box<dyn Replica>>,
+    ) -> Result<Self, String> {
         let folder = config.folder.clone();
         let wrong = |e: &dyn std::fmt::Display| format!("state folder {}: {e}", folder.display());
         if config.every_s == 0 {
@@ -162,7 +166,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, (Kept, Pace)> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.kept)
     }
 
     /// What was found, with this process's boots.
@@ -208,7 +212,7 @@
 
     /// Copies it, where that is asked for.
     fn copy(&self, bytes: &[u8], boots: u32) -> Result<(), String> {
-        let mut copied = self.copied.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut copied = lock(&self.copied);
         copied.as_mut().map_or(Ok(()), |copied| copied.write(bytes, boots))
     }
 }
@@ -292,7 +296,7 @@
     /// The bytes, their version, and whether answers are lost.
     type Holding = (Option<Vec<u8>>, u64, bool);
 
-    impl Copy for Held {
+    impl Replica for Held {
         fn read(&mut self) -> Result<(Option<Vec<u8>>, u64), String> {
             let held = self.0.lock().unwrap();
             Ok((held.0.clone(), held.1))
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 use curlewdeck::config::{Config, Edge};
 use curlewdeck::group::tool;
 use curlewdeck::limits::Limits;
+use curlewdeck::net::io;
 use curlewdeck::query::{self, Command};
 use curlewdeck::serve::{self, Coordinator};
 use curlewdeck::snmp_tool;
@@ -152,8 +153,9 @@
             }
         }
     };
-    let thread = thread::Builder::new().name("reload".into()).stack_size(RELOAD_STACK).spawn(take);
-    thread.map(|_| reload).map_err(|e| format!("no thread to read the configuration: {e}"))
+    io::thread("reload", RELOAD_STACK, take)
+        .map(|()| reload)
+        .map_err(|e| format!("no thread to read the configuration: {e}"))
 }
 
 /// The file is parsed on it.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use curlewdeck_account::figures::{self, Beside, Figures};
@@ -14,7 +14,7 @@
 use crate::api::{ClassId, Discovery, ListKind, Nanos, Phase, QueryId, ServerId, ShardId};
 use crate::counters::Counters;
 use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
-use crate::net::io::{spawn_vital, Alarm, Clock};
+use crate::net::io::{lock, spawn_vital, Alarm, Clock};
 use crate::net::mail::{CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply, REQUEST};
 use crate::net::members::ListNews;
 use crate::settings::Info;
@@ -122,11 +122,6 @@
     }
 }
 
-/// Held for a few instructions and never over a yield.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The core comes to what it is asked within this, or is so busy that it has to wait.
 const SAVED: Duration = Duration::from_secs(2);
 
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::RecvTimeoutError;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use may::net::TcpStream;
@@ -72,7 +72,7 @@
                 }
             }
         };
-        std::thread::Builder::new().name("alarm".into()).stack_size(ALARM_STACK).spawn(run)?;
+        thread("alarm", ALARM_STACK, run)?;
         Ok(Self { times, set: None })
     }
 
@@ -93,6 +93,22 @@
 
 const ALARM_STACK: usize = 64 * 1024;
 
+/// The stack of a thread that waits, and does little when it is woken.
+pub const SMALL_STACK: usize = 128 * 1024;
+
+/// Starts a thread of the system, for what would hold up the worker of the coroutines.
+///
+/// # Errors
+/// There is none to be had.
+pub fn thread(name: &str, stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    std::thread::Builder::new().name(name.into()).stack_size(stack).spawn(run).map(drop)
+}
+
+/// What a mutex guards, whoever panicked while holding it. Not to be held over a yield.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Time-outs of sockets are rounded up to a multiple of this: `may` keeps a list for each length for good.
 const COARSE: Duration = Duration::from_millis(50);
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use curlewdeck_account::nodes::NodeBounds;
@@ -27,7 +27,7 @@
 use crate::net::core::{self, Core};
 use crate::net::feature_node;
 use crate::net::features::Names;
-use crate::net::io::{nanos, Clock, Permits};
+use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
 use crate::net::list::{self, ListContext};
 use crate::net::mail::{self, ListMsg};
 use crate::net::members::{ListNews, WireList};
@@ -253,9 +253,7 @@
                     std::thread::sleep(LOOK);
                 }
             };
-            let thread =
-                std::thread::Builder::new().name("drain".into()).stack_size(DRAIN_STACK).spawn(empty);
-            if let Err(e) = thread {
+            if let Err(e) = thread("drain", SMALL_STACK, empty) {
                 log::error!("no thread to close connections at rest: {e}");
             }
         }
@@ -272,7 +270,6 @@
     }
 }
 
-const DRAIN_STACK: usize = 128 * 1024;
 const LOOK: Duration = Duration::from_millis(10);
 /// The core comes to what it is asked within this, or is so busy that its figures have to wait.
 const BOOKS: Duration = Duration::from_secs(2);
@@ -319,7 +316,7 @@
 
     fn take(&self, file: &Path) -> Result<(), String> {
         let config = Config::load(file)?;
-        let mut taken = self.taken.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut taken = lock(&self.taken);
         let named = |why: String| format!("{}: {why}", file.display());
         config.follows(&taken).map_err(named)?;
         self.edge.check(&config.info).map_err(named)?;
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -205,8 +205,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
-        assert!(kill.unwrap().success());
+        signal(&self.child, name);
     }
 
     /// Puts a file in the place of its configuration, and has it read.
@@ -250,9 +249,19 @@
     }
 }
 
-/// One call of the second address.
+pub fn signal(child: &Child, name: &str) {
+    let kill = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+    assert!(kill.unwrap().success());
+}
+
+/// One call of the second address, or of a group's.
+pub fn call_bytes(method: &str, path: &str, body: &str) -> Vec<u8> {
+    format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .into_bytes()
+}
+
 pub fn operate(control: SocketAddr, method: &str, path: &str) -> std::io::Result<Answer> {
-    exchange(control, format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n").as_bytes())
+    exchange(control, &call_bytes(method, path, ""))
 }
 
 pub fn yes(control: SocketAddr, method: &str, path: &str) -> bool {
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -18,7 +18,7 @@
 use curlewdeck_lab::proxy::{Cut, Faults, Proxy};
 
 use bed::stand_in::{read_answer, Answer};
-use bed::{until, Bed};
+use bed::{call_bytes, until, Bed};
 
 /// Longer than any call may wait: only a process that stands still takes so long.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -30,9 +30,7 @@
 fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> std::io::Result<Answer> {
     let mut stream = TcpStream::connect(at)?;
     stream.set_read_timeout(Some(PATIENCE))?;
-    let head =
-        format!("{method} /group/{path} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.len());
-    stream.write_all((head + body).as_bytes())?;
+    stream.write_all(&call_bytes(method, &format!("/group/{path}"), body))?;
     read_answer(&mut BufReader::new(stream))
 }
 
@@ -74,8 +72,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
-        assert!(kill.unwrap().success());
+        bed::signal(&self.child, name);
     }
 }
 
