--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -56,6 +56,12 @@
 pub struct Inbox(SyncSender<Msg>);
 
 impl Inbox {
+    /// One that holds so much, and its other end.
+    pub fn of(most: usize) -> (Self, Receiver<Msg>) {
+        let (tell, told) = sync_channel(most);
+        (Self(tell), told)
+    }
+
     /// Hands a message in, and waits for room. Returns whether anybody is there to take it.
     pub fn hand(&self, message: Msg) -> bool {
         self.0.send(message).is_ok()
@@ -148,8 +154,8 @@
     let named = config.members()?;
     let bounds = Bounds::default();
     let (disk, member) = open(config, &bounds).map_err(|e| e.to_string())?;
-    let (tell, inbox) = sync_channel(INBOX);
-    let (id, tell) = (member.id(), Inbox(tell));
+    let (tell, inbox) = Inbox::of(INBOX);
+    let id = member.id();
     let listen = peers::listen(config.listen, tell.clone())
         .map_err(|e| format!("cannot listen for members at {}: {e}", config.listen))?;
     let peers = Peers::new(id, tell.clone());
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -91,7 +91,7 @@
             inbox.tell(Msg::Unreachable(to));
         }
         if letter.snapshot {
-            inbox.tell(Msg::SnapshotSent(to, done));
+            inbox.hand(Msg::SnapshotSent(to, done));
         }
     }
 }
@@ -169,3 +169,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a leader that waits for ever to hear of a snapshot: that word must not be lost, however much waits
+    /// for its thread.
+    #[test]
+    fn the_word_on_a_snapshot_waits_for_room() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (inbox, told) = Inbox::of(1);
+        inbox.tell(Msg::Frame(Vec::new()));
+        let (letters, waiting) = sync_channel(1);
+        letters.send(Letter { to: 2, bytes: vec![7], snapshot: true }).unwrap();
+        drop(letters);
+        let sender = std::thread::spawn(move || deliver(1, 2, addr, &waiting, &inbox));
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_exact(&mut [0; wire::HEAD + 1]).unwrap();
+        // One that did not wait would have ended by now, and closed its connection.
+        stream.set_read_timeout(Some(AGAIN)).unwrap();
+        let _ = stream.read(&mut [0]);
+        let told: Vec<Msg> = told.iter().collect();
+        sender.join().unwrap();
+        assert!(matches!(told[..], [Msg::Frame(_), Msg::SnapshotSent(2, true)]), "{told:?}");
+    }
+}
