--- /dev/null
+++ b/src/net/http/tests.rs
@@ -0,0 +1,120 @@
+use super::*;
+use proptest::prelude::*;
+
+const POST: &[u8] = b"POST /tag-lookup?x=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcdGET";
+const CHUNKED: &[u8] =
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: v\r\n\r\n";
+
+/// The first request, and how many bytes were left over.
+fn parsed(bytes: &[u8]) -> Result<Option<(Request, usize)>, BadMessage> {
+    let mut reader = RequestReader::default();
+    reader.push(bytes);
+    Ok(reader.next(&Limits::default())?.map(|r| (r, reader.held.len())))
+}
+
+/// Requests come in pieces: no prefix is an error or a request.
+#[test]
+fn split_requests_are_waited_for() {
+    for (bytes, whole) in [(POST, POST.len() - 3), (CHUNKED, CHUNKED.len())] {
+        for cut in 0..whole {
+            assert_eq!(parsed(&bytes[..cut]), Ok(None), "{cut}");
+        }
+        let (request, left) = parsed(bytes).unwrap().unwrap();
+        assert_eq!((request.body.as_slice(), left), (b"abcd".as_slice(), bytes.len() - whole));
+        assert!(request.keep_alive);
+    }
+    assert_eq!(parsed(POST).unwrap().unwrap().0.path, "/tag-lookup");
+}
+
+/// Each kind of bad input has its own answer.
+#[test]
+fn bad_requests_have_their_status() {
+    let large = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", 64 * 1024 + 1);
+    let long = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(17 * 1024));
+    let chunk = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFFF\r\n";
+    for (bytes, status) in [
+        (b"\x16\x03\x01 tls?\r\n\r\n".as_slice(), 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\ntransfer-ENCODING:Chunked\r\ncontent-LENGTH:4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: x\r\nContent-Length: 4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding:\r\n chunked\r\nContent-Length: 4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: \x0bchunked\r\nContent-Length: 4\r\n\r\n", 400),
+        (b"GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 4, 4\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 400),
+        (chunk, 413),
+        (large.as_bytes(), 413),
+        (long.as_bytes(), 431),
+    ] {
+        assert_eq!(parsed(bytes).unwrap_err().status, status, "{:?}", String::from_utf8_lossy(bytes));
+    }
+}
+
+#[test]
+fn connections_stay_open_unless_told() {
+    let of = |text: &str| parsed(text.as_bytes()).unwrap().unwrap().0.keep_alive;
+    assert!(!of("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"));
+    assert!(!of("GET / HTTP/1.0\r\n\r\n"));
+    assert!(of("GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n"));
+}
+
+#[test]
+fn percent_coding_goes_both_ways() {
+    assert_eq!(decode("a%20b%2Cc+d", true).as_deref(), Some("a b,c d"));
+    assert_eq!(decode("%zz", true), None);
+    assert_eq!(decode("%ff", true), None);
+    assert_eq!(decode(&encode("ığ /?&"), false).as_deref(), Some("ığ /?&"));
+}
+
+proptest! {
+    /// Nothing that a peer sends may panic.
+    #[test]
+    fn any_bytes_are_parsed_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = parsed(&bytes);
+        let _ = parse_head(&bytes, &Limits::default());
+        let _ = Chunks::default().feed(&bytes, &mut Vec::new(), 64);
+    }
+
+    /// However requests are cut, and whatever empty lines stand ahead, they come out the same, one by one.
+    #[test]
+    fn requests_do_not_depend_on_how_they_are_cut(
+        cuts in proptest::collection::vec(1..40usize, 0..40),
+        order in proptest::collection::vec(any::<bool>(), 1..6),
+    ) {
+        let whole = |chunked: &bool| if *chunked { CHUNKED } else { &POST[..POST.len() - 3] };
+        let text: Vec<u8> = order.iter().flat_map(|c| [b"\r\n\r\n", whole(c)].concat()).collect();
+        let (mut reader, mut rest, mut got) = (RequestReader::default(), &text[..], Vec::new());
+        for cut in cuts.into_iter().chain([text.len()]) {
+            let (piece, later) = rest.split_at(cut.min(rest.len()));
+            reader.push(piece);
+            rest = later;
+            while let Some(request) = reader.next(&Limits::default()).unwrap() {
+                prop_assert_eq!(&request.body, b"abcd");
+                got.push(request.headers.get("transfer-encoding").is_some());
+            }
+        }
+        prop_assert_eq!(got, order);
+        prop_assert!(!reader.begun());
+    }
+
+    /// However a chunked body is cut, it comes out the same.
+    #[test]
+    fn chunks_do_not_depend_on_how_they_are_cut(cuts in proptest::collection::vec(1..9usize, 0..40)) {
+        let mut rest = &b"3\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n"[..];
+        let (mut chunks, mut out) = (Chunks::default(), Vec::new());
+        for cut in cuts.into_iter().chain([64]) {
+            let piece = &rest[..cut.min(rest.len())];
+            prop_assert_eq!(chunks.feed(piece, &mut out, 64), Ok(piece.len()));
+            rest = &rest[piece.len()..];
+        }
+        prop_assert!(chunks.done());
+        prop_assert_eq!(out, b"abc0123456789abcdef".to_vec());
+    }
+}
--- /dev/null
+++ b/src/net/io/tests.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+/// Guards against sending a frame on for a query that has its answer, where the socket was full when the frame's
+/// turn came: what is wanted is looked at again until the first byte has gone out.
+#[test]
+fn what_is_not_wanted_any_more_is_not_written_once_there_is_room() {
+    use std::io::Read;
+    use std::sync::atomic::AtomicBool;
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = Stream::new(listener.accept().unwrap().0, None).unwrap();
+    // Until the socket takes no more.
+    let mut filled = 0;
+    while let Ok(n) = (&mut stream.inner.inner()).write(&[0; 65_536]) {
+        filled += n;
+    }
+    let wanted = AtomicBool::new(true);
+    let looks = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        let (looks, wanted, stream) = (&looks, &wanted, &stream);
+        let current = move || {
+            looks.fetch_add(1, Ordering::SeqCst);
+            wanted.load(Ordering::SeqCst).then(|| b"frame".to_vec())
+        };
+        let writer = scope.spawn(move || stream.write_current(current, || true, Duration::from_secs(10)));
+        while looks.load(Ordering::SeqCst) == 0 {
+            std::thread::yield_now();
+        }
+        // There is never room here: without another look it would wait until its time is over, and fail.
+        wanted.store(false, Ordering::SeqCst);
+        writer.join().unwrap().unwrap();
+    });
+    stream.shut();
+    let mut got = Vec::new();
+    peer.read_to_end(&mut got).unwrap();
+    assert!(got.len() == filled && got.iter().all(|&b| b == 0), "it was sent on");
+}
+
+/// Guards against an alarm that waits out an earlier setting, or a time already past.
+#[test]
+fn an_alarm_set_to_an_earlier_time_rings_then() {
+    let (rings, heard) = std::sync::mpsc::channel();
+    let clock = Clock::start();
+    let mut alarm = Alarm::start(clock, move || rings.send(clock.now()).unwrap()).unwrap();
+    let hour = 3_600_000_000_000;
+    alarm.set(clock.now() + hour);
+    for at in [clock.now(), clock.now() + 3_000_000, 0] {
+        alarm.set(at);
+        assert!(heard.recv().unwrap() >= at);
+        alarm.rung();
+    }
+    alarm.set(clock.now() + hour);
+    assert!(heard.try_recv().is_err());
+}
+
+/// Guards against a list kept for every length of time-out that ever was: there are few lengths.
+#[test]
+fn socket_timeouts_have_few_lengths() {
+    let lengths: std::collections::BTreeSet<Duration> =
+        (0..10_000).map(|n| coarse(Duration::from_micros(n * 1000 + n))).collect();
+    assert!(lengths.len() <= 201, "{}", lengths.len());
+    assert_eq!(coarse(Duration::from_millis(250)), Duration::from_millis(250));
+    assert_eq!(coarse(Duration::ZERO), COARSE);
+}
--- /dev/null
+++ b/src/net/link/tests.rs
@@ -0,0 +1,416 @@
+use super::*;
+use std::sync::Arc;
+
+use crate::api::ShardId;
+use crate::engine::{PartText, Wanted};
+use proptest::prelude::*;
+
+const MULTIPLEX: usize = 3;
+const IDLE: Nanos = 1000;
+const PROBE: Nanos = 50;
+const WAIT: Nanos = 400;
+const SILENCE: Nanos = 100;
+
+fn links() -> Links {
+    Links::new(LinkLimits {
+        multiplex: MULTIPLEX,
+        idle: IDLE,
+        probe: PROBE,
+        backlog: 64,
+        past: 8,
+        silence: SILENCE,
+    })
+}
+
+fn part(id: u64, until: Nanos) -> Dispatch {
+    let text = PartText { name: format!("q.{id}"), shard: ShardId(0), text: "t".into(), after: None };
+    Dispatch { attempt: AttemptId(id), part: Arc::new(text), until, wanted: Wanted::new() }
+}
+
+fn answer(id: u64) -> Reply {
+    let value = Some(Value { score: 1, data: "v".into() });
+    Reply::Answer { name: format!("q.{id}"), outcome: Outcome::Pass, value }
+}
+
+/// How far the model holds an attempt to be.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum At {
+    Waiting,
+    Handed(LinkId),
+    Written(LinkId),
+    Over,
+}
+
+/// What the model knows: attempts, and what the network owes the machine.
+#[derive(Default)]
+struct Model {
+    attempts: Vec<(At, Nanos)>,
+    dialing: Vec<LinkId>,
+    up: Vec<LinkId>,
+    shut: Vec<LinkId>,
+    writing: Vec<(LinkId, Vec<u64>)>,
+    takes_new: bool,
+    now: Nanos,
+    probes: i64,
+}
+
+impl Model {
+    fn step(&mut self, links: &mut Links, input: Input) {
+        match &input {
+            Input::Probe => self.probes += 1,
+            Input::TakesNew(yes) => self.takes_new = *yes,
+            Input::Drop(id) => self.attempts[id.0 as usize].0 = At::Over,
+            Input::Written(id) => self.end_write(*id, true),
+            Input::WriteFailed(id) => self.end_write(*id, false),
+            _ => {}
+        }
+        for output in links.step(self.now, input) {
+            self.check(output);
+        }
+        let most = self.up.iter().map(|u| self.attempts.iter().filter(|a| a.0 == At::Written(*u)).count());
+        assert!(most.max().unwrap_or(0) <= MULTIPLEX, "more parts than a connection carries");
+    }
+
+    fn end_write(&mut self, id: LinkId, whole: bool) {
+        let at = self.writing.iter().position(|w| w.0 == id).unwrap();
+        for part in self.writing.remove(at).1 {
+            let attempt = &mut self.attempts[part as usize];
+            // What was not written whole may be handed over once more.
+            if attempt.0 == At::Handed(id) {
+                attempt.0 = if whole { At::Written(id) } else { At::Waiting };
+            }
+        }
+    }
+
+    fn check(&mut self, output: Output) {
+        match output {
+            Output::Dial(id) => self.dialing.push(id),
+            Output::Shut(id) => {
+                self.up.retain(|&u| u != id);
+                self.shut.push(id);
+            }
+            Output::Probed(_) => {
+                self.probes -= 1;
+                assert!(self.probes >= 0, "a probe ended twice");
+            }
+            Output::Write(id, frame) => {
+                let bytes = frame.current().1.unwrap();
+                assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
+                let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
+                let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
+                let parts: Vec<u64> = if bytes[4] == b'D' { names.collect() } else { Vec::new() };
+                for &part in &parts {
+                    let attempt = &mut self.attempts[part as usize];
+                    assert!(
+                        attempt.0 == At::Waiting && attempt.1 > self.now && self.takes_new,
+                        "sent too late"
+                    );
+                    attempt.0 = At::Handed(id);
+                }
+                self.writing.push((id, parts));
+            }
+            Output::End(id, outcome, _) => {
+                let at = std::mem::replace(&mut self.attempts[id.0 as usize].0, At::Over);
+                let right = match outcome {
+                    Outcome::StaleSend => at == At::Waiting,
+                    Outcome::NoRoute => matches!(at, At::Waiting | At::Handed(_)),
+                    Outcome::Cut | Outcome::Spoilt => matches!(at, At::Written(_)),
+                    Outcome::Pass => matches!(at, At::Written(_) | At::Handed(_)),
+                    _ => false,
+                };
+                assert!(right, "{id:?} ended {outcome:?} when it was {at:?}");
+            }
+        }
+    }
+
+    fn random(&mut self, links: &mut Links, kind: u8, pick: usize) {
+        let one = |all: &[LinkId]| all.get(pick % all.len().max(1)).copied();
+        let open: Vec<u64> =
+            (0..).zip(&self.attempts).filter(|(_, a)| a.0 != At::Over).map(|(n, _)| n).collect();
+        match kind {
+            0..=2 => {
+                let first = self.attempts.len() as u64;
+                let until = self.now + WAIT;
+                let call: Vec<Dispatch> = (0..1 + pick as u64 % 2).map(|n| part(first + n, until)).collect();
+                self.attempts.extend(call.iter().map(|_| (At::Waiting, until)));
+                self.step(links, Input::Call(call));
+            }
+            3 if !open.is_empty() => {
+                self.step(links, Input::Drop(AttemptId(open[pick % open.len()])));
+            }
+            4 => self.step(links, Input::TakesNew(!pick.is_multiple_of(4))),
+            5 => self.step(links, Input::CloseIdle),
+            6 => self.step(links, Input::Probe),
+            7 | 8 => {
+                let up = if pick.is_multiple_of(4) { Input::DialFailed } else { Input::Up };
+                self.dialled(links, one(&self.dialing), up);
+            }
+            20 => self.dialled(links, one(&self.dialing), Input::NoSocket),
+            9 | 10 => self.written(links, pick),
+            11 | 12 => {
+                let written =
+                    |n: &&u64| matches!(self.attempts[**n as usize].0, At::Written(_) | At::Handed(_));
+                let some: Vec<u64> = open.iter().filter(written).copied().collect();
+                if let Some(&id) = some.get(pick % some.len().max(1)) {
+                    if let At::Written(link) | At::Handed(link) = self.attempts[id as usize].0 {
+                        self.step(links, Input::Frame(link, answer(id)));
+                    }
+                }
+            }
+            17 => {
+                if let Some(id) = one(&self.up) {
+                    self.step(links, Input::Spoilt(id));
+                    assert!(!self.up.contains(&id), "a spoilt connection stays open");
+                }
+            }
+            18 => {
+                // An answer that nobody waits for, or that was waited for before.
+                let over: Vec<u64> = (0..self.attempts.len() as u64 + 1).collect();
+                if let (Some(id), Some(&part)) = (one(&self.up), over.get(pick % over.len())) {
+                    if self.attempts.get(part as usize).is_none_or(|a| a.0 == At::Over) {
+                        self.step(links, Input::Frame(id, answer(part)));
+                    }
+                }
+            }
+            19 => {
+                if let Some(id) = one(&self.up) {
+                    self.step(links, Input::Begun(id));
+                }
+            }
+            13 => {
+                if let Some(id) = one(&self.up) {
+                    self.up.retain(|&u| u != id);
+                    self.step(links, Input::ReadEnded(id));
+                    self.shut.retain(|&s| s != id);
+                }
+            }
+            14 => {
+                if let Some(id) = one(&self.shut) {
+                    self.shut.retain(|&s| s != id);
+                    self.step(links, Input::ReadEnded(id));
+                }
+            }
+            _ => {
+                self.now += pick as Nanos % 200;
+                self.step(links, Input::Tick);
+            }
+        }
+    }
+
+    fn dialled(&mut self, links: &mut Links, id: Option<LinkId>, how: fn(LinkId) -> Input) {
+        let Some(id) = id else { return };
+        self.dialing.retain(|&d| d != id);
+        if how(id) == Input::Up(id) {
+            self.up.push(id);
+        }
+        self.step(links, how(id));
+    }
+
+    fn written(&mut self, links: &mut Links, pick: usize) {
+        let Some(&(id, _)) = self.writing.get(pick % self.writing.len().max(1)) else { return };
+        let whole = self.up.contains(&id) && !pick.is_multiple_of(8);
+        self.step(links, if whole { Input::Written(id) } else { Input::WriteFailed(id) });
+    }
+
+    /// Everything breaks: what is open must end now.
+    fn end(&mut self, links: &mut Links) {
+        for _ in 0..1000 {
+            if let Some(&id) = self.dialing.first() {
+                self.dialled(links, Some(id), Input::DialFailed);
+            } else if let Some(&(id, _)) = self.writing.first() {
+                self.step(links, Input::WriteFailed(id));
+            } else if let Some(&id) = self.shut.first() {
+                self.shut.remove(0);
+                self.step(links, Input::ReadEnded(id));
+            } else if let Some(&id) = self.up.first() {
+                self.up.remove(0);
+                self.step(links, Input::ReadEnded(id));
+                self.shut.retain(|&s| s != id);
+            } else {
+                break;
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever happens in whatever order: each attempt ends exactly once and as its frame's progress
+    /// says, nothing is handed to a data node that takes nothing new, and no connection is left over.
+    #[test]
+    fn every_attempt_ends_once_and_as_it_went(
+        steps in proptest::collection::vec((0..21u8, any::<usize>()), 0..200),
+    ) {
+        let (mut links, mut model) = (links(), Model::default());
+        model.step(&mut links, Input::TakesNew(true));
+        for (kind, pick) in steps {
+            model.random(&mut links, kind, pick);
+        }
+        model.end(&mut links);
+        prop_assert!(model.attempts.iter().all(|a| a.0 == At::Over), "{:?}", model.attempts);
+        prop_assert_eq!((model.probes, links.count()), (0, 0));
+    }
+}
+
+/// Guards against writing to a connection that its data node is about to close as idle.
+#[test]
+fn a_connection_near_its_idle_limit_is_not_used() {
+    let mut links = links();
+    links.step(0, Input::TakesNew(true));
+    links.step(0, Input::Call(vec![part(0, WAIT)]));
+    links.step(0, Input::Up(LinkId(0)));
+    links.step(0, Input::Written(LinkId(0)));
+    links.step(1, Input::Frame(LinkId(0), answer(0)));
+    let early = links.step(IDLE, Input::Call(vec![part(1, 2 * IDLE)]));
+    assert!(matches!(early[..], [Output::Write(LinkId(0), _)]), "{early:?}");
+    links.step(IDLE, Input::Written(LinkId(0)));
+    links.step(IDLE, Input::Frame(LinkId(0), answer(1)));
+    let late = links.step(2 * IDLE, Input::Call(vec![part(2, 3 * IDLE)]));
+    assert_eq!(late, [Output::Dial(LinkId(1))]);
+    assert_eq!(links.step(2 * IDLE, Input::Tick), [Output::Shut(LinkId(0))]);
+}
+
+/// A connection with these parts written, the first answered.
+fn used(written: u64) -> Links {
+    let mut links = links();
+    links.step(0, Input::TakesNew(true));
+    links.step(0, Input::Call(vec![part(0, WAIT)]));
+    links.step(0, Input::Up(LinkId(0)));
+    links.step(0, Input::Written(LinkId(0)));
+    for id in 1..written {
+        links.step(0, Input::Call(vec![part(id, WAIT)]));
+        links.step(0, Input::Written(LinkId(0)));
+    }
+    let ended = links.step(1, Input::Frame(LinkId(0), answer(0)));
+    assert!(matches!(ended[..], [Output::End(AttemptId(0), Outcome::Pass, _)]), "{ended:?}");
+    links
+}
+
+/// Guards against waiting on a connection whose answers cannot be matched: what is out ends at once, what
+/// waits goes over another, and nothing more is sent on it.
+#[test]
+fn an_unknown_answer_costs_its_connection_only() {
+    let mut links = used(2);
+    links.step(1, Input::Call(vec![part(2, WAIT)]));
+    links.step(1, Input::Call(vec![part(3, WAIT)]));
+    let outputs = links.step(2, Input::Frame(LinkId(0), answer(99)));
+    let expected =
+        [Output::Shut(LinkId(0)), Output::End(AttemptId(1), Outcome::Spoilt, None), Output::Dial(LinkId(1))];
+    assert_eq!(outputs, expected);
+    assert_eq!(links.step(3, Input::WriteFailed(LinkId(0))), []);
+    let moved = links.step(4, Input::Up(LinkId(1)));
+    assert!(matches!(moved[..], [Output::Write(LinkId(1), _)]), "{moved:?}");
+    assert_eq!(links.links[&LinkId(1)].parts(), 2);
+}
+
+/// Guards against taking a kept connection that was reset unseen for a data node that cannot be reached,
+/// and against trying connections without end.
+#[test]
+fn what_was_not_written_goes_over_one_more_connection() {
+    let mut links = used(1);
+    links.step(2, Input::Call(vec![part(1, WAIT)]));
+    let moved = [Output::Shut(LinkId(0)), Output::Dial(LinkId(1))];
+    assert_eq!(links.step(2, Input::WriteFailed(LinkId(0))), moved);
+    links.step(3, Input::Up(LinkId(1)));
+    let ended = [Output::Shut(LinkId(1)), Output::End(AttemptId(1), Outcome::NoRoute, None)];
+    assert_eq!(links.step(3, Input::WriteFailed(LinkId(1))), ended);
+}
+
+/// Guards against taking a late answer to a part that was given up for an unknown one.
+#[test]
+fn a_late_answer_is_dropped_and_its_connection_kept() {
+    let mut links = used(3);
+    links.step(1, Input::Drop(AttemptId(1)));
+    links.step(1, Input::Written(LinkId(0)));
+    assert_eq!(links.step(2, Input::Begun(LinkId(0))), []);
+    assert_eq!(links.step(2, Input::Frame(LinkId(0), answer(1))), []);
+    let ended = links.step(3, Input::Frame(LinkId(0), answer(2)));
+    assert!(matches!(ended[..], [Output::End(AttemptId(2), Outcome::Pass, _)]), "{ended:?}");
+}
+
+/// Guards against sending on over a connection that has died unseen: new parts go over another, and once
+/// that is answered, those out on the first end at once.
+#[test]
+fn a_silent_connection_gets_nothing_new() {
+    let mut links = used(2);
+    links.step(1, Input::Call(vec![part(2, WAIT)]));
+    links.step(1, Input::Written(LinkId(0)));
+    let dialled = links.step(1 + SILENCE, Input::Call(vec![part(3, WAIT)]));
+    assert_eq!(dialled, [Output::Dial(LinkId(1))]);
+    links.step(150, Input::Up(LinkId(1)));
+    links.step(150, Input::Written(LinkId(1)));
+    let ended = links.step(160, Input::Frame(LinkId(1), answer(3)));
+    let lost = |id| Output::End(AttemptId(id), Outcome::Spoilt, None);
+    assert_eq!(ended[1..], [Output::Shut(LinkId(0)), lost(1), lost(2)], "{ended:?}");
+}
+
+/// Guards against work for a query that has its answer: a data node that takes a new connection up late would read
+/// the part first, and that it is given up after it.
+#[test]
+fn a_new_connection_is_closed_when_its_only_part_is_given_up() {
+    let mut links = links();
+    links.step(0, Input::TakesNew(true));
+    links.step(0, Input::Call(vec![part(0, WAIT)]));
+    links.step(0, Input::Call(vec![part(1, WAIT)]));
+    links.step(1, Input::Up(LinkId(0)));
+    links.step(1, Input::Written(LinkId(0)));
+    // The other's frame is handed out, and no word yet that it is written.
+    let kept = links.step(2, Input::Drop(AttemptId(0)));
+    assert_eq!(kept, [], "another part is out");
+    assert!(links.step(3, Input::Drop(AttemptId(1))).contains(&Output::Shut(LinkId(0))));
+}
+
+/// Guards against holding the process's own lack of sockets against a data node: a hundred coordinators that did
+/// shunned sound ones. What waits goes over the connection that is there, or was not sent.
+#[test]
+fn a_lack_of_sockets_is_no_fault_of_the_data_node() {
+    let mut links = used(2);
+    assert_eq!(links.step(1 + SILENCE, Input::Call(vec![part(2, WAIT)])), [Output::Dial(LinkId(1))]);
+    let sent = links.step(1 + SILENCE, Input::NoSocket(LinkId(1)));
+    assert!(matches!(sent[..], [Output::Write(LinkId(0), _)]), "{sent:?}");
+    let mut links = self::links();
+    links.step(0, Input::TakesNew(true));
+    links.step(0, Input::Call(vec![part(0, WAIT)]));
+    let ended = links.step(0, Input::NoSocket(LinkId(0)));
+    assert_eq!(ended, [Output::End(AttemptId(0), Outcome::StaleSend, None)]);
+    assert_eq!(links.count(), 0);
+}
+
+/// Guards against choosing such a connection again once all that was out on it is given up.
+#[test]
+fn a_connection_given_up_in_silence_is_closed() {
+    let mut links = used(2);
+    links.step(1 + SILENCE, Input::Call(vec![part(2, WAIT)]));
+    let outputs = links.step(1 + SILENCE, Input::Drop(AttemptId(1)));
+    assert!(outputs.contains(&Output::Shut(LinkId(0))), "{outputs:?}");
+    // A part given up early says nothing of its connection.
+    let mut links = used(2);
+    let outputs = links.step(SILENCE / 2, Input::Drop(AttemptId(1)));
+    assert!(matches!(outputs[..], [Output::Write(LinkId(0), _)]), "{outputs:?}");
+}
+
+/// Guards against going on with a connection that brings more than belongs to its answers.
+#[test]
+fn what_comes_unasked_at_rest_closes_the_connection() {
+    for unasked in [
+        Input::Begun(LinkId(0)),
+        Input::Frame(LinkId(0), answer(0)),
+        Input::Frame(LinkId(0), Reply::Probed(Outcome::Pass)),
+    ] {
+        assert_eq!(used(1).step(2, unasked), [Output::Shut(LinkId(0))]);
+    }
+    // A second copy costs no other part.
+    assert_eq!(used(2).step(2, Input::Frame(LinkId(0), answer(0))), []);
+}
+
+/// Guards the drain rule for calls that waited behind a dial or a write.
+#[test]
+fn a_call_that_waited_past_a_drain_is_stale() {
+    let mut links = links();
+    links.step(0, Input::TakesNew(true));
+    links.step(0, Input::Call(vec![part(0, WAIT)]));
+    links.step(0, Input::TakesNew(false));
+    let up = links.step(0, Input::Up(LinkId(0)));
+    assert_eq!(up, [Output::End(AttemptId(0), Outcome::StaleSend, None)]);
+}
