Discovery, accounts and eviction are called so where they are touched

Need: words of ours hid standard terms. Change: net::list is net::discovery, the books are accounts, making room is eviction; the wire, keys, counters and MIB objects keep their names. No behaviour changed.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -22,7 +22,7 @@
 use crate::net::io::{lock, nanos, spawn, thread, Clock, Permit, Permits, Stream, SMALL_STACK};
 use crate::net::mail::REQUEST;
 
-/// A client's connection, as those see it that look for room or end the process.
+/// A client's connection, as those see it that evict one or end the process.
 struct Connection {
     stream: Stream,
     /// A request is read and not answered.
@@ -65,9 +65,9 @@
     }
 }
 
-/// What there is to say to a connection that needs room.
+/// What there is to say to a new connection for which another may have to go.
 #[derive(Debug, PartialEq, Eq)]
-enum Room {
+enum Eviction {
     /// Some will be soon.
     Soon,
     /// All connections have open requests.
@@ -145,10 +145,10 @@
     /// answer, if for long; else the one that has been longest without a whole request; else the one that
     /// has rested longest. None with an open request, and none on which something has come that is not read
     /// yet.
-    fn make_room(&self, limits: &Limits) -> Room {
+    fn evict(&self, limits: &Limits) -> Eviction {
         let (now, open) = (self.clock.now(), self.connections());
         if open.values().any(|c| c.given_up.load(Ordering::Acquire)) {
-            return Room::Soon;
+            return Eviction::Soon;
         }
         let free = || open.values().filter(|c| !c.in_use.load(Ordering::Acquire));
         let over = |c: &&&Arc<Connection>| c.rested(now) >= nanos(limits.client_silent);
@@ -165,12 +165,12 @@
         let mut old: Vec<&&Arc<Connection>> = free.iter().filter(over).collect();
         old.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
         if old.into_iter().any(|c| c.give_up()) {
-            return Room::Soon;
+            return Eviction::Soon;
         }
         if free.is_empty() {
-            Room::None
+            Eviction::None
         } else {
-            Room::Soon
+            Eviction::Soon
         }
     }
 
@@ -396,26 +396,26 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// A place for a new connection, for which one at rest may have to go.
-fn room(shared: &Shared) -> Option<Permit> {
+fn admit(shared: &Shared) -> Option<Permit> {
     let start = Instant::now();
     loop {
         if let Some(permit) = shared.permits.take() {
             return Some(permit);
         }
-        let none = shared.service.make_room(&shared.limits) == Room::None;
+        let none = shared.service.evict(&shared.limits) == Eviction::None;
         if none || start.elapsed() >= shared.limits.client_room {
             return None;
         }
-        may::coroutine::sleep(ROOM_PAUSE);
+        may::coroutine::sleep(EVICTION_PAUSE);
     }
 }
 
-/// Between two looks for room.
-const ROOM_PAUSE: Duration = Duration::from_millis(1);
+/// Between two looks for a place.
+const EVICTION_PAUSE: Duration = Duration::from_millis(1);
 
 fn accept(stream: may::net::TcpStream, front: &Arc<dyn Front>, shared: &Shared) {
     let counters = &shared.core.counters;
-    let Some(permit) = room(shared) else {
+    let Some(permit) = admit(shared) else {
         Counters::add(&counters.clients_refused);
         if let Ok(stream) = Stream::new(stream, None) {
             let reply = Reply::text(503, "too many connections").with("Retry-After", "1");
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,4 +1,4 @@
-//! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, the list and fronts.
+//! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, discovery and fronts.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -15,7 +15,7 @@
 use crate::counters::Counters;
 use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
 use crate::net::io::{lock, spawn_vital, Alarm, Clock};
-use crate::net::mail::{CoreMail, Gate, ListMsg, Msg, NodeMsg, Reply, REQUEST};
+use crate::net::mail::{CoreMail, Gate, DiscoveryMsg, Msg, NodeMsg, Reply, REQUEST};
 use crate::net::members::ListNews;
 use crate::settings::Info;
 
@@ -27,7 +27,7 @@
     backlog: Arc<AtomicUsize>,
     most: usize,
     ready: Arc<AtomicBool>,
-    /// By class: queries turned away over the limit, which the books take over.
+    /// By class: queries turned away over the limit, which the accounts take over.
     full: Arc<Mutex<Vec<u64>>>,
     /// What the settings say now.
     info: Arc<Mutex<Arc<Info>>>,
@@ -78,16 +78,16 @@
     }
 
     /// All figures of one moment, handed over once the core comes to it.
-    pub fn books(&self, take: impl FnOnce(Snapshot) + Send + 'static) {
-        self.mail.send(Msg::Books(Box::new(take)));
+    pub fn accounts(&self, take: impl FnOnce(Snapshot) + Send + 'static) {
+        self.mail.send(Msg::Accounts(Box::new(take)));
     }
 
     /// The same for a thread that waits; none if the core does not come to it within this. Not called from a coroutine.
-    pub fn books_within(&self, within: Duration) -> Option<Snapshot> {
-        self.wait_for(within, Msg::Books)
+    pub fn accounts_within(&self, within: Duration) -> Option<Snapshot> {
+        self.wait_for(within, Msg::Accounts)
     }
 
-    /// What of the books outlives the process; none if the core does not come to it in time. Not called from a
+    /// What of the accounts outlives the process; none if the core does not come to it in time. Not called from a
     /// coroutine.
     pub fn saved(&self) -> Option<Saved> {
         self.wait_for(SAVED, Msg::Save)
@@ -141,7 +141,7 @@
     pub backlog: usize,
     /// Stack of the actor.
     pub stack_words: usize,
-    /// Bounds of the books' table of nodes.
+    /// Bounds of the accounts' table of nodes.
     pub nodes: NodeBounds,
     /// What an earlier process had booked.
     pub restored: Option<Saved>,
@@ -170,7 +170,7 @@
     mail: CoreMail,
     inbox: Receiver<Msg>,
     known: ListNews,
-    list: Sender<ListMsg>,
+    discovery: Sender<DiscoveryMsg>,
     start_node: StartNode,
 ) -> std::io::Result<Core> {
     let rings = mail.clone();
@@ -201,7 +201,7 @@
         engine: parts.engine,
         account,
         core: core.clone(),
-        list,
+        discovery,
         start_node,
         alarm,
         nodes: HashMap::new(),
@@ -225,7 +225,7 @@
     /// The one table of truth; the counters of queries and attempts are a view of it.
     account: Account,
     core: Core,
-    list: Sender<ListMsg>,
+    discovery: Sender<DiscoveryMsg>,
     start_node: StartNode,
     alarm: Alarm,
     nodes: HashMap<ServerId, Node>,
@@ -332,7 +332,7 @@
                 self.take_over_full();
                 take(self.account.save());
             }
-            Msg::Books(take) => {
+            Msg::Accounts(take) => {
                 self.take_over_full();
                 let snapshot = self.account.snapshot(now);
                 debug_assert_eq!(snapshot.check(), Ok(()));
@@ -432,8 +432,8 @@
                 Command::Probe { server } => self.tell_node(server, NodeMsg::Probe),
                 Command::CloseIdle { server } => self.tell_node(server, NodeMsg::CloseIdle),
                 Command::Watch => {
-                    if self.list.send(ListMsg::Watch).is_err() {
-                        log::error!("the list's actor has ended");
+                    if self.discovery.send(DiscoveryMsg::Watch).is_err() {
+                        log::error!("the actor of discovery has ended");
                     }
                 }
                 Command::Finish { query, answer } => {
--- a/src/net/list.rs
+++ b/src/net/discovery.rs
@@ -1,4 +1,4 @@
-//! The list of data nodes: its form, and the actor that watches it.
+//! Service discovery: the actor that watches the list of data nodes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,11 +11,11 @@
 use crate::limits::Limits;
 use crate::net::http::{self, Chunks};
 use crate::net::io::{spawn, spawn_vital, Stream};
-use crate::net::mail::{CoreMail, ListMsg, Msg};
+use crate::net::mail::{CoreMail, DiscoveryMsg, Msg};
 use crate::net::members::{ListNews, WireList};
 
-/// What the list's actor is made of.
-pub struct ListContext {
+/// What the actor of discovery is made of.
+pub struct DiscoveryContext {
     /// The core's mailbox.
     pub core: CoreMail,
     /// The process's limits.
@@ -24,14 +24,14 @@
     pub counters: Arc<Counters>,
 }
 
-/// Starts the actor of the list at `addr`, held in version `rev`; returns its mailbox. One watch runs at a
+/// Starts the actor of discovery at `addr`, held in version `rev`; returns its mailbox. One watch runs at a
 /// time, in a coroutine of its own; while it does, the module's asking is dropped. Where the module does not
 /// ask (`unasked`), the actor watches of itself, with a jittered pause after each failure.
-pub fn start(addr: SocketAddr, rev: u64, unasked: bool, context: ListContext) -> Sender<ListMsg> {
+pub fn start(addr: SocketAddr, rev: u64, unasked: bool, context: DiscoveryContext) -> Sender<DiscoveryMsg> {
     let (mail, inbox) = channel();
     let words = context.limits.stack_words;
-    let actor = List { addr, rev: Some(rev), unasked, context, own: mail.clone(), current: 0, watch: None };
-    spawn_vital("list", words, move || actor.run(&inbox));
+    let actor = Discovery { addr, rev: Some(rev), unasked, context, own: mail.clone(), current: 0, watch: None };
+    spawn_vital("discovery", words, move || actor.run(&inbox));
     mail
 }
 
@@ -39,21 +39,21 @@
 const PAUSE: Duration = Duration::from_millis(100);
 const PAUSES: u32 = 8;
 
-struct List {
+struct Discovery {
     addr: SocketAddr,
     /// The version that is held; nothing where the whole list is to be asked for.
     rev: Option<u64>,
     unasked: bool,
-    context: ListContext,
-    own: Sender<ListMsg>,
+    context: DiscoveryContext,
+    own: Sender<DiscoveryMsg>,
     /// The number of the latest watch: what others still say is not heard.
     current: u64,
     /// Whether it runs, with its connection once that is up.
     watch: Option<Option<Arc<Stream>>>,
 }
 
-impl List {
-    fn run(mut self, inbox: &Receiver<ListMsg>) {
+impl Discovery {
+    fn run(mut self, inbox: &Receiver<DiscoveryMsg>) {
         if self.unasked {
             self.begin();
         }
@@ -62,11 +62,11 @@
         }
     }
 
-    fn take(&mut self, message: ListMsg) {
+    fn take(&mut self, message: DiscoveryMsg) {
         match message {
-            ListMsg::Watch if self.watch.is_none() => self.begin(),
-            ListMsg::Watch => {}
-            ListMsg::Moved(addr) => {
+            DiscoveryMsg::Watch if self.watch.is_none() => self.begin(),
+            DiscoveryMsg::Watch => {}
+            DiscoveryMsg::Moved(addr) => {
                 log::info!("the list is asked for at {addr} from now on");
                 // Versions of another service mean nothing here.
                 (self.addr, self.rev) = (addr, None);
@@ -75,8 +75,8 @@
                 }
                 self.begin();
             }
-            ListMsg::Up(watch, stream) if watch == self.current => self.watch = Some(Some(stream)),
-            ListMsg::Line(watch, list) if watch == self.current => {
+            DiscoveryMsg::Up(watch, stream) if watch == self.current => self.watch = Some(Some(stream)),
+            DiscoveryMsg::Line(watch, list) if watch == self.current => {
                 let news = match list {
                     Some(list) => {
                         self.rev = Some(list.rev);
@@ -86,11 +86,11 @@
                 };
                 self.context.core.send(Msg::List(news));
             }
-            ListMsg::Unreadable(watch) if watch == self.current => self.rev = None,
-            ListMsg::Ended(watch, why) if watch == self.current => self.ended(&why),
+            DiscoveryMsg::Unreadable(watch) if watch == self.current => self.rev = None,
+            DiscoveryMsg::Ended(watch, why) if watch == self.current => self.ended(&why),
             // A watch that was dropped: its service has moved.
-            ListMsg::Up(_, stream) => stream.shut(),
-            ListMsg::Line(..) | ListMsg::Unreadable(_) | ListMsg::Ended(..) => {}
+            DiscoveryMsg::Up(_, stream) => stream.shut(),
+            DiscoveryMsg::Line(..) | DiscoveryMsg::Unreadable(_) | DiscoveryMsg::Ended(..) => {}
         }
     }
 
@@ -99,10 +99,10 @@
         self.watch = Some(None);
         Counters::add(&self.context.counters.list_calls);
         let (own, number, limits) = (self.own.clone(), self.current, self.context.limits.clone());
-        let watch = Watch { addr: self.addr, rev: self.rev, number, list: own.clone(), limits };
+        let watch = Watch { addr: self.addr, rev: self.rev, number, actor: own.clone(), limits };
         spawn("watch", self.context.limits.core_stack_words, move || {
             // The actor outlives its watches.
-            let _ = own.send(ListMsg::Ended(number, watch.follow()));
+            let _ = own.send(DiscoveryMsg::Ended(number, watch.follow()));
         });
     }
 
@@ -113,10 +113,10 @@
         self.context.core.send(Msg::List(ListNews { kind: ListKind::Error, members: Vec::new() }));
         if self.unasked {
             let own = self.own.clone();
-            spawn("list pause", self.context.limits.stack_words, move || {
+            spawn("discovery pause", self.context.limits.stack_words, move || {
                 may::coroutine::sleep(PAUSE * fastrand::u32(1..=PAUSES));
                 // The actor outlives its pauses.
-                let _ = own.send(ListMsg::Watch);
+                let _ = own.send(DiscoveryMsg::Watch);
             });
         }
     }
@@ -126,7 +126,7 @@
     addr: SocketAddr,
     rev: Option<u64>,
     number: u64,
-    list: Sender<ListMsg>,
+    actor: Sender<DiscoveryMsg>,
     limits: Arc<Limits>,
 }
 
@@ -140,15 +140,15 @@
             Ok(stream) => Arc::new(stream),
             Err(e) => return format!("no connection: {e}"),
         };
-        self.tell(ListMsg::Up(self.number, stream.clone()));
+        self.tell(DiscoveryMsg::Up(self.number, stream.clone()));
         let why = self.talk(&stream);
         stream.shut();
         why.unwrap_or_else(|why| why)
     }
 
-    fn tell(&self, message: ListMsg) {
+    fn tell(&self, message: DiscoveryMsg) {
         // The actor outlives its watches.
-        let _ = self.list.send(message);
+        let _ = self.actor.send(message);
     }
 
     fn talk(&self, stream: &Stream) -> Result<String, String> {
@@ -175,7 +175,7 @@
             if let Some((body, _)) = body {
                 let list = self.read(&body)?;
                 let rev = list.rev;
-                self.tell(ListMsg::Line(self.number, Some(WireList { all: true, ..list })));
+                self.tell(DiscoveryMsg::Line(self.number, Some(WireList { all: true, ..list })));
                 return Ok(rev);
             }
             fill(stream, &mut held, self.limits.list_answer.saturating_sub(start.elapsed()))?;
@@ -202,7 +202,7 @@
 
     fn read(&self, text: &[u8]) -> Result<WireList, String> {
         serde_json::from_slice(text).map_err(|e| {
-            self.tell(ListMsg::Unreadable(self.number));
+            self.tell(DiscoveryMsg::Unreadable(self.number));
             format!("the list is not as expected: {e}")
         })
     }
@@ -220,7 +220,7 @@
                     [] => None,
                     line => Some(self.read(line)?),
                 };
-                self.tell(ListMsg::Line(self.number, list));
+                self.tell(DiscoveryMsg::Line(self.number, list));
             }
             if chunks.done() {
                 return Ok("it was ended".to_string());
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -1,4 +1,4 @@
-//! What the core, the list and the data nodes tell each other: their messages, the core's mailbox and the gate
+//! What the core, discovery and the data nodes tell each other: their messages, the core's mailbox and the gate
 //! before a data node. It stands below all of their actors, which do not know each other.
 
 use std::net::SocketAddr;
@@ -36,8 +36,8 @@
     Reset(Box<Info>),
     /// The alarm has rung.
     Rung,
-    /// Somebody wants to see the books.
-    Books(Box<dyn FnOnce(Snapshot) + Send>),
+    /// Somebody wants to see the accounts.
+    Accounts(Box<dyn FnOnce(Snapshot) + Send>),
     /// Somebody wants what of them outlives the process.
     Save(Box<dyn FnOnce(Saved) + Send>),
 }
@@ -82,12 +82,12 @@
 /// `RUST_LOG=info,request=debug` turns it on.
 pub const REQUEST: &str = "request";
 
-/// What the list's actor is told.
+/// What the actor of discovery is told.
 #[derive(Debug)]
-pub enum ListMsg {
+pub enum DiscoveryMsg {
     /// The module asks for a watch.
     Watch,
-    /// The list's service is at another address from now on.
+    /// Discovery is at another address from now on.
     Moved(SocketAddr),
     /// A watch has its connection.
     Up(u64, Arc<Stream>),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,13 +2,13 @@
 //! a connection are pure, beside them.
 
 pub mod core;
+pub mod discovery;
 pub mod feature_node;
 pub mod features;
 pub mod frame;
 pub mod http;
 pub mod io;
 pub mod link;
-pub mod list;
 pub mod mail;
 pub mod members;
 pub mod node;
--- a/src/notices.rs
+++ b/src/notices.rs
@@ -181,7 +181,7 @@
     fn figures(&self) -> Option<Figures> {
         let counters = &self.core.counters;
         Some(Figures {
-            books: self.core.books_within(BOOKS)?,
+            books: self.core.accounts_within(BOOKS)?,
             list_overdue: counters.list_overdue.load(Ordering::Relaxed),
             denied: counters.snmp_denied.load(Ordering::Relaxed),
             descriptors: (descriptors(), self.sockets),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,4 +1,4 @@
-//! Puts the parts together: the core, the data nodes, the list and the fronts.
+//! Puts the parts together: the core, the data nodes, discovery and the fronts.
 
 use std::io;
 use std::net::SocketAddr;
@@ -28,8 +28,8 @@
 use crate::net::feature_node;
 use crate::net::features::Names;
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
-use crate::net::list::{self, ListContext};
-use crate::net::mail::{self, ListMsg};
+use crate::net::discovery::{self, DiscoveryContext};
+use crate::net::mail::{self, DiscoveryMsg};
 use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
 use crate::notices::{self, Stopping};
@@ -54,7 +54,7 @@
     pub core: Core,
     service: Arc<Service>,
     limits: Arc<Limits>,
-    list: Sender<ListMsg>,
+    discovery: Sender<DiscoveryMsg>,
     keep: Option<Arc<Keep>>,
     /// Tells whoever is to be told that the process ends.
     stopping: Option<Stopping>,
@@ -93,8 +93,8 @@
         WireList { all: true, ..known }.news()
     });
     let unasked = info.settings.discovery == Discovery::Pushed;
-    let context = ListContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
-    let list = list::start(config.discovery, rev, unasked, context);
+    let context = DiscoveryContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
+    let discovery = discovery::start(config.discovery, rev, unasked, context);
     let context = NodeContext {
         core: core_mail.clone(),
         limits: limits.clone(),
@@ -135,7 +135,7 @@
         backlog: limits.core_backlog,
         stack_words: limits.core_stack_words,
     };
-    let core = core::start(parts, core_mail, inbox, known, list.clone(), start_node);
+    let core = core::start(parts, core_mail, inbox, known, discovery.clone(), start_node);
     let core = core.map_err(|e| format!("cannot start the core: {e}"))?;
     let spans = Spans {
         drain_notice: nanos(limits.drain_notice),
@@ -212,7 +212,7 @@
         core,
         service,
         limits,
-        list,
+        discovery,
         taken,
         edge,
         others,
@@ -272,7 +272,7 @@
 
 const LOOK: Duration = Duration::from_millis(10);
 /// The core comes to what it is asked within this, or is so busy that its figures have to wait.
-const BOOKS: Duration = Duration::from_secs(2);
+const ACCOUNTS: Duration = Duration::from_secs(2);
 
 /// A snapshot as lines of text.
 pub fn report(snapshot: &Snapshot) -> String {
@@ -321,9 +321,9 @@
         config.follows(&taken).map_err(named)?;
         self.edge.check(&config.info).map_err(named)?;
         if taken.named_discovery != config.named_discovery
-            && self.list.send(ListMsg::Moved(config.named_discovery)).is_err()
+            && self.discovery.send(DiscoveryMsg::Moved(config.named_discovery)).is_err()
         {
-            log::error!("the list's actor has ended");
+            log::error!("the actor of discovery has ended");
         }
         if taken.said["settings"] != config.said["settings"] {
             self.core.reset(config.info.clone().beside(self.others));
@@ -334,14 +334,14 @@
     }
 
     /// All figures of one moment; none if the core does not come to it in time. Not called from a coroutine.
-    pub fn books(&self) -> Option<Snapshot> {
-        self.core.books_within(BOOKS)
+    pub fn accounts(&self) -> Option<Snapshot> {
+        self.core.accounts_within(ACCOUNTS)
     }
 
-    /// The counters, and the books by class and by data node, a line each. Not called from a coroutine.
+    /// The counters, and the accounts by class and by data node, a line each. Not called from a coroutine.
     pub fn report(&self) -> String {
-        let books = self.books().map_or_else(String::new, |s| report(&s));
-        format!("{}{books}", self.core.counters.text())
+        let accounts = self.accounts().map_or_else(String::new, |s| report(&s));
+        format!("{}{accounts}", self.core.counters.text())
     }
 
     /// After SIGTERM: goes on for a while, then finishes what is held and closes what is idle. Returns once
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -176,7 +176,7 @@
     fn tree(&self, time: u32) -> Option<Tree> {
         let (told, figures) = channel();
         // Nobody waits any more after the time-out.
-        self.core.books(move |snapshot| drop(told.send(snapshot)));
+        self.core.accounts(move |snapshot| drop(told.send(snapshot)));
         let books = figures.recv_timeout(BOOKS).ok()?;
         let standing = self.group.as_ref().map(Standings::now);
         let mut objects = mib::objects(&self.counters, &books, self.begun, standing.as_deref());
--- a/tests/books.rs
+++ b/tests/books.rs
@@ -10,7 +10,7 @@
 const CLASSES: [&str; 3] = ["tag-lookup", "plaza-ranking", "monthly-settle"];
 
 fn books(coordinator: &curlewdeck::serve::Coordinator) -> Snapshot {
-    let snapshot = coordinator.books().expect("the core answers");
+    let snapshot = coordinator.accounts().expect("the core answers");
     assert_eq!(snapshot.check(), Ok(()));
     snapshot
 }
--- a/tests/snmp.rs
+++ b/tests/snmp.rs
@@ -97,11 +97,11 @@
     for class in ["tag-lookup", "plaza-ranking", "plaza-ranking"] {
         query(coordinator.listen, class, &[0, 3]).unwrap();
     }
-    bed::until("all attempts have ended", || coordinator.books().is_some_and(|b| b.attempts.out() == 0));
+    bed::until("all attempts have ended", || coordinator.accounts().is_some_and(|b| b.attempts.out() == 0));
     let agent = coordinator.snmp.unwrap();
     let mut noc = Session::new(Security::User(User::read_all(&users).unwrap().remove(0)), 1, 7);
     let met = walk(agent, &mut noc);
-    let (books, counters) = (coordinator.books().unwrap(), &coordinator.core.counters);
+    let (books, counters) = (coordinator.accounts().unwrap(), &coordinator.core.counters);
     let expected = curlewdeck::mib::objects(counters, &books, 0, None);
     // What goes on while one looks: time, and what counts this very walk or the list's beat.
     let module = curlewdeck::mib::module();
