Every clock of discovery stays inside the 6 s after which its news counts as told

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the last call. A watch was kept alive by any byte (Watch::lines waited 3 s for a read, not for a line), and an indented list ended each watch with `the list is not as expected` (lines were parsed one by one). A whole list without length was never read. Excluded: the gate before data nodes, which the list's word shuts in the core's turn. Change: a call has one clock, dial included (2.2 s); calls begin at most 3.6 s apart, and so long after the list was last heard of; a watch is silent after 2.6 s without a whole object or empty line; objects are taken out by their braces; an answer without length ends with its connection, and a reset is no end.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -408,6 +408,12 @@
         kind: ListKind,
         /// Its lines.
         entries: Vec<ListEntry>,
+/// Whatever discovery has to tell counts as told this long after it had it and could be reached.
+pub const TOLD_AFTER: Nanos = 6_000_000_000;
+
+/// The most between the beginnings of two calls of discovery: the rest of that time is the later one's.
+pub const ASK_GAP: Nanos = TOLD_AFTER / 5 * 3;
+
     },
     /// A query has come; its parts follow in the same round.
     Query {
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -992,6 +992,7 @@
 
     // ---- The list, drains and cold servers. ----
 
+        self.seen.heard_at = self.now;
     fn take_list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
         if kind == ListKind::Error {
             return self.ask_later();
@@ -1059,8 +1060,10 @@
 
     fn ask_later(&mut self) {
         let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
-        let base = (must_ask_in / 20).max(self.ask_span(must_ask_in));
-        let span = (base << self.seen.failed_asks.min(3)).min(must_ask_in / 2);
+        let base = (must_ask_in / 13).max(self.ask_span(must_ask_in));
+        // What discovery has to tell meanwhile counts as told, whatever became of the last call.
+        let last = self.seen.heard_at.max(self.seen.asked_at).saturating_add(ASK_GAP);
+        let most = (base << self.seen.failed_asks.min(3)).min(last.saturating_sub(self.now));
         self.seen.failed_asks += 1;
         let wait = span / 2 + (span as f64 * self.rng.f64()) as Nanos;
         self.ask_at = Some(self.now + wait);
@@ -1070,6 +1073,7 @@
         let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
         let span = self.ask_span(must_ask_in);
         if self.ask_at == Some(0) && span > must_ask_in / 20 {
+            self.seen.asked_at = self.now;
             // All mixers may have started at once: more than the service answers at once.
             self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -175,7 +175,10 @@
     /// Calls made so far, and the open ones of this round with their parts.
     pub(crate) calls: u64,
     pub(crate) round_calls: BTreeMap<ServerId, (u64, u32)>,
+    /// Calls for the list that failed in a row, when the last one began, and when the list was last heard of.
     pub(crate) failed_asks: u32,
+    pub(crate) asked_at: Nanos,
+    pub(crate) heard_at: Nanos,
 }
 
 impl Query {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -102,15 +102,7 @@
             self.next += 1 + parts;
             let valid_until = now + 4000 * MS;
             let (class, tenant, key) = (ClassId(0), None, None);
-            events.push(Event::Query {
-                id: query,
-                class,
-                tenant,
-                key,
-                repeated: false,
-                valid_until,
-                cut: false,
-            });
+            events.push(Event::Query { id: query, class, tenant, key, repeated: false, valid_until });
             let part = |p| Event::Part {
                 id: PartId(query.0 + p),
                 query,
@@ -130,8 +122,9 @@
 }
 
 /// The most parts that reached a server which has just started within one fall window, as a share of what the
-/// rule allows in it: all mixers send what eight servers of so many parts a second can do at 60%.
-fn pressed(mixers: u32, rate: f64) -> f64 {
+/// rule allows in it, and beyond that and what is put down to chance: all mixers send what eight servers of so many parts
+/// a second can do at 60%.
+fn pressed(mixers: u32, rate: f64) -> (f64, f64) {
     let set = Settings { mixers, ..settings() };
     let cold = set.cold;
     let entries: Vec<ListEntry> = (0..8).map(|s| entry(s, Phase::In)).collect();
@@ -156,20 +149,33 @@
         let begin = reached[from];
         let warmth = cold.share + (1.0 - cold.share) * (begin - restart) as f64 / cold.warm_after as f64;
         let allowed = cold.multiple * warmth * rate * cold.fall as f64 / 1e9;
-        reached[from..].iter().take_while(|&&t| t < begin + cold.fall).count() as f64 / allowed
+        let sent = reached[from..].iter().take_while(|&&t| t < begin + cold.fall).count() as f64;
+        (sent / allowed, sent - allowed - 2.0 * allowed.sqrt() - 2.0)
     };
-    (0..reached.len()).map(window).fold(0.0, f64::max)
+    (0..reached.len()).map(window).fold((0.0, f64::MIN), |w, n| (w.0.max(n.0), w.1.max(n.1)))
 }
 
 /// Guards against a cold server that each mixer alone sends little, and all together push over.
 #[test]
 fn a_cold_server_is_safe_from_three_mixers_and_from_a_hundred() {
     for mixers in [3, 100] {
-        let share = pressed(mixers, 60.0);
+        let share = pressed(mixers, 60.0).0;
         assert!(share < 1.0, "{mixers} mixers send {share:.2} times what it bears");
     }
 }
 
+/// Guards the budget of a small cold server, of which a few calls are all: beyond its N calls only 2 x root of N + 2 are
+/// put down to chance, however many processes share it.
+#[test]
+fn a_small_cold_server_is_safe_from_a_fleet() {
+    for mixers in [3, 20, 30, 100] {
+        for rate in [5.0, 10.0, 20.0] {
+            let over = pressed(mixers, rate).1;
+            assert!(over <= 0.0, "{mixers} mixers send {over:.1} calls too many at {rate} a second");
+        }
+    }
+}
+
 /// Guards against clients that were turned away at one moment by a hundred mixers and come back at one moment.
 #[test]
 fn clients_refused_by_a_hundred_mixers_do_not_come_back_together() {
@@ -274,3 +280,39 @@
     let (unrun, run) = (tried_again(Outcome::NoRoom), tried_again(Outcome::Fault));
     assert!(unrun > 15 && run < 15, "{unrun} of 20 turned away, {run} of 20 that failed");
 }
+
+/// Guards what counts as told 6 s after discovery had it: however calls fail, and for however many mixers, the next one
+/// begins early enough to be answered by then; and after a watch that fell silent so long after it was last heard.
+#[test]
+fn a_call_of_discovery_is_followed_by_another_in_time() {
+    for (mixers, seed) in (0..40).map(|n| ([1, 3, 30, 300][n % 4], n as u64)) {
+        let discovery = Discovery::OnRequest { must_ask_in: MUST_ASK_IN };
+        let mut policy = Policy::new(Settings { mixers, discovery, ..settings() }, seed).unwrap();
+        let news = |kind| Event::List { kind, entries: vec![entry(1, Phase::In)] };
+        policy.round(START, vec![news(ListKind::Full)]);
+        let mut lasts = fastrand::Rng::with_seed(seed);
+        // The beginning of the last call or when the list was last heard of, and when the call fails or the watch ends.
+        let (mut counted, mut ends, mut calls) = (START, None, 0);
+        for now in (START..START + 100_000 * MS).step_by(STEP as usize) {
+            let mut events = vec![Event::Wake];
+            if let Some((_, heard)) = ends.take_if(|e: &mut (Nanos, Option<Nanos>)| e.0 <= now) {
+                events.push(news(ListKind::Error));
+                counted = heard.unwrap_or(counted);
+            }
+            if policy.round(now, events).contains(&Action::Watch) && ends.is_none() {
+                let least = if calls == 0 { counted + MUST_ASK_IN / 2 } else { counted + ASK_GAP };
+                assert!(now <= least + STEP, "{mixers} mixers: {} ms after", (now - counted) / MS);
+                (counted, calls) = (now, calls + 1);
+                // It fails within its time, or is answered and falls silent later.
+                ends = match lasts.u64(0..4) {
+                    0 => {
+                        policy.round(now, vec![news(ListKind::Diff)]);
+                        Some((now + 2600 * MS, Some(now)))
+                    }
+                    _ => Some((now + lasts.u64(0..2200) * MS, None)),
+                };
+            }
+        }
+        assert!(calls > 20, "{calls}");
+    }
+}
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -39,8 +39,8 @@
     pub link_silence_part: u32,
     /// The name of a query is not taken again for so long after its end: late answers bear it.
     pub name_rest: Duration,
-    /// Bytes of one line of the list.
-    pub list_line: usize,
+    /// Bytes of the list of data nodes, or of a change to it.
+    pub discovery_object: usize,
     /// Header lines of a request or an answer.
     pub headers: usize,
     /// Messages that may wait for the module before new queries are refused.
@@ -75,10 +75,12 @@
     /// Connections are not used this close to the time at which their data node closes them, or within the
     /// last quarter of it where that is short.
     pub idle_margin: Duration,
-    /// The list's service must have begun to answer a call within this.
-    pub list_answer: Duration,
-    /// A watch without a line for this long is broken: lines come every 2 s at the latest.
-    pub list_silence: Duration,
+    /// Discovery must have answered a call within this, its connection's dial included.
+    pub discovery_call: Duration,
+    /// A watch without a whole line for this long is broken: lines come every 2 s at the latest.
+    pub discovery_silence: Duration,
+    /// Where the module does not ask, a watch is asked for again within this.
+    pub discovery_pause: Duration,
     /// Taken off the client's time for the way of the answer.
     pub answer_margin: Duration,
     /// A query that the module leaves open is ended this long after its time, margin included.
@@ -173,7 +175,7 @@
             link_silence: Duration::from_millis(100),
             link_silence_part: 5,
             name_rest: Duration::from_secs(10),
-            list_line: 1024 * 1024,
+            discovery_object: 1024 * 1024,
             headers: 64,
             core_backlog: 4096,
             node_backlog: 512,
@@ -189,8 +191,9 @@
             node_write: Duration::from_millis(500),
             probe: Duration::from_millis(250),
             idle_margin: Duration::from_secs(2),
-            list_answer: Duration::from_millis(2500),
-            list_silence: Duration::from_millis(3000),
+            discovery_call: Duration::from_millis(2200),
+            discovery_silence: Duration::from_millis(2600),
+            discovery_pause: Duration::from_millis(800),
             answer_margin: Duration::from_millis(12),
             backstop: Duration::from_millis(6),
             term_longest: Duration::from_secs(3),
--- a/src/limits/tests.rs
+++ b/src/limits/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::api::{ASK_GAP, TOLD_AFTER};
 
 /// Guards against never using a connection twice where idle ones are closed early.
 #[test]
@@ -63,3 +64,16 @@
     let why = Limits::within(Platform { sockets: 1024, memory_mb: 24, others: 1, nodes: 12 }).unwrap_err();
     assert_eq!(why, "limits.memory_mb is 24, at least 26 are needed");
 }
+
+/// Guards what counts as told 6 s after discovery had it: every clock of a watch together stays inside that, whether the
+/// module asks or the watch is opened of itself.
+#[test]
+fn the_clocks_of_discovery_stay_inside_what_counts_as_told() {
+    let limits = Limits::default();
+    let (told, gap) = (Duration::from_nanos(TOLD_AFTER), Duration::from_nanos(ASK_GAP));
+    // Waiting on sockets is rounded up, by less than this in all.
+    let coarse = Duration::from_millis(150);
+    assert!(limits.discovery_silence + limits.discovery_pause + limits.discovery_call + coarse <= told);
+    assert!(gap + limits.discovery_call + coarse <= told);
+    assert!(limits.discovery_silence < gap, "a watch that falls silent is asked for anew within the gap");
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,7 +12,7 @@
 use crate::net::http::{self, Chunks};
 use crate::net::io::{spawn, spawn_vital, Stream};
 use crate::net::mail::{CoreMail, DiscoveryMsg, Msg};
-use crate::net::members::{ListNews, WireList};
+use crate::net::members::{ListNews, Objects, WireList};
 
 /// What the actor of discovery is made of.
 pub struct DiscoveryContext {
@@ -30,13 +30,13 @@
 pub fn start(addr: SocketAddr, rev: u64, unasked: bool, context: DiscoveryContext) -> Sender<DiscoveryMsg> {
     let (mail, inbox) = channel();
     let words = context.limits.stack_words;
-    let actor = Discovery { addr, rev: Some(rev), unasked, context, own: mail.clone(), current: 0, watch: None };
+    let actor =
+        Discovery { addr, rev: Some(rev), unasked, context, own: mail.clone(), current: 0, watch: None };
     spawn_vital("discovery", words, move || actor.run(&inbox));
     mail
 }
 
-/// The pause after a failure is up to so many times this.
-const PAUSE: Duration = Duration::from_millis(100);
+/// A pause after a failure is one of so many parts of the longest.
 const PAUSES: u32 = 8;
 
 struct Discovery {
@@ -112,9 +112,9 @@
         self.watch = None;
         self.context.core.send(Msg::List(ListNews { kind: ListKind::Error, members: Vec::new() }));
         if self.unasked {
-            let own = self.own.clone();
+            let (own, longest) = (self.own.clone(), self.context.limits.discovery_pause);
             spawn("discovery pause", self.context.limits.stack_words, move || {
-                may::coroutine::sleep(PAUSE * fastrand::u32(1..=PAUSES));
+                may::coroutine::sleep(longest / PAUSES * fastrand::u32(1..=PAUSES));
                 // The actor outlives its pauses.
                 let _ = own.send(DiscoveryMsg::Watch);
             });
@@ -133,17 +133,9 @@
 const READ: usize = 4096;
 
 impl Watch {
-    /// Watches until the connection ends, goes silent or makes no sense; says why. Where no version is held,
-    /// the whole list is asked for first, on the same connection.
+    /// Watches until the connection ends, goes silent or makes no sense; says why.
     fn follow(self) -> String {
-        let stream = match Stream::dial(&self.addr, self.limits.list_answer, None) {
-            Ok(stream) => Arc::new(stream),
-            Err(e) => return format!("no connection: {e}"),
-        };
-        self.tell(DiscoveryMsg::Up(self.number, stream.clone()));
-        let why = self.talk(&stream);
-        stream.shut();
-        why.unwrap_or_else(|why| why)
+        self.talk().unwrap_or_else(|why| why)
     }
 
     fn tell(&self, message: DiscoveryMsg) {
@@ -151,42 +143,63 @@
         let _ = self.actor.send(message);
     }
 
-    fn talk(&self, stream: &Stream) -> Result<String, String> {
+    /// Where no version is held, the whole list is asked for first, on the same connection if that stays open. Each call
+    /// has its own clock, in which the first one dials, too.
+    fn talk(&self) -> Result<String, String> {
+        let mut call = self.dial()?;
         let rev = match self.rev {
             Some(rev) => rev,
-            None => self.whole(stream)?,
+            None => {
+                let (rev, open) = self.whole(&call)?;
+                call = if open { Call { begun: Instant::now(), ..call } } else { self.dial()? };
+                rev
+            }
         };
-        let (head, held) = self.ask(stream, &format!("/catalog/members?stream=1&index={rev}"))?;
-        if head.status != 200 || !head.chunked() {
+        let (head, held) = self.ask(&call, &format!("/catalog/members?stream=1&index={rev}"))?;
+        if head.status != 200 || !(head.chunked() || head.until_end()) {
             return Err(format!("answered {}", head.status));
         }
-        self.lines(stream, held)
+        self.objects(&call.stream, &head, held)
+    }
+
+    fn dial(&self) -> Result<Call, String> {
+        let begun = Instant::now();
+        let stream = Stream::dial(&self.addr, self.limits.discovery_call, None);
+        let stream = Open(Arc::new(stream.map_err(|e| format!("no connection: {e}"))?));
+        self.tell(DiscoveryMsg::Up(self.number, stream.0.clone()));
+        Ok(Call { begun, stream })
     }
 
-    /// Reads the whole list; returns its version.
-    fn whole(&self, stream: &Stream) -> Result<u64, String> {
-        let start = Instant::now();
-        let (head, mut held) = self.ask(stream, "/catalog/members")?;
+    fn left(&self, call: &Call) -> Duration {
+        self.limits.discovery_call.saturating_sub(call.begun.elapsed())
+    }
+
+    /// Reads the whole list; returns its version, and whether the connection can be asked again.
+    fn whole(&self, call: &Call) -> Result<(u64, bool), String> {
+        let (head, mut held) = self.ask(call, "/catalog/members")?;
         if head.status != 200 {
             return Err(format!("answered {}", head.status));
         }
-        loop {
-            let body = head.body(&held, self.limits.list_line).map_err(|e| e.why.to_string())?;
-            if let Some((body, _)) = body {
-                let list = self.read(&body)?;
-                let rev = list.rev;
-                self.tell(DiscoveryMsg::Line(self.number, Some(WireList { all: true, ..list })));
-                return Ok(rev);
+        let (most, mut ended) = (self.limits.discovery_object, false);
+        let body = loop {
+            match head.body(&held, most).map_err(|e| e.why.to_string())? {
+                Some((body, _)) => break body,
+                // It has no length. A reset would be no end.
+                None if ended && head.until_end() => break held,
+                None if ended => return Err(ENDED.to_string()),
+                None => ended = !fill(&call.stream, &mut held, self.left(call))?,
             }
-            fill(stream, &mut held, self.limits.list_answer.saturating_sub(start.elapsed()))?;
-        }
+        };
+        let list = WireList { all: true, ..self.parsed(serde_json::from_slice(&body))? };
+        let rev = list.rev;
+        self.tell(DiscoveryMsg::Line(self.number, Some(list)));
+        Ok((rev, !ended && head.keep_alive()))
     }
 
     /// Sends a request; returns the answer's head and what has come of its body.
-    fn ask(&self, stream: &Stream, target: &str) -> Result<(http::Head, Vec<u8>), String> {
-        let start = Instant::now();
+    fn ask(&self, call: &Call, target: &str) -> Result<(http::Head, Vec<u8>), String> {
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
-        let asked = stream.write_all(request.as_bytes(), self.limits.node_write);
+        let asked = call.stream.write_all(request.as_bytes(), self.limits.node_write);
         asked.map_err(|e| format!("cannot ask: {e}"))?;
         let mut held = Vec::new();
         loop {
@@ -196,48 +209,80 @@
                 held.drain(..size);
                 return Ok((head, held));
             }
-            fill(stream, &mut held, self.limits.list_answer.saturating_sub(start.elapsed()))?;
+            if !fill(&call.stream, &mut held, self.left(call))? {
+                return Err(ENDED.to_string());
+            }
         }
     }
 
-    fn read(&self, text: &[u8]) -> Result<WireList, String> {
-        serde_json::from_slice(text).map_err(|e| {
+    /// What could not be read may have been a change: the whole list is needed then.
+    fn parsed<T>(&self, read: serde_json::Result<T>) -> Result<T, String> {
+        read.map_err(|e| {
             self.tell(DiscoveryMsg::Unreadable(self.number));
             format!("the list is not as expected: {e}")
         })
     }
 
-    fn lines(&self, stream: &Stream, mut held: Vec<u8>) -> Result<String, String> {
-        let (mut chunks, mut text) = (Chunks::default(), Vec::new());
+    /// Follows the objects of a watch. Only a whole object or an empty line tells that it is alive: half a line does not,
+    /// nor one that never ends.
+    fn objects(&self, stream: &Stream, head: &http::Head, mut held: Vec<u8>) -> Result<String, String> {
+        let (mut chunks, mut objects) = (Chunks::default(), Objects::default());
+        let (most, silence) = (self.limits.discovery_object, self.limits.discovery_silence);
+        let mut heard = Instant::now();
         loop {
-            let fed = chunks.feed(&held, &mut text, self.limits.list_line);
+            if head.chunked() {
+                chunks.feed(&held, objects.held(), most).map_err(|e| e.why.to_string())?;
+            } else {
+                objects.held().extend_from_slice(&held);
+            }
             held.clear();
-            fed.map_err(|e| e.why.to_string())?;
-            while let Some(end) = text.iter().position(|&b| b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                // An empty one says that nothing has changed.
-                let list = match line.trim_ascii() {
-                    [] => None,
-                    line => Some(self.read(line)?),
-                };
-                self.tell(DiscoveryMsg::Line(self.number, list));
+            while let Some(object) = self.parsed(objects.next(most))? {
+                heard = Instant::now();
+                self.tell(DiscoveryMsg::Line(self.number, object));
             }
             if chunks.done() {
                 return Ok("it was ended".to_string());
             }
-            fill(stream, &mut held, self.limits.list_silence)?;
+            let left = silence.saturating_sub(heard.elapsed());
+            if left.is_zero() {
+                return Err("no whole line came in time".to_string());
+            }
+            if !fill(stream, &mut held, left)? {
+                return Err(ENDED.to_string());
+            }
         }
     }
 }
 
-fn fill(stream: &Stream, held: &mut Vec<u8>, within: Duration) -> Result<(), String> {
-    let mut buf = [0; READ];
-    match stream.read(&mut buf, within) {
-        Ok(0) => Err("the connection has ended".to_string()),
-        Ok(n) => {
-            held.extend_from_slice(&buf[..n]);
-            Ok(())
-        }
-        Err(e) => Err(format!("nothing came: {e}")),
+/// A call of discovery, from its dial on.
+struct Call {
+    begun: Instant,
+    stream: Open,
+}
+
+/// A connection that is shut with its last use.
+struct Open(Arc<Stream>);
+
+impl std::ops::Deref for Open {
+    type Target = Stream;
+
+    fn deref(&self) -> &Stream {
+        &self.0
     }
 }
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.shut();
+    }
+}
+
+const ENDED: &str = "the connection has ended";
+
+/// Reads on; returns whether anything came, or the peer has ended the connection. A reset is an error.
+fn fill(stream: &Stream, held: &mut Vec<u8>, within: Duration) -> Result<bool, String> {
+    let mut buf = [0; READ];
+    let n = stream.read(&mut buf, within).map_err(|e| format!("nothing came: {e}"))?;
+    held.extend_from_slice(&buf[..n]);
+    Ok(n > 0)
+}
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use serde::de::Error;
 use serde::Deserialize;
 
 use crate::api::{ListKind, Phase};
@@ -73,3 +74,74 @@
         ListNews { kind, members: self.targets.into_iter().map(member).collect() }
     }
 }
+
+/// Takes the objects of a watch apart as they come, one after the other, each on a line of its own or indented over
+/// several. Each byte is looked at once, however they are cut.
+#[derive(Debug, Default)]
+pub struct Objects {
+    held: Vec<u8>,
+    /// Bytes of `held` that have been looked at.
+    scanned: usize,
+    /// Braces and brackets that are open there.
+    depth: usize,
+    /// Within a text, and right behind a backslash there.
+    text: bool,
+    escaped: bool,
+    /// The rest of the line of an object: its end tells nothing new.
+    tail: bool,
+}
+
+impl Objects {
+    /// Where more bytes are put.
+    pub fn held(&mut self) -> &mut Vec<u8> {
+        &mut self.held
+    }
+
+    /// The next object, or nothing for an empty line, which says that nothing has changed; none while it is not whole.
+    ///
+    /// # Errors
+    /// It cannot be read, or takes more than `most` bytes.
+    pub fn next(&mut self, most: usize) -> serde_json::Result<Option<Option<WireList>>> {
+        while let Some(&byte) = self.held.get(self.scanned) {
+            self.scanned += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.text => self.escaped = true,
+                b'"' if self.depth > 0 => self.text = !self.text,
+                _ if self.text => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' if self.depth > 0 => {
+                    self.depth -= 1;
+                    if self.depth == 0 {
+                        self.tail = true;
+                        return self.taken().map(|list| Some(Some(list)));
+                    }
+                }
+                b'\n' if self.depth == 0 => {
+                    self.held.drain(..self.scanned);
+                    self.scanned = 0;
+                    if !std::mem::take(&mut self.tail) {
+                        return Ok(Some(None));
+                    }
+                }
+                _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
+                // No object begins so.
+                _ => return self.taken().map(|list| Some(Some(list))),
+            }
+        }
+        match self.held.len() > most {
+            true => Err(serde_json::Error::custom("an object is too long")),
+            false => Ok(None),
+        }
+    }
+
+    fn taken(&mut self) -> serde_json::Result<WireList> {
+        let list = serde_json::from_slice(&self.held[..self.scanned]);
+        self.held.drain(..self.scanned);
+        self.scanned = 0;
+        list
+    }
+}
+
+#[cfg(test)]
+mod tests;
