What is held at SIGTERM is answered before SIGKILL may come

Need: all held queries are answered before SIGKILL may come, however long their clients would wait. Seen: a query taken before SIGTERM kept its own time (Platform::ask looked at the end only for what came after it): with hung data nodes and a client that waits a minute, the test's three queries got no answer in 1.7 s after SIGTERM at a longest deadline of 1 s. Excluded: the last word on what comes after SIGTERM, which was cut already. Change: the engine holds the time by which all is answered (Engine::ending), cuts what it holds and what comes to it, and tells the module, which answers from what is in by then; fronts no longer look at it each for itself. Ask and Event::Query lose `cut`, which the module now knows by itself.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -429,8 +429,6 @@
         repeated: bool,
         /// When the client gives up on this try.
         valid_until: Nanos,
-        /// It would wait for longer, but this mixer ends before: its time tells nothing of the client.
-        cut: bool,
     },
     /// A part of a query that is held.
     Part {
@@ -441,6 +439,8 @@
         /// Where its data is.
         shard: ShardId,
         /// Its share of its step's weight.
+    /// This mixer ends: no query takes longer than this, those that are held included.
+    Ending(Nanos),
         weight: f64,
     },
     /// An attempt has ended. Comes once for each [`Action::Send`].
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -127,8 +127,6 @@
     pub repeated: bool,
     /// When the client gives up.
     pub valid_until: Nanos,
-    /// The client would wait for longer, but this process ends before.
-    pub cut: bool,
     /// Shards and their shares of the answer.
     pub parts: Vec<(ShardId, f64)>,
     /// What each part asks.
@@ -395,6 +393,8 @@
     parts: HashMap<PartId, Part>,
     attempts: HashMap<AttemptId, Attempt>,
     probes: HashMap<ServerId, Vec<Nanos>>,
+    /// All is answered by then: the process ends.
+    ends_by: Nanos,
     next_part: u64,
     next_attempt: u64,
     events: Vec<Event>,
@@ -426,6 +426,7 @@
             parts: HashMap::new(),
             attempts: HashMap::new(),
             probes: HashMap::new(),
+            ends_by: Nanos::MAX,
             next_part: 0,
             next_attempt: 0,
             events: Vec::new(),
@@ -490,7 +491,8 @@
         if shards.is_empty() || shards.len() != ask.parts.len() || !known || !weights {
             return Err(Rejected::BadParts);
         }
-        if ask.valid_until <= self.now {
+        let valid_until = ask.valid_until.min(self.ends_by);
+        if valid_until <= self.now {
             return Err(Rejected::Late);
         }
         while let Some((_, name)) = self.rested.front().filter(|r| r.0 <= self.now) {
@@ -503,9 +505,9 @@
         if self.open.len() + self.parts.len() + 1 + ask.parts.len() > settings.max_open {
             return Err(Rejected::Full);
         }
-        let Ask { name, class, repeated, valid_until, cut, parts, text, texts, accept, client } = ask;
+        let Ask { name, class, repeated, parts, text, texts, accept, client, .. } = ask;
         let key = None::<KeyId>;
-        self.events.push(Event::Query { id, class, tenant: None, key, repeated, valid_until, cut });
+        self.events.push(Event::Query { id, class, tenant: None, key, repeated, valid_until });
         self.ends.push(Reverse((valid_until.saturating_add(self.backstop), id)));
         self.names.insert(name.clone());
         let parts_of = Vec::with_capacity(parts.len());
@@ -551,6 +553,16 @@
     /// The client of a query has left.
     pub fn gone(&mut self, query: QueryId) {
         if self.close(query) {
+    /// The process ends: whatever time clients give, all is answered by then, what is held included.
+    pub fn ending(&mut self, by: Nanos) {
+        self.ends_by = self.ends_by.min(by);
+        for (&id, open) in self.open.iter_mut().filter(|(_, o)| o.valid_until > by) {
+            open.valid_until = by;
+            self.ends.push(Reverse((by.saturating_add(self.backstop), id)));
+        }
+        self.events.push(Event::Ending(by));
+    }
+
             self.events.push(Event::Gone(query));
         }
     }
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -44,7 +44,6 @@
         class: ClassId(class),
         repeated: false,
         valid_until,
-        cut: false,
         parts,
         text: "t".into(),
         texts: Vec::new(),
@@ -332,3 +331,21 @@
     assert_eq!(engine.ask(2 * MS, QueryId(2), one.clone()), Err(Rejected::SameName));
     assert_eq!(engine.ask(MS + NAME_REST, QueryId(3), one), Ok(()));
 }
+
+/// Guards the process's end: what is held and what comes is ended by then, whatever time its client gives.
+#[test]
+fn nothing_is_held_beyond_the_end() {
+    let mut engine = engine();
+    engine.ask(0, QueryId(1), ask(0, &[0, 1], 2000 * MS)).unwrap();
+    engine.run(0);
+    engine.ending(50 * MS);
+    engine.ask(MS, QueryId(2), ask(1, &[2], 2000 * MS)).unwrap();
+    let ended =
+        |commands: Vec<Command>| commands.iter().filter(|c| matches!(c, Command::Finish { .. })).count();
+    let mut done = 0;
+    for now in 0..60 {
+        done += ended(engine.run(now * MS));
+    }
+    assert_eq!((done, engine.held()), (2, 0));
+    assert_eq!(engine.ask(60 * MS, QueryId(3), ask(0, &[0], 2000 * MS)), Err(Rejected::Late));
+}
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -123,6 +123,7 @@
     patience: Vec<RecentSamples>,
     ways: Vec<(Tally, Nanos)>,
     turn: u64,
+    ends_by: Nanos,
     ask_at: Option<Nanos>,
     actions: Vec<Action>,
     seen: Seen,
@@ -153,6 +154,7 @@
             patience: vec![RecentSamples::new(PATIENCE_SAMPLES, kept); set.classes.len()],
             ways: vec![Default::default(); set.zones as usize],
             turn: 64,
+            ends_by: Nanos::MAX,
             ask_at: matches!(set.discovery, Discovery::OnRequest { .. }).then_some(0),
             actions: Vec::new(),
             set,
@@ -205,8 +207,13 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::List { kind, entries } => self.take_list(kind, entries),
-            Event::Query { id, class, tenant, key: _, repeated, valid_until, cut } => {
-                self.take_query(id, class, tenant, repeated, valid_until, cut);
+            Event::Query { id, class, tenant, key: _, repeated, valid_until } => {
+                self.take_query(id, class, tenant, repeated, valid_until);
+            }
+            Event::Ending(by) => {
+                self.ends_by = by;
+                self.queries.values_mut().for_each(|q| q.valid_until = q.valid_until.min(by));
+                self.seen.touched.extend(self.queries.keys());
             }
             Event::Part { id, query, shard, weight } => self.take_part(id, query, shard, weight),
             Event::Ended { part, attempt, server, outcome, latency } => {
@@ -372,15 +379,7 @@
 
     // ---- Queries: taking, holding, reviewing, ending. ----
 
-    fn take_query(
-        &mut self,
-        id: QueryId,
-        class: ClassId,
-        tenant: Option<TenantId>,
-        again: bool,
-        until: Nanos,
-        cut: bool,
-    ) {
+    fn take_query(&mut self, id: QueryId, class: ClassId, tenant: Option<TenantId>, again: bool, end: Nanos) {
         if class.0 >= self.set.classes.len() || self.queries.contains_key(&id) {
             return;
         }
@@ -392,8 +391,9 @@
                 worth *= self.set.over_share_worth;
             }
         }
-        let first = if cut { self.now } else { self.first_asked(class, again, until) };
-        self.queries.insert(id, Query { scout: again, ..Query::new(class, worth, first, until) });
+        // Cut at this process's end, its time tells nothing of the client.
+        let first = if end < self.ends_by { self.first_asked(class, again, end) } else { self.now };
+        self.queries.insert(id, Query { scout: again, ..Query::new(class, worth, first, end) });
         self.seen.held.insert(id);
         self.seen.touched.insert(id);
     }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -99,7 +99,6 @@
             key: None,
             repeated: false,
             valid_until,
-            cut: false,
         }];
         for p in 1..=parts {
             let weight = 1.0 / parts as f64;
--- a/crates/core/tests/grown.rs
+++ b/crates/core/tests/grown.rs
@@ -163,15 +163,7 @@
 fn marked(bed: &mut Bed, parts: u64, valid: Nanos, repeated: bool) -> (QueryId, Vec<Action>) {
     let (id, mut events) = bed.query_events(0, parts);
     let (now, key) = (bed.now, Some(KeyId(7)));
-    events[0] = Event::Query {
-        id,
-        class: ClassId(0),
-        tenant: None,
-        key,
-        repeated,
-        valid_until: now + valid,
-        cut: false,
-    };
+    events[0] = Event::Query { id, class: ClassId(0), tenant: None, key, repeated, valid_until: now + valid };
     (id, bed.round(events))
 }
 
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -233,7 +233,6 @@
             key: Some(KeyId(parts)),
             repeated: parts % 2 == 1,
             valid_until,
-            cut: false,
         }];
         for p in 1..=parts {
             let (part, weight) = (PartId(id.0 + p), 1.0 / parts as f64);
--- a/src/bin/curlewdeck-wirehost/host.rs
+++ b/src/bin/curlewdeck-wirehost/host.rs
@@ -265,15 +265,7 @@
             instance.open.insert(query, Open { ask, answers_left });
             let repeated = bitmap & 2 != 0;
             let tenant = tenant.map(TenantId);
-            instance.events.push(Event::Query {
-                id: query,
-                class,
-                tenant,
-                key,
-                repeated,
-                valid_until,
-                cut: false,
-            });
+            instance.events.push(Event::Query { id: query, class, tenant, key, repeated, valid_until });
         } else if let Some(&query) = instance.asks.get(&ask) {
             let shard = ShardId(range as u32);
             instance.events.push(Event::Part { id: PartId(id), query, shard, weight: amount });
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -21,12 +21,12 @@
 use serde::Deserialize;
 use serde_json::{json, Value as Json};
 
-use crate::api::{ClassId, Nanos, ShardId};
+use crate::api::{ClassId, ShardId};
 use crate::config::cursor_keys;
 use crate::counters::Counters;
 use crate::engine::{Accept, Ask, Final, Rejected};
 use crate::front::problem::{problem, retry_after, unix_now, unserved, valid_until, PROBLEM};
-use crate::front::server::{Answer, Front, Reply, Served, Service};
+use crate::front::server::{Answer, Front, Reply, Served};
 use crate::limits::Limits;
 use crate::net::core::{Core, Started};
 use crate::net::http::{self, BadMessage, Request};
@@ -168,7 +168,6 @@
 pub struct Desk {
     core: Core,
     limits: Arc<Limits>,
-    service: Arc<Service>,
     memory: Memory,
     keys: Keys,
     cursor_life: u64,
@@ -218,7 +217,6 @@
         config: &DeskConfig,
         core: Core,
         limits: Arc<Limits>,
-        service: Arc<Service>,
         memory: Memory,
         seed: u64,
     ) -> Result<Self, String> {
@@ -226,7 +224,6 @@
         Ok(Self {
             core,
             limits,
-            service,
             memory,
             keys: config.keys()?,
             cursor_life: config.cursor_life_s,
@@ -348,8 +345,7 @@
             name: format!("d{:016x}", self.next.fetch_add(1, Ordering::Relaxed)),
             class,
             repeated: false,
-            valid_until: valid_until(&self.core, &self.limits, &self.service, class, wait),
-            cut: self.service.answered_by() < Nanos::MAX,
+            valid_until: valid_until(&self.core, &self.limits, class, wait),
             parts: (0..ranges).map(|r| (ShardId(r), share)).collect(),
             text: "".into(),
             texts,
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -17,13 +17,13 @@
 use serde_json::value::RawValue;
 use serde_json::{json, Value as Json};
 
-use crate::api::{ClassId, Nanos, ShardId};
+use crate::api::{ClassId, ShardId};
 use crate::config::cursor_keys;
 use crate::counters::Counters;
 use crate::engine::{Accept, Ask, Client, Final, Rejected, Row};
 use crate::front::pages::{by_id, by_offset, check_ids, Range};
 use crate::front::problem::{problem, unix_now, unserved, valid_until};
-use crate::front::server::{Answer, Front, Reply, Served, Service};
+use crate::front::server::{Answer, Front, Reply, Served};
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::features::{self, Cursor};
@@ -100,7 +100,6 @@
 pub struct Ogc {
     core: Core,
     limits: Arc<Limits>,
-    service: Arc<Service>,
     base: Option<String>,
     collections: Vec<(CollectionConfig, ClassId)>,
     ranges: u32,
@@ -206,13 +205,7 @@
     ///
     /// # Errors
     /// As [`OgcConfig::check`].
-    pub fn new(
-        config: &OgcConfig,
-        core: Core,
-        limits: Arc<Limits>,
-        service: Arc<Service>,
-        seed: u64,
-    ) -> Result<Self, String> {
+    pub fn new(config: &OgcConfig, core: Core, limits: Arc<Limits>, seed: u64) -> Result<Self, String> {
         let (ranges, collections) = (core.info().ranges, config.check(&core.info())?);
         let by_id = match config.by_id {
             true => Some(Sealed {
@@ -225,7 +218,6 @@
         Ok(Self {
             core,
             limits,
-            service,
             base,
             collections,
             ranges,
@@ -404,8 +396,7 @@
             name: format!("{number:016x}"),
             class,
             repeated: false,
-            valid_until: valid_until(&self.core, &self.limits, &self.service, class, self.limits.ogc_wait),
-            cut: self.service.answered_by() < Nanos::MAX,
+            valid_until: valid_until(&self.core, &self.limits, class, self.limits.ogc_wait),
             parts: ranges.into_iter().map(|r| (ShardId(r), share)).collect(),
             text: parts.text.into(),
             texts: parts.texts,
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -111,13 +111,11 @@
         let body: Body = serde_json::from_slice(&request.body)
             .map_err(|e| Reply::text(400, &format!("the body is not as expected: {e}")))?;
         let wait = nanos(wait.saturating_sub(self.limits.answer_margin));
-        let (wanted, ends) = (self.core.clock.now().saturating_add(wait), self.service.answered_by());
         Ok(Ask {
             name: name.to_string(),
             class,
             repeated: request.headers.get("x-retried") == Some("1"),
-            valid_until: wanted.min(ends),
-            cut: ends < wanted,
+            valid_until: self.core.clock.now().saturating_add(wait),
             parts: body.parts.iter().map(|p| (ShardId(p.id), p.w)).collect(),
             text: body.expr.into(),
             texts: Vec::new(),
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -7,7 +7,7 @@
 
 use crate::api::{ClassId, Nanos};
 use crate::engine::{Final, Rejected};
-use crate::front::server::{Reply, Service};
+use crate::front::server::Reply;
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::http;
@@ -48,9 +48,9 @@
 }
 
 /// Until when a query may take: the class's deadline, or less if its client or the limits say so, less the way of
-/// the answer; and never longer than the process goes on.
-pub fn valid_until(core: &Core, limits: &Limits, service: &Service, class: ClassId, wait: Duration) -> Nanos {
+/// the answer.
+pub fn valid_until(core: &Core, limits: &Limits, class: ClassId, wait: Duration) -> Nanos {
     let deadline = core.info().settings.classes[class.0].deadline;
     let wait = deadline.min(nanos(wait)).saturating_sub(nanos(limits.answer_margin));
-    core.clock.now().saturating_add(wait).min(service.answered_by())
+    core.clock.now().saturating_add(wait)
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -116,11 +116,6 @@
         self.lifecycle().why_not().or_else(|| (!core.ready()).then_some("no data node is known yet"))
     }
 
-    /// By when a request must be answered, whatever time its client gives it.
-    pub fn answered_by(&self) -> Nanos {
-        self.lifecycle().answered_by()
-    }
-
     /// Requests read and not yet answered.
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::Acquire)
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -15,7 +15,7 @@
 use crate::counters::Counters;
 use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
 use crate::net::io::{lock, spawn_vital, Alarm, Clock};
-use crate::net::mail::{CoreMail, Gate, DiscoveryMsg, Msg, NodeMsg, Reply, REQUEST};
+use crate::net::mail::{CoreMail, DiscoveryMsg, Gate, Msg, NodeMsg, Reply, REQUEST};
 use crate::net::members::ListNews;
 use crate::settings::Info;
 
@@ -72,6 +72,11 @@
         self.mail.send(Msg::Reset(Box::new(info)));
     }
 
+    /// The process ends: all is answered by then, what is held included.
+    pub fn ending(&self, by: Nanos) {
+        self.mail.send(Msg::Ending(by));
+    }
+
     /// The figures of a moment a short while ago, without waiting for the core.
     pub fn figures(&self) -> Arc<Figures> {
         lock(&self.figures).clone()
@@ -343,6 +348,7 @@
                 self.account.extend(&info.settings.classes, &info.classes);
                 *lock(&self.core.info) = Arc::new(info.clone());
             }
+            Msg::Ending(by) => self.engine.ending(by),
             Msg::Rung => self.alarm.rung(),
             Msg::Probed(server, outcome) => self.engine.probed(now, server, outcome),
         }
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -9,7 +9,7 @@
 use curlewdeck_account::Snapshot;
 use may::sync::mpsc::{channel, Receiver, Sender};
 
-use crate::api::{Outcome, QueryId, ServerId};
+use crate::api::{Nanos, Outcome, QueryId, ServerId};
 use crate::engine::{Ask, AttemptId, Dispatch, Final, Rejected, Value};
 use crate::net::frame::{self, Frame};
 use crate::net::io::Stream;
@@ -34,6 +34,8 @@
     Probed(ServerId, Outcome),
     /// The settings have changed.
     Reset(Box<Info>),
+    /// The process ends: all is answered by then.
+    Ending(Nanos),
     /// The alarm has rung.
     Rung,
     /// Somebody wants to see the accounts.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -151,14 +151,14 @@
     };
     let ogc = match &edge.ogc {
         Some(ogc) => {
-            let front = Ogc::new(ogc, core.clone(), limits.clone(), service.clone(), config.seed)?;
+            let front = Ogc::new(ogc, core.clone(), limits.clone(), config.seed)?;
             Some(open(ogc.listen, Arc::new(front))?)
         }
         None => None,
     };
     let desk = match (&edge.desk, memory) {
         (Some(desk), Some(memory)) => {
-            let front = Desk::new(desk, core.clone(), limits.clone(), service.clone(), memory, config.seed)?;
+            let front = Desk::new(desk, core.clone(), limits.clone(), memory, config.seed)?;
             Some(open(desk.listen, Arc::new(front))?)
         }
         _ => None,
@@ -354,7 +354,12 @@
             stopping.now();
         }
         let finish = Finish { accept: nanos(accept), answered: nanos(answered) };
-        self.service.lifecycle().term(self.service.now(), finish);
+        let answered_by = {
+            let mut life = self.service.lifecycle();
+            life.term(self.service.now(), finish);
+            life.answered_by()
+        };
+        self.core.ending(answered_by);
         while self.service.closing() < Closing::Resting {
             std::thread::sleep(LOOK);
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -119,7 +119,6 @@
         class: coordinator.core.info().class(class).unwrap(),
         repeated: false,
         valid_until: coordinator.core.clock.now() + 60_000_000_000,
-        cut: false,
         parts: (0..4).map(|shard| (ShardId(shard), 0.25)).collect(),
         text: "c41e77d0".into(),
         texts: Vec::new(),
