A frame is looked at against its node, class and connection up to its first byte

Need: nothing new to a drained node, no repeat after its window, and no part that may not be repeated sent twice once its first byte may have been read; idle connections closed by their node as a frame is written. Found by reading: Links::pump looked at the drain and the time when it handed the frame out, and the writer, whose socket may be full for half a second, looked only at what is wanted; a repeat's window was looked at by the module alone, before a dial of up to its time-out; Links::write_failed moved a frame to another connection whatever part of it was written. Change: Frame::current leaves out what may not go out at that moment (told as never run); a frame that was begun and failed ends as one that may have run; write_current begins nothing on a connection whose peer has ended it; the engine refuses a further attempt that its class does not allow (Class::begin_by). Feature servers go by the same. Measured: the model check of Links covers both inputs; what_was_begun_is_not_sent_again fails without it.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -309,6 +309,15 @@
 }
 
 impl Class {
+    /// Until when a further attempt at a part may begin, the first that may have run having been sent at `first`.
+    pub fn begin_by(&self, first: Option<Nanos>) -> Nanos {
+        match (self.effect, first) {
+            (Effect::Safe, _) | (_, None) => Nanos::MAX,
+            (Effect::Keyed, Some(at)) => at.saturating_add(self.repeat_window),
+            (Effect::Unsafe, Some(_)) => 0,
+        }
+    }
+
     fn check(&self) -> Result<(), &'static str> {
         let share = |x: f64| (0.0..=1.0).contains(&x);
         if self.aim == 0 || self.deadline == 0 {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -214,6 +214,8 @@
     pub part: Arc<PartText>,
     /// Until when its answer is waited for.
     pub until: Nanos,
+    /// It is not begun from then on: its class may be repeated for so long only.
+    pub begin_by: Nanos,
     /// Whether it is still wanted.
     pub wanted: Wanted,
 }
@@ -354,7 +356,8 @@
     text: Arc<PartText>,
     /// Attempts out, by number.
     out: Vec<(u32, AttemptId)>,
-    attempts: u32,
+    /// All attempts by number: when each was sent, and whether it is proved never to have run.
+    attempts: Vec<(Nanos, bool)>,
     value: Option<Value>,
 }
 
@@ -545,7 +548,7 @@
         let name = format!("{}.{}{suffix}", open.name, shard.0);
         let text = Arc::new(PartText { name, shard, text: own.unwrap_or_else(|| open.text.clone()), after });
         open.parts.push(id);
-        let part = Part { query, shard, weight, text, out: Vec::new(), attempts: 0, value: None };
+        let part = Part { query, shard, weight, text, out: Vec::new(), attempts: Vec::new(), value: None };
         self.parts.insert(id, part);
         self.events.push(Event::Part { id, query, shard, weight });
     }
@@ -660,6 +663,7 @@
             _ => outcome,
         };
         if let Some(part) = self.parts.get_mut(&a.part) {
+            part.attempts[a.number as usize].1 = outcome.never_ran();
             part.out.retain(|o| o.1 != id);
             if outcome == Outcome::Pass && part.value.is_none() {
                 part.value = value;
@@ -801,18 +805,24 @@
         let id = AttemptId(self.next_attempt);
         self.next_attempt += 1;
         let Some(part) = self.parts.get_mut(&part_id) else { return };
-        let number = part.attempts;
-        part.attempts += 1;
+        let number = part.attempts.len() as u32;
+        let first = part.attempts.iter().find(|a| !a.1).map(|a| a.0);
+        part.attempts.push((self.now, false));
         let (shard, text, copy) = (part.shard, part.text.clone(), !part.out.is_empty());
         let Some(query) = self.open.get(&part.query) else { return };
-        let max = self.info.settings.classes[query.class.0].attempts;
+        let class = &self.info.settings.classes[query.class.0];
+        let (max, begin_by) = (class.attempts, class.begin_by(first));
         let until = query.valid_until.min(self.now.saturating_add(within));
         let wanted = Wanted::by(query.client.clone());
         let attempt = Attempt { part: part_id, number, server, sent: self.now, wanted: wanted.clone() };
         self.attempts.insert(id, attempt);
         self.commands.push(Command::Book(Note::Started { server, number, copy }));
         let phase = self.servers.get(&server).map(|s| s.phase);
-        if number >= max || until <= self.now || phase != Some(Phase::In) || !self.holds(server, shard) {
+        if number >= max
+            || until.min(begin_by) <= self.now
+            || phase != Some(Phase::In)
+            || !self.holds(server, shard)
+        {
             self.ended(self.now, id, Outcome::StaleSend, None);
             return;
         }
@@ -820,7 +830,7 @@
             part.out.push((number, id));
         }
         self.limits.push(Reverse((until, id)));
-        let call = vec![Dispatch { attempt: id, part: text, until, wanted }];
+        let call = vec![Dispatch { attempt: id, part: text, until, begin_by, wanted }];
         self.commands.push(Command::Send { server, call });
     }
 
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -3,6 +3,7 @@
 //! A part is a range's features, read page by page on one connection. Each page is new work: before it is
 //! asked for, the server's state and the attempt's time are looked at again.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,7 +18,7 @@
 use crate::engine::{AttemptId, Dispatch, Value, Wanted};
 use crate::net::features::{self, Names, RangeQuery};
 use crate::net::http;
-use crate::net::io::{nanos, spawn, spawn_vital, Stream};
+use crate::net::io::{nanos, spawn, spawn_vital, Stream, Unwritten};
 use crate::net::mail::{Gate, Msg, NodeMsg};
 use crate::net::node::NodeContext;
 
@@ -122,6 +123,7 @@
             gate: self.gate.clone(),
             job,
             until: dispatch.until,
+            begin_by: dispatch.begin_by,
             wanted: dispatch.wanted.clone(),
             asked: false,
         };
@@ -145,8 +147,17 @@
         spawn("feature probe", context.limits.core_stack_words, move || {
             let core = context.core.clone();
             let probe = |addr| {
-                let mut fetch =
-                    Fetch { addr, context, names, gate, job, until, wanted: Wanted::new(), asked: false };
+                let mut fetch = Fetch {
+                    addr,
+                    context,
+                    names,
+                    gate,
+                    job,
+                    until,
+                    begin_by: until,
+                    wanted: Wanted::new(),
+                    asked: false,
+                };
                 match fetch.connect(None).and_then(|s| fetch.page(&s, "/")) {
                     Ok((200, ..)) => Outcome::Pass,
                     Ok(_) => Outcome::Fault,
@@ -166,6 +177,7 @@
     gate: Gate,
     job: Arc<Job>,
     until: Nanos,
+    begin_by: Nanos,
     wanted: Wanted,
     /// A request was written whole: the attempt may have run.
     asked: bool,
@@ -220,7 +232,8 @@
     /// Whether the next page may be asked for. The first that may not never ran.
     fn may_ask(&self) -> Result<(), Outcome> {
         let dropped = self.job.dropped.load(Ordering::Acquire) || !self.wanted.yes();
-        let over = dropped || self.left().is_zero();
+        let late = !self.asked && self.context.clock.now() >= self.begin_by;
+        let over = dropped || late || self.left().is_zero();
         if over || !self.gate.open() {
             return Err(if self.asked { Outcome::Fault } else { Outcome::StaleSend });
         }
@@ -264,9 +277,17 @@
     fn page(&mut self, stream: &Stream, target: &str) -> Result<(u16, String, bool), Outcome> {
         let accept = "application/geo+json, application/json";
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: {accept}\r\n\r\n", self.addr);
-        let broken = |asked| if asked { Outcome::Cut } else { Outcome::NoRoute };
         let within = self.context.limits.node_write.min(self.left());
-        stream.write_all(request.as_bytes(), within).map_err(|_| broken(self.asked))?;
+        // Looked at again at the moment at which the first byte can go out.
+        let may = Cell::new(Ok(()));
+        let current = || {
+            may.set(self.may_ask());
+            may.get().is_ok().then(|| request.clone().into_bytes())
+        };
+        let written = stream.write_current(current, || true, within);
+        let cut = |e: Unwritten| if self.asked || e.begun { Outcome::Cut } else { Outcome::NoRoute };
+        written.map_err(cut)?;
+        may.get()?;
         self.asked = true;
         let (mut held, mut buf) = (Vec::new(), vec![0; 4096]);
         let most = self.context.limits.frame;
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use crate::api::{Nanos, Outcome};
-use crate::engine::{Dispatch, Value};
+use crate::engine::{AttemptId, Dispatch, Value};
 
 const HEAD: usize = 4;
 const MILLI: Nanos = 1_000_000;
@@ -54,8 +54,8 @@
 /// A frame to be written.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Frame {
-    /// A call as of this time.
-    Call(Vec<Dispatch>, Nanos),
+    /// A call.
+    Call(Vec<Dispatch>),
     /// Any other, whole.
     Whole(Vec<u8>),
 }
@@ -63,7 +63,7 @@
 impl std::fmt::Display for Frame {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Call(parts, _) => {
+            Self::Call(parts) => {
                 parts.iter().try_for_each(|d| write!(f, "attempt {} of {} ", d.attempt.0, d.part.name))
             }
             Self::Whole(bytes) => {
@@ -73,25 +73,37 @@
     }
 }
 
+/// What of a frame goes out at one moment.
+#[derive(Debug, Default, PartialEq)]
+pub struct Current {
+    /// Its bytes, unless none of its parts goes out.
+    pub bytes: Option<Vec<u8>>,
+    /// Attempts that go out.
+    pub sent: Vec<AttemptId>,
+    /// Attempts that are left out, and never run.
+    pub stale: Vec<AttemptId>,
+}
+
 impl Frame {
-    /// How many of its parts are wanted; none of a frame without parts.
-    pub fn wanted(&self) -> usize {
+    /// Whether these of its attempts are all wanted.
+    pub fn wanted(&self, sent: &[AttemptId]) -> bool {
         match self {
-            Self::Call(parts, _) => parts.iter().filter(|d| d.wanted.yes()).count(),
-            Self::Whole(_) => 0,
+            Self::Call(parts) => parts.iter().all(|d| d.wanted.yes() || !sent.contains(&d.attempt)),
+            Self::Whole(_) => true,
         }
     }
 
-    /// As of now: how many of its parts are wanted, and its bytes, from which those that are not are left out. Nothing
-    /// if it has none left.
-    pub fn current(&self) -> (usize, Option<Vec<u8>>) {
-        match self {
-            Self::Call(parts, now) => {
-                let wanted: Vec<&Dispatch> = parts.iter().filter(|d| d.wanted.yes()).collect();
-                (wanted.len(), (!wanted.is_empty()).then(|| call(&wanted, *now)))
-            }
-            Self::Whole(bytes) => (0, Some(bytes.clone())),
-        }
+    /// As of now: parts that are not wanted are left out, those whose time is over, and all where the data node may not
+    /// be sent anything new.
+    pub fn current(&self, now: Nanos, takes_new: bool) -> Current {
+        let parts = match self {
+            Self::Call(parts) => parts,
+            Self::Whole(bytes) => return Current { bytes: Some(bytes.clone()), ..Current::default() },
+        };
+        let may = |d: &&Dispatch| takes_new && now < d.until.min(d.begin_by) && d.wanted.yes();
+        let (sent, stale): (Vec<&Dispatch>, Vec<&Dispatch>) = parts.iter().partition(may);
+        let ids = |parts: &[&Dispatch]| parts.iter().map(|d| d.attempt).collect();
+        Current { bytes: (!sent.is_empty()).then(|| call(&sent, now)), sent: ids(&sent), stale: ids(&stale) }
     }
 }
 
--- a/src/net/frame/tests.rs
+++ b/src/net/frame/tests.rs
@@ -7,7 +7,13 @@
 
 fn dispatch(after: Option<(Vec<ShardId>, bool)>) -> Dispatch {
     let part = PartText { name: "9b1f.3".into(), shard: ShardId(3), text: "c41e77d0".into(), after };
-    Dispatch { attempt: AttemptId(1), part: Arc::new(part), until: 250 * MILLI, wanted: Wanted::new() }
+    Dispatch {
+        attempt: AttemptId(1),
+        part: Arc::new(part),
+        until: 250 * MILLI,
+        begin_by: Nanos::MAX,
+        wanted: Wanted::new(),
+    }
 }
 
 /// The protocol's own example, and the lists of a second step.
@@ -28,9 +34,9 @@
 fn parts_not_wanted_any_more_are_left_out() {
     let (kept, mut over) = (dispatch(None), dispatch(None));
     over.wanted = Wanted::default();
-    let both = Frame::Call(vec![over.clone(), kept.clone()], 10 * MILLI);
-    assert_eq!(both.current().1, Frame::Call(vec![kept], 10 * MILLI).current().1);
-    assert_eq!(Frame::Call(vec![over], 10 * MILLI).current().1, None);
+    let now = |parts: Vec<Dispatch>| Frame::Call(parts).current(10 * MILLI, true).bytes;
+    assert_eq!(now(vec![over.clone(), kept.clone()]), now(vec![kept]));
+    assert_eq!(now(vec![over]), None);
 }
 
 /// Answers come in pieces: no prefix is an error or a frame.
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -153,6 +153,15 @@
     _permit: Option<Permit>,
 }
 
+/// Why something was not written whole.
+#[derive(Debug)]
+pub struct Unwritten {
+    /// Some of it was, and may have been read.
+    pub begun: bool,
+    /// The cause.
+    pub why: io::Error,
+}
+
 /// Between two tries at a socket that takes no more.
 const WRITE_PAUSE: Duration = Duration::from_millis(1);
 
@@ -227,8 +236,8 @@
     }
 
     /// Writes what `current` gives at the moment at which the first byte can go out, or nothing where that is nothing by
-    /// then: a socket may be full for long, and what is wanted changes meanwhile. Once it has begun, it goes on only as
-    /// long as `still` holds.
+    /// then: a socket may be full for long, and what is wanted changes meanwhile. Nothing is begun once the peer has
+    /// ended the connection. Once it has begun, it goes on only as long as `still` holds.
     ///
     /// # Errors
     /// As [`Stream::write_all`], or it had begun and is not to be ended: the connection is of no further use.
@@ -237,13 +246,13 @@
         mut current: impl FnMut() -> Option<Vec<u8>>,
         still: impl Fn() -> bool,
         within: Duration,
-    ) -> io::Result<()> {
+    ) -> Result<(), Unwritten> {
         let start = Instant::now();
         let Some(mut bytes) = current() else { return Ok(()) };
         let mut begun = false;
         while !bytes.is_empty() {
             match (&mut self.inner.inner()).write(&bytes) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(0) => return failed(begun, io::ErrorKind::WriteZero.into()),
                 Ok(n) => {
                     bytes.drain(..n);
                     begun = true;
@@ -251,19 +260,23 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if start.elapsed() >= within {
-                        return Err(io::ErrorKind::TimedOut.into());
+                        return failed(begun, io::ErrorKind::TimedOut.into());
                     }
                     may::coroutine::sleep(WRITE_PAUSE);
                     match begun {
-                        true if !still() => return Err(io::ErrorKind::ConnectionAborted.into()),
+                        true if !still() => return failed(begun, io::ErrorKind::ConnectionAborted.into()),
                         true => {}
                         false => match current() {
                             Some(now) => bytes = now,
                             None => return Ok(()),
+        let failed = |begun, why: io::Error| Err(Unwritten { begun, why });
                         },
+            if !begun && !self.open() {
+                return failed(begun, io::ErrorKind::NotConnected.into());
+            }
                     }
                 }
-                Err(e) => return Err(e),
+                Err(e) => return failed(begun, e),
             }
         }
         Ok(())
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -36,8 +36,10 @@
     NoSocket(LinkId),
     /// The frame last given was written whole.
     Written(LinkId),
-    /// The frame last given could not be written whole.
-    WriteFailed(LinkId),
+    /// These of the frame last given were left out of it: they never run.
+    LeftOut(LinkId, Vec<AttemptId>),
+    /// The frame last given could not be written whole; whether some of it was, and may have been read.
+    WriteFailed(LinkId, bool),
     /// A frame has come.
     Frame(LinkId, Reply),
     /// Part of a frame has come.
@@ -205,7 +207,8 @@
             Input::DialFailed(id) => self.dial_failed(id),
             Input::NoSocket(id) => self.no_socket(id),
             Input::Written(id) => self.written(id),
-            Input::WriteFailed(id) => self.write_failed(id),
+            Input::LeftOut(id, attempts) => self.left_out(id, &attempts),
+            Input::WriteFailed(id, begun) => self.write_failed(id, begun),
             Input::Frame(id, reply) => self.frame(id, reply),
             // Nothing is owed on a connection at rest, but for late answers.
             Input::Begun(id) => {
@@ -298,7 +301,7 @@
                     if sent.is_empty() {
                         continue;
                     }
-                    let bytes = Frame::Call(sent.clone(), now);
+                    let bytes = Frame::Call(sent.clone());
                     (Item::Call(sent, moved), bytes)
                 }
                 Item::GiveUp(name) => {
@@ -407,12 +410,28 @@
         self.forget(id);
     }
 
-    fn write_failed(&mut self, id: LinkId) {
+    fn left_out(&mut self, id: LinkId, attempts: &[AttemptId]) {
+        let Some(Item::Call(call, _)) = self.links.get_mut(&id).and_then(|l| l.writing.as_mut()) else {
+            return;
+        };
+        let (stale, sent) = std::mem::take(call).into_iter().partition(|d| attempts.contains(&d.attempt));
+        *call = sent;
+        let stale: Vec<Dispatch> = stale;
+        stale.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
+    }
+
+    /// What was not begun goes over another connection. What was cut off in its frame is told as one that may have run,
+    /// though it should not have: its first bytes may have been read, and a part that may not be repeated is lost then.
+    fn write_failed(&mut self, id: LinkId, begun: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        let unsent = link.writing.take().filter(|i| matches!(i, Item::Call(..)));
+        let (lost, mut unsent) = (link.lost(), VecDeque::new());
+        match link.writing.take() {
+            Some(Item::Call(call, _)) if begun => call.iter().for_each(|d| self.end(d.attempt, lost, None)),
+            Some(call @ Item::Call(..)) => unsent.push_back(call),
+            _ => {}
+        }
         self.broken(id);
-        // What was cut off in its frame never ran.
-        self.move_waiting(unsent.into_iter().collect());
+        self.move_waiting(unsent);
     }
 
     /// A connection is of no more use: all that was written may have run, what waits has not.
--- a/src/net/link/tests.rs
+++ b/src/net/link/tests.rs
@@ -24,7 +24,13 @@
 
 fn part(id: u64, until: Nanos) -> Dispatch {
     let text = PartText { name: format!("q.{id}"), shard: ShardId(0), text: "t".into(), after: None };
-    Dispatch { attempt: AttemptId(id), part: Arc::new(text), until, wanted: Wanted::new() }
+    Dispatch {
+        attempt: AttemptId(id),
+        part: Arc::new(text),
+        until,
+        begin_by: Nanos::MAX,
+        wanted: Wanted::new(),
+    }
 }
 
 fn answer(id: u64) -> Reply {
@@ -61,7 +67,9 @@
             Input::TakesNew(yes) => self.takes_new = *yes,
             Input::Drop(id) => self.attempts[id.0 as usize].0 = At::Over,
             Input::Written(id) => self.end_write(*id, true),
-            Input::WriteFailed(id) => self.end_write(*id, false),
+            // What was begun may have run, as if it were written.
+            Input::WriteFailed(id, begun) => self.end_write(*id, *begun),
+            Input::LeftOut(id, left) => self.left_out(*id, left),
             _ => {}
         }
         for output in links.step(self.now, input) {
@@ -71,6 +79,17 @@
         assert!(most.max().unwrap_or(0) <= MULTIPLEX, "more parts than a connection carries");
     }
 
+    fn left_out(&mut self, id: LinkId, left: &[AttemptId]) {
+        for (_, parts) in self.writing.iter_mut().filter(|w| w.0 == id) {
+            for part in parts.extract_if(.., |p| left.contains(&AttemptId(*p))) {
+                let attempt = &mut self.attempts[part as usize];
+                if attempt.0 == At::Handed(id) {
+                    attempt.0 = At::Waiting;
+                }
+            }
+        }
+    }
+
     fn end_write(&mut self, id: LinkId, whole: bool) {
         let at = self.writing.iter().position(|w| w.0 == id).unwrap();
         for part in self.writing.remove(at).1 {
@@ -94,7 +113,7 @@
                 assert!(self.probes >= 0, "a probe ended twice");
             }
             Output::Write(id, frame) => {
-                let bytes = frame.current().1.unwrap();
+                let bytes = frame.current(self.now, true).bytes.unwrap();
                 assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
                 let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
                 let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
@@ -207,9 +226,14 @@
     }
 
     fn written(&mut self, links: &mut Links, pick: usize) {
-        let Some(&(id, _)) = self.writing.get(pick % self.writing.len().max(1)) else { return };
+        let Some((id, parts)) = self.writing.get(pick % self.writing.len().max(1)) else { return };
+        let (id, left) = (*id, parts.iter().take(1).map(|p| AttemptId(*p)).collect());
+        if pick.is_multiple_of(5) {
+            self.step(links, Input::LeftOut(id, left));
+        }
         let whole = self.up.contains(&id) && !pick.is_multiple_of(8);
-        self.step(links, if whole { Input::Written(id) } else { Input::WriteFailed(id) });
+        let failed = Input::WriteFailed(id, pick.is_multiple_of(16));
+        self.step(links, if whole { Input::Written(id) } else { failed });
     }
 
     /// Everything breaks: what is open must end now.
@@ -218,7 +242,7 @@
             if let Some(&id) = self.dialing.first() {
                 self.dialled(links, Some(id), Input::DialFailed);
             } else if let Some(&(id, _)) = self.writing.first() {
-                self.step(links, Input::WriteFailed(id));
+                self.step(links, Input::WriteFailed(id, false));
             } else if let Some(&id) = self.shut.first() {
                 self.shut.remove(0);
                 self.step(links, Input::ReadEnded(id));
@@ -298,7 +322,7 @@
     let expected =
         [Output::Shut(LinkId(0)), Output::End(AttemptId(1), Outcome::Spoilt, None), Output::Dial(LinkId(1))];
     assert_eq!(outputs, expected);
-    assert_eq!(links.step(3, Input::WriteFailed(LinkId(0))), []);
+    assert_eq!(links.step(3, Input::WriteFailed(LinkId(0), false)), []);
     let moved = links.step(4, Input::Up(LinkId(1)));
     assert!(matches!(moved[..], [Output::Write(LinkId(1), _)]), "{moved:?}");
     assert_eq!(links.links[&LinkId(1)].parts(), 2);
@@ -311,10 +335,22 @@
     let mut links = used(1);
     links.step(2, Input::Call(vec![part(1, WAIT)]));
     let moved = [Output::Shut(LinkId(0)), Output::Dial(LinkId(1))];
-    assert_eq!(links.step(2, Input::WriteFailed(LinkId(0))), moved);
+    assert_eq!(links.step(2, Input::WriteFailed(LinkId(0), false)), moved);
     links.step(3, Input::Up(LinkId(1)));
     let ended = [Output::Shut(LinkId(1)), Output::End(AttemptId(1), Outcome::NoRoute, None)];
-    assert_eq!(links.step(3, Input::WriteFailed(LinkId(1))), ended);
+    assert_eq!(links.step(3, Input::WriteFailed(LinkId(1), false)), ended);
+}
+
+/// Guards a part that may not be repeated: once its first byte may have been read it goes over no other connection, and
+/// is told as one that may have run; what was left out of the frame never ran.
+#[test]
+fn what_was_begun_is_not_sent_again() {
+    let mut links = used(1);
+    links.step(2, Input::Call(vec![part(1, WAIT), part(2, WAIT)]));
+    let left = links.step(2, Input::LeftOut(LinkId(0), vec![AttemptId(2)]));
+    assert_eq!(left, [Output::End(AttemptId(2), Outcome::StaleSend, None)]);
+    let ended = [Output::End(AttemptId(1), Outcome::Cut, None), Output::Shut(LinkId(0))];
+    assert_eq!(links.step(2, Input::WriteFailed(LinkId(0), true)), ended);
 }
 
 /// Guards against taking a late answer to a part that was given up for an unknown one.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,6 +1,6 @@
 //! The actor of one data node: carries out on sockets what [`Links`] decides.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -14,8 +14,8 @@
 use crate::api::ServerId;
 use crate::counters::Counters;
 use crate::limits::Limits;
-use crate::net::frame::{self, Frame, FrameLimits};
-use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream};
+use crate::net::frame::{self, Current, Frame, FrameLimits};
+use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream, Unwritten};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
 use crate::net::mail::{Come, CoreMail, Gate, Msg, NodeMsg, Rest, REQUEST};
 use crate::settings::Connections;
@@ -141,7 +141,7 @@
                     let sent = self.open.get(&id).is_some_and(|o| o.1.send(frame).is_ok());
                     if !sent {
                         // The mailbox outlives the actor's own loop.
-                        let _ = self.own.send(NodeMsg::Link(Input::WriteFailed(id)));
+                        let _ = self.own.send(NodeMsg::Link(Input::WriteFailed(id, false)));
                     }
                 }
                 Output::Shut(id) => {
@@ -168,49 +168,64 @@
         };
         Counters::add(&self.context.counters.dials);
         let (context, own) = (self.context.clone(), self.own.clone());
-        spawn("link", context.limits.stack_words, move || connection(id, addr, permit, &context, &own));
+        let (gate, addr) = (self.gate.clone(), (addr, permit));
+        spawn("link", context.limits.stack_words, move || connection(id, addr, gate, &context, &own));
     }
 }
 
-fn word(written: &std::io::Result<()>) -> String {
-    written.as_ref().map_or_else(ToString::to_string, |()| "written whole".into())
+fn word(written: &Result<(), Unwritten>) -> String {
+    written.as_ref().map_or_else(|e| e.why.to_string(), |()| "written whole".into())
+}
+
+/// Nobody is left to be told once the actor has ended.
+fn tell(node: &Sender<NodeMsg>, news: Input) {
+    let _ = node.send(NodeMsg::Link(news));
 }
 
 /// Opens a connection, starts its writer and reads it to its end.
-fn connection(id: LinkId, addr: SocketAddr, permit: Permit, context: &NodeContext, node: &Sender<NodeMsg>) {
-    let tell = |input| {
-        // Nobody is left to be told once the actor has ended.
-        let _ = node.send(NodeMsg::Link(input));
-    };
+fn connection(
+    id: LinkId,
+    (addr, permit): (SocketAddr, Permit),
+    gate: Gate,
+    context: &NodeContext,
+    node: &Sender<NodeMsg>,
+) {
     let within = Duration::from_nanos(context.connections.connect_timeout);
     let stream = match Stream::dial(&addr, within, Some(permit)) {
         Ok(stream) => Arc::new(stream),
         Err(e) => {
             log::debug!("dial {addr}: {e}");
             Counters::add(&context.counters.dials_failed);
-            return tell(Input::DialFailed(id));
+            return tell(node, Input::DialFailed(id));
         }
     };
     let (frames, to_write) = channel::<Frame>();
     let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
-    let counters = context.counters.clone();
+    let (counters, clock) = (context.counters.clone(), context.clock);
     spawn("link writer", context.limits.stack_words, move || {
         for frame in to_write.iter() {
             // Nothing yields between the last look and the first byte, however long the socket was full before.
-            let wanted = Cell::new(0);
+            let now = RefCell::new(Current::default());
             let current = || {
-                let (parts, bytes) = frame.current();
-                wanted.set(parts);
+                let mut next = frame.current(clock.now(), gate.open());
+                let bytes = next.bytes.take();
+                now.replace(next);
                 bytes
             };
-            let written = writer_stream.write_current(current, || frame.wanted() == wanted.get(), within);
-            log::debug!(target: REQUEST, "link {}: {frame}, {} wanted, {}", id.0, wanted.get(), word(&written));
-            if written.is_ok() {
-                counters.attempts_written.fetch_add(wanted.get() as u64, Ordering::Relaxed);
+            let written = writer_stream.write_current(current, || frame.wanted(&now.borrow().sent), within);
+            let Current { sent, stale, .. } = now.into_inner();
+            log::debug!(target: REQUEST, "link {}: {frame}, {} sent, {}", id.0, sent.len(), word(&written));
+            let news = match &written {
+                Ok(()) => {
+                    counters.attempts_written.fetch_add(sent.len() as u64, Ordering::Relaxed);
+                    Input::Written(id)
+                }
+                Err(e) => Input::WriteFailed(id, e.begun),
+            };
+            if !stale.is_empty() {
+                tell(&writer_node, Input::LeftOut(id, stale));
             }
-            let news = if written.is_ok() { Input::Written(id) } else { Input::WriteFailed(id) };
-            // Nobody is left to be told once the actor has ended.
-            let _ = writer_node.send(NodeMsg::Link(news));
+            tell(&writer_node, news);
         }
     });
     if node.send(NodeMsg::Up(id, stream.clone(), frames)).is_err() {
@@ -221,7 +236,7 @@
         let _ = node.send(NodeMsg::Read(id, come));
     });
     stream.shut();
-    tell(Input::ReadEnded(id));
+    tell(node, Input::ReadEnded(id));
 }
 
 fn read_frames(stream: &Stream, context: &NodeContext, tell: impl Fn(Come)) {
