A client connection's end, its unread bytes and its client's leaving are one machine's states

Need: no close over unread bytes while an answer is on its way, no request cut off that has begun, nothing sent on for a client that sent more behind its request and left. Found by reading, each shown by a test that fails without the change: close_idle shut connections with half a request read (in_use was set by whole requests only); shut and close right after each other reset a connection on which a request crossed the end; a client turned away for want of a place was reset over its request; while one request was open and a second one read, Client::read waited for the answer alone and never saw the client leave. Change: lifecycle::connection holds what is read of a request, an answer owed, the end and an eviction; reading and noting are one step. Connections at rest are ended by the way out first, and what still comes is dropped for a second at most. What is sent ahead is bounded (16 KB), and its client is looked for every 25 ms. Four clients that are turned away linger. A drain by an operator still ends halves, as documented.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -4,6 +4,8 @@
 //! new connections are accepted, which client connections are closed. Times are the embedder's, in any unit that
 //! only grows. A process that finishes never serves again.
 
+pub mod connection;
+
 /// A moment, or a span between two, in the embedder's unit.
 pub type Time = u64;
 
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -1,17 +1,19 @@
 //! Client connections of both fronts: a coroutine that reads requests and one with a mailbox that writes
 //! answers. A front says what each request comes to.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use curlewdeck_lifecycle::connection::Connection;
 use curlewdeck_lifecycle::{Closing, Lifecycle};
 use curlewdeck_listener::Inherited;
 use may::net::TcpListener;
-use may::sync::mpsc::{channel, Sender};
+use may::sync::mpsc::{channel, Receiver, Sender};
 
 use crate::api::{Nanos, QueryId};
 use crate::counters::Counters;
@@ -22,47 +24,62 @@
 use crate::net::io::{lock, nanos, spawn, thread, Clock, Permit, Permits, Stream, SMALL_STACK};
 use crate::net::mail::REQUEST;
 
-/// A client's connection, as those see it that evict one or end the process.
-struct Connection {
+/// A client's connection: its reader, its writer, and those that evict one or end the process, share it.
+struct ClientConnection {
     stream: Stream,
-    /// A request is read and not answered.
-    in_use: AtomicBool,
-    /// A whole request has come on it.
-    asked: AtomicBool,
-    /// Since when it rests; before the first request: when it was accepted.
-    since: AtomicU64,
-    /// It has been shut, or is about to be, though its client did nothing wrong.
-    given_up: AtomicBool,
+    held: Mutex<Connection>,
 }
 
-impl Connection {
-    /// Shuts it, unless a request has come. Others may do so while its reader reads: each of the two says
-    /// first what it does and then looks at the other's word, so that never a request is served whose
-    /// answer cannot be written.
-    fn give_up(&self) -> bool {
-        self.given_up.store(true, Ordering::SeqCst);
-        if self.in_use.load(Ordering::SeqCst) || self.stream.readable() {
-            self.given_up.store(false, Ordering::SeqCst);
-            return false;
+impl ClientConnection {
+    fn new(stream: Stream, now: Nanos) -> Self {
+        Self { stream, held: Mutex::new(Connection::new(now)) }
+    }
+
+    /// Held for a few instructions and never over a yield.
+    fn held(&self) -> MutexGuard<'_, Connection> {
+        lock(&self.held)
+    }
+
+    /// Reads what is there, without waiting, and takes note of it in the same step.
+    fn read(&self, buf: &mut [u8]) -> io::Result<usize> {
+        let mut held = self.held();
+        let n = self.stream.read_now(buf)?;
+        if n > 0 {
+            held.part(true);
         }
-        self.stream.shut();
-        true
+        Ok(n)
     }
 
-    /// A request has been read; returns whether it may be served.
-    fn take_up(&self) -> bool {
-        self.in_use.store(true, Ordering::SeqCst);
-        !self.given_up.load(Ordering::SeqCst)
+    /// Ends the way out, unless something of a request has come. Its reader drops what still comes, so that the
+    /// connection is not closed over unread bytes. Returns whether it has ended.
+    fn end(&self, now: Nanos) -> bool {
+        self.end_with(now, false)
+    }
+
+    /// The same; whether also one that holds the beginning of a request.
+    fn end_with(&self, now: Nanos, halves: bool) -> bool {
+        let mut held = self.held();
+        let before = held.ended().is_some();
+        let ended = held.end(now, self.stream.readable(), halves);
+        if ended && !before {
+            self.stream.end_writing();
+        }
+        ended
+    }
+
+    /// Closes it for another to have its place, unless a request has come.
+    fn evict(&self, now: Nanos) -> bool {
+        let evicted = self.held().evict(now, self.stream.readable());
+        if evicted {
+            self.stream.shut();
+        }
+        evicted
     }
 
     /// Whether its client is there, as far as can be told without reading: at the end of what it sent, it has left.
     fn here(&self) -> bool {
         self.stream.open()
     }
-
-    fn rested(&self, now: Nanos) -> Nanos {
-        now.saturating_sub(self.since.load(Ordering::Acquire))
-    }
 }
 
 /// What there is to say to a new connection for which another may have to go.
@@ -80,7 +97,7 @@
     lifecycle: Mutex<Lifecycle>,
     /// Requests read and not yet answered.
     busy: AtomicUsize,
-    connections: Mutex<HashMap<u64, Arc<Connection>>>,
+    connections: Mutex<HashMap<u64, Arc<ClientConnection>>>,
     next: AtomicU64,
 }
 
@@ -121,45 +138,58 @@
         self.busy.load(Ordering::Acquire)
     }
 
-    /// Closes the connections at rest, but for those that have come within `young` and whose first request may be on
-    /// its way. Returns whether nothing is held any more: no request, none of those, and nothing that has come and is
-    /// not yet read.
-    pub fn close_idle(&self, young: Duration) -> bool {
-        let (mut unread, now) = (false, self.clock.now());
-        for connection in self.connections().values().filter(|c| !c.in_use.load(Ordering::Acquire)) {
-            if !connection.asked.load(Ordering::Acquire) && connection.rested(now) < nanos(young) {
-                unread = true;
-                continue;
+    /// Ends the connections at rest, but for those that have come within `young` and whose first request may be on its
+    /// way. What they still send is dropped for `linger` at most. Returns whether nothing is held any more: no request,
+    /// none of those, no connection that lingers, and nothing that has come and is not whole. Drained, those with half a
+    /// request are ended too; a process that finishes has nobody to come back to, and reads them on.
+    pub fn close_idle(&self, young: Duration, linger: Duration) -> bool {
+        let halves = !self.lifecycle().finishing();
+        let (mut waits, now) = (false, self.clock.now());
+        for connection in self.connections().values() {
+            let (ended, may) = {
+                let held = connection.held();
+                (held.ended(), !held.busy() && (held.asked() || held.rested(now) >= nanos(young)))
+            };
+            match ended {
+                Some(at) if now.saturating_sub(at) >= nanos(linger) => connection.stream.shut(),
+                Some(_) => waits = true,
+                None => {
+                    if may {
+                        connection.end_with(now, halves);
+                    }
+                    waits = true;
+                }
             }
-            unread |= !connection.given_up.load(Ordering::SeqCst) && !connection.give_up();
         }
-        !unread && self.busy() == 0
+        !waits && self.busy() == 0
     }
 
-    /// Shuts one connection so that a new one finds a place: the one that has rested longest after an
-    /// answer, if for long; else the one that has been longest without a whole request; else the one that
-    /// has rested longest. None with an open request, and none on which something has come that is not read
+    /// Evicts one connection so that a new one finds a place: one that has ended and lingers; else the one that has
+    /// rested longest after an answer, if for long; else the one that has been longest without a whole request; else the
+    /// one that has rested longest. None with an open request, and none on which something has come that is not read
     /// yet.
     fn evict(&self, limits: &Limits) -> Eviction {
         let (now, open) = (self.clock.now(), self.connections());
-        if open.values().any(|c| c.given_up.load(Ordering::Acquire)) {
-            return Eviction::Soon;
-        }
-        let free = || open.values().filter(|c| !c.in_use.load(Ordering::Acquire));
-        let over = |c: &&&Arc<Connection>| c.rested(now) >= nanos(limits.client_silent);
-        let rank = |c: &&&Arc<Connection>| {
-            let rested = c.rested(now);
-            let kind = match c.asked.load(Ordering::Acquire) {
+        let mut free = Vec::new();
+        for connection in open.values() {
+            let held = connection.held();
+            if held.evicted() {
+                return Eviction::Soon;
+            }
+            let rested = held.rested(now);
+            let kind = match held.asked() {
+                _ if held.ended().is_some() => 3,
                 true if rested >= nanos(limits.client_rest) => 2,
                 true => 0,
                 false => 1,
             };
-            (kind, rested)
-        };
-        let free: Vec<&Arc<Connection>> = free().collect();
-        let mut old: Vec<&&Arc<Connection>> = free.iter().filter(over).collect();
-        old.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
-        if old.into_iter().any(|c| c.give_up()) {
+            if !held.busy() {
+                free.push((kind, rested, connection));
+            }
+        }
+        free.sort_unstable_by_key(|&(kind, rested, _)| Reverse((kind, rested)));
+        let old = |kind, rested| kind == 3 || rested >= nanos(limits.client_silent);
+        if free.iter().any(|&(kind, rested, connection)| old(kind, rested) && connection.evict(now)) {
             return Eviction::Soon;
         }
         if free.is_empty() {
@@ -170,7 +200,7 @@
     }
 
     /// Held for a few instructions and never over a yield.
-    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<Connection>>> {
+    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<ClientConnection>>> {
         lock(&self.connections)
     }
 }
@@ -234,13 +264,12 @@
 /// A request that is read and not yet answered or given up; counted until it is dropped.
 struct Busy {
     service: Arc<Service>,
-    connection: Arc<Connection>,
+    connection: Arc<ClientConnection>,
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.connection.since.store(self.service.clock.now(), Ordering::Release);
-        self.connection.in_use.store(false, Ordering::Release);
+        self.connection.held().answered(self.service.clock.now());
         self.service.busy.fetch_sub(1, Ordering::AcqRel);
     }
 }
@@ -313,6 +342,8 @@
     pub service: Arc<Service>,
     /// Client connections of all fronts.
     pub permits: Permits,
+    /// Those that are turned away, and are told so without being reset.
+    pub turned_away: Permits,
 }
 
 /// Listens, and starts to accept.
@@ -412,24 +443,12 @@
     let counters = &shared.core.counters;
     let Some(permit) = admit(shared) else {
         Counters::add(&counters.clients_refused);
-        if let Ok(stream) = Stream::new(stream, None) {
-            let reply = Reply::text(503, "too many connections").with("Retry-After", "1");
-            let bytes = http::response(reply.status, reply.kind, &reply.more, &reply.body, false, false);
-            // One try that does not wait: it is turned away in any case.
-            let _ = stream.write_all(&bytes, Duration::ZERO);
-        }
-        return;
+        return turn_away(stream, shared);
     };
     Counters::add(&counters.clients_accepted);
     let Ok(stream) = Stream::new(stream, Some(permit)) else { return };
     let (front, shared) = (front.clone(), shared.clone());
-    let connection = Arc::new(Connection {
-        stream,
-        in_use: AtomicBool::default(),
-        asked: AtomicBool::default(),
-        since: AtomicU64::new(shared.service.clock.now()),
-        given_up: AtomicBool::default(),
-    });
+    let connection = Arc::new(ClientConnection::new(stream, shared.service.clock.now()));
     let key = shared.service.next.fetch_add(1, Ordering::Relaxed);
     shared.service.connections().insert(key, connection.clone());
     spawn("client", shared.limits.stack_words, move || {
@@ -439,6 +458,36 @@
     });
 }
 
+/// Says that there is no place. Where few are being told, what the client sends is dropped until it has read that.
+fn turn_away(stream: may::net::TcpStream, shared: &Shared) {
+    let permit = shared.turned_away.take();
+    let stays = permit.is_some();
+    let Ok(stream) = Stream::new(stream, permit) else { return };
+    let reply = Reply::text(503, "too many connections").with("Retry-After", "1");
+    let bytes = http::response(reply.status, reply.kind, &reply.more, &reply.body, false, false);
+    // One try that does not wait: it is turned away in any case.
+    let told = stream.write_all(&bytes, Duration::ZERO).is_ok();
+    stream.end_writing();
+    if told && stays {
+        let limits = shared.limits.clone();
+        spawn("turned away", limits.stack_words, move || linger(&stream, &mut vec![0; READ], &limits));
+    }
+}
+
+/// Reads and drops what the client still sends. Closing with bytes unread would reset the connection, and the client
+/// might lose the answer.
+fn linger(stream: &Stream, buf: &mut [u8], limits: &Limits) {
+    let start = Instant::now();
+    let mut dropped = 0;
+    while dropped < limits.linger_bytes {
+        let left = limits.linger.saturating_sub(start.elapsed());
+        match stream.read(buf, left) {
+            Ok(n) if n > 0 && !left.is_zero() => dropped += n,
+            _ => return,
+        }
+    }
+}
+
 /// A connection's entry, taken out when its coroutine ends, or was never started.
 struct Listed(Arc<Service>, u64);
 
@@ -450,12 +499,14 @@
 
 struct Client {
     key: u64,
-    connection: Arc<Connection>,
+    connection: Arc<ClientConnection>,
     front: Arc<dyn Front>,
     shared: Shared,
 }
 
 const READ: usize = 4096;
+/// How often the client of an open request that has sent more is looked for.
+const LOOK_AHEAD: Duration = Duration::from_millis(25);
 
 impl Client {
     fn run(&self) {
@@ -480,88 +531,95 @@
             }
         });
         let mut buf = vec![0; READ];
-        let lingers =
-            self.read(&mut buf, &writer, || answered.try_recv().ok(), || answered.recv().unwrap_or(false));
-        if lingers {
-            self.linger(&mut buf);
+        if self.read(&mut buf, &writer, &answered) {
+            self.connection.stream.end_writing();
+            linger(&self.connection.stream, &mut buf, &self.shared.limits);
         }
         self.connection.stream.shut();
     }
 
-    /// Reads requests to the end of the connection; returns whether its last answer has been written, but its
-    /// client may still be sending. `poll` and `wait` tell of answers written, and whether the connection
-    /// stays open.
-    fn read(
-        &self,
-        buf: &mut [u8],
-        writer: &Sender<Out>,
-        poll: impl Fn() -> Option<bool>,
-        wait: impl Fn() -> bool,
-    ) -> bool {
+    /// Reads requests to the end of the connection; returns whether nothing more is to be served, but its client may
+    /// still be sending. `answered` tells of answers written, and whether the connection stays open.
+    fn read(&self, buf: &mut [u8], writer: &Sender<Out>, answered: &Receiver<bool>) -> bool {
         let limits = &self.shared.limits;
         let mut requests = RequestReader::default();
         let mut query: Option<QueryId> = None;
-        let mut pending = false;
+        let (mut pending, mut full, mut more) = (false, false, false);
         // When the request that is being read began; the first one begins with the connection.
         let mut begun = Some(Instant::now());
         loop {
-            if pending {
-                if let Some(open) = poll() {
-                    (pending, query) = (false, None);
-                    begun = requests.begun().then(Instant::now);
-                    if !open {
-                        return true;
-                    }
+            // What was sent ahead waits for the answers before it, but its client may leave meanwhile: that is looked for.
+            let ahead = pending && requests.begun();
+            let done = match pending {
+                true if ahead && !more => answered.recv_timeout(LOOK_AHEAD).ok(),
+                true => answered.try_recv().ok(),
+                false => None,
+            };
+            if let Some(open) = done {
+                (pending, query) = (false, None);
+                begun = requests.begun().then(Instant::now);
+                if !open {
+                    return true;
                 }
             }
-            match requests.next(limits) {
-                Ok(Some(request)) => {
-                    // Requests sent ahead wait for the answers before them.
-                    if pending && !wait() {
-                        return true;
-                    }
-                    if !self.connection.take_up() {
-                        return false;
+            let mut within = if ahead { Duration::ZERO } else { limits.linger };
+            if !pending {
+                let next = requests.next(limits);
+                self.connection.held().part(requests.begun());
+                match next {
+                    Ok(Some(request)) => {
+                        if !self.connection.held().request() {
+                            return true;
+                        }
+                        begun = requests.begun().then(Instant::now);
+                        (pending, query) = (true, self.serve(request, writer));
+                        continue;
                     }
-                    begun = requests.begun().then(Instant::now);
-                    (pending, query) = (true, self.serve(request, writer));
-                    continue;
+                    Ok(None) if full => return true,
+                    Ok(None) => {}
+                    Err(bad) => return self.turn_away(bad, writer, answered),
                 }
-                Ok(None) => {}
-                Err(bad) => {
-                    if pending && !wait() {
+                let left = begun.map(|at| limits.request_read.saturating_sub(at.elapsed()));
+                if left.is_some_and(|l| l.is_zero()) {
+                    if requests.begun() {
+                        return self.turn_away(http::TOO_SLOW, writer, answered);
+                    }
+                    if self.connection.end(self.shared.service.now()) {
                         return true;
                     }
-                    self.turn_away(bad, writer);
-                    wait();
-                    return true;
                 }
+                within = left.unwrap_or(limits.client_idle);
             }
-            let left = begun.map(|at| limits.request_read.saturating_sub(at.elapsed()));
-            if !pending && left.is_some_and(|l| l.is_zero()) {
-                if !requests.begun() {
-                    return false;
-                }
-                self.turn_away(http::TOO_SLOW, writer);
-                wait();
-                return true;
+            let read = match within.is_zero() {
+                true => self.connection.read(buf),
+                false => self.connection.stream.wait(within).and_then(|()| self.connection.read(buf)),
+            };
+            more = read.is_ok();
+            if ahead && more {
+                // Others run between the reads of a client that sends without end.
+                may::coroutine::yield_now();
             }
-            match self.connection.stream.read(buf, left.filter(|_| !pending).unwrap_or(limits.client_idle)) {
+            match read {
                 Ok(0) => break,
+                // More than may be sent ahead is dropped: the connection ends with the answers to what is held.
+                Ok(_) if full => {}
                 Ok(n) => {
                     begun = begun.or_else(|| Some(Instant::now()));
                     requests.push(&buf[..n]);
+                    full = pending && requests.held() >= limits.read_ahead;
                 }
-                Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
-                    if !pending && begun.is_none() {
-                        break;
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                    let rests = !pending && begun.is_none();
+                    if rests && self.connection.end(self.shared.service.now()) {
+                        return true;
                     }
                 }
                 Err(_) => break,
             }
         }
         self.connection.stream.shut();
-        if let (true, Some(id), None) = (pending, query, poll()) {
+        if let (true, Some(id), Err(_)) = (pending, query, answered.try_recv()) {
             log::debug!(target: REQUEST, "connection {}: its client has left query {}", self.key, id.0);
             self.shared.core.gone(id);
         }
@@ -569,28 +627,17 @@
     }
 
     /// Answers what is no request; the connection is closed after it.
-    fn turn_away(&self, bad: BadMessage, writer: &Sender<Out>) {
-        Counters::add(&self.shared.core.counters.bad_requests);
-        self.answer(writer, false, false, false).send(self.front.refuse(bad));
-    }
-
-    /// Reads and drops what the client still sends. Closing with bytes unread would reset the connection,
-    /// and the client might lose the answer.
-    fn linger(&self, buf: &mut [u8]) {
-        let (start, limits) = (Instant::now(), &self.shared.limits);
-        let mut dropped = 0;
-        while dropped < limits.linger_bytes {
-            let left = limits.linger.saturating_sub(start.elapsed());
-            match self.connection.stream.read(buf, left) {
-                Ok(n) if n > 0 && !left.is_zero() => dropped += n,
-                _ => return,
-            }
+    fn turn_away(&self, bad: BadMessage, writer: &Sender<Out>, answered: &Receiver<bool>) -> bool {
+        if self.connection.held().request() {
+            Counters::add(&self.shared.core.counters.bad_requests);
+            self.answer(writer, false, false, false).send(self.front.refuse(bad));
+            // The writer tells of each answer before it ends.
+            let _ = answered.recv();
         }
+        true
     }
 
     fn answer(&self, writer: &Sender<Out>, keep_alive: bool, head: bool, chunks: bool) -> Answer {
-        self.connection.in_use.store(true, Ordering::Release);
-        self.connection.asked.store(true, Ordering::Release);
         let service = self.shared.service.clone();
         service.busy.fetch_add(1, Ordering::AcqRel);
         Answer {
--- a/src/front/server/tests.rs
+++ b/src/front/server/tests.rs
@@ -1,36 +1,47 @@
 use super::*;
 use std::io::Write;
 
-fn connection() -> (Connection, std::net::TcpStream) {
+fn connection() -> (ClientConnection, std::net::TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let connection = Connection {
-        stream: Stream::new(listener.accept().unwrap().0, None).unwrap(),
-        in_use: AtomicBool::default(),
-        asked: AtomicBool::default(),
-        since: AtomicU64::default(),
-        given_up: AtomicBool::default(),
-    };
-    (connection, client)
+    let stream = Stream::new(listener.accept().unwrap().0, None).unwrap();
+    (ClientConnection::new(stream, 0), client)
 }
 
 /// Guards against serving a request on a connection that is being shut, whose answer would be lost, and
 /// against shutting one on which a request has come.
 #[test]
 fn a_connection_is_either_shut_or_served() {
-    let (shut, _client) = connection();
-    assert!(shut.give_up());
-    assert!(!shut.take_up(), "served after it was shut");
-    let (served, _client) = connection();
-    assert!(served.take_up());
-    assert!(!served.give_up(), "shut with a request open");
-    assert!(served.take_up(), "the next request is served");
-    let (unread, mut client) = connection();
+    for shut in [ClientConnection::end, ClientConnection::evict] {
+        let (gone, _client) = connection();
+        assert!(shut(&gone, 0));
+        assert!(!gone.held().request(), "served after it was shut");
+        let (served, _client) = connection();
+        assert!(served.held().request());
+        assert!(!shut(&served, 0), "shut with a request open");
+        served.held().answered(0);
+        assert!(served.held().request(), "the next request is served");
+        let (unread, mut client) = connection();
+        client.write_all(b"x").unwrap();
+        while !unread.stream.readable() {
+            std::thread::yield_now();
+        }
+        assert!(!shut(&unread, 0), "shut with a request on its way");
+    }
+}
+
+/// Guards against ending a connection between the reading of a request's first bytes and its last; a client that stops
+/// there does not keep others out.
+#[test]
+fn half_a_request_keeps_its_connection_until_its_place_is_needed() {
+    let (half, mut client) = connection();
     client.write_all(b"x").unwrap();
-    while !unread.stream.readable() {
+    while !half.stream.readable() {
         std::thread::yield_now();
     }
-    assert!(!unread.give_up(), "shut with a request on its way");
+    assert_eq!(half.read(&mut [0; 8]).unwrap(), 1);
+    assert!(!half.end(0), "ended with half a request");
+    assert!(half.evict(0));
 }
 
 /// Guards against taking a client that waits, or has sent ahead, for one that has left, and the other way round.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -59,6 +59,11 @@
     /// The first request on a connection must be whole this long after it was accepted, a further one this
     /// long after its first byte.
     pub request_read: Duration,
+    /// While a request is open, so many bytes may be sent ahead of its answer: what comes after them is dropped, and the
+    /// connection ends with the last answer to them.
+    pub read_ahead: usize,
+    /// Connections that are turned away and told so, at once: any further ones may be reset.
+    pub turned_away: usize,
     /// After a connection's last answer, what its client still sends is read and dropped for this long, so
     /// that the answer is not lost to a reset.
     pub linger: Duration,
@@ -184,6 +189,8 @@
             client_silent: Duration::from_millis(20),
             client_room: Duration::from_millis(500),
             request_read: Duration::from_secs(2),
+            read_ahead: 16 * 1024,
+            turned_away: 4,
             linger: Duration::from_secs(1),
             linger_bytes: 4 * 1024 * 1024,
             client_wait: Duration::from_secs(3600),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -113,6 +113,11 @@
         self.held.extend_from_slice(bytes);
     }
 
+    /// Bytes that are held and in no request yet.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
     /// Whether part of a request is held.
     pub fn begun(&self) -> bool {
         !self.held.is_empty() || self.open.is_some()
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -188,17 +188,36 @@
     /// # Errors
     /// `TimedOut`, or the connection has failed.
     pub fn read(&self, buf: &mut [u8], within: Duration) -> io::Result<usize> {
+        loop {
+            match self.read_now(buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.wait(within)?,
+                done => return done,
+            }
+        }
+    }
+
+    /// Reads what is there, without waiting.
+    ///
+    /// # Errors
+    /// `WouldBlock`, or the connection has failed.
+    pub fn read_now(&self, buf: &mut [u8]) -> io::Result<usize> {
         loop {
             match (&mut self.inner.inner()).read(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 done => return done,
             }
-            self.inner.set_read_timeout(Some(coarse(within)))?;
-            self.inner.peek(&mut [0])?;
         }
     }
 
+    /// Waits until there is something to read or the peer has ended it, for so long at most. Only one coroutine may wait.
+    ///
+    /// # Errors
+    /// `TimedOut`, or the connection has failed.
+    pub fn wait(&self, within: Duration) -> io::Result<()> {
+        self.inner.set_read_timeout(Some(coarse(within)))?;
+        self.inner.peek(&mut [0]).map(drop)
+    }
+
     /// Whether bytes wait to be read or the peer has closed, without waiting.
     pub fn readable(&self) -> bool {
         !matches!(self.inner.inner().peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
@@ -250,7 +269,11 @@
         let start = Instant::now();
         let Some(mut bytes) = current() else { return Ok(()) };
         let mut begun = false;
+        let failed = |begun, why: io::Error| Err(Unwritten { begun, why });
         while !bytes.is_empty() {
+            if !begun && !self.open() {
+                return failed(begun, io::ErrorKind::NotConnected.into());
+            }
             match (&mut self.inner.inner()).write(&bytes) {
                 Ok(0) => return failed(begun, io::ErrorKind::WriteZero.into()),
                 Ok(n) => {
@@ -269,11 +292,7 @@
                         false => match current() {
                             Some(now) => bytes = now,
                             None => return Ok(()),
-        let failed = |begun, why: io::Error| Err(Unwritten { begun, why });
                         },
-            if !begun && !self.open() {
-                return failed(begun, io::ErrorKind::NotConnected.into());
-            }
                     }
                 }
                 Err(e) => return failed(begun, e),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -25,10 +25,10 @@
 use crate::keep::Keep;
 use crate::limits::Limits;
 use crate::net::core::{self, Core};
+use crate::net::discovery::{self, DiscoveryContext};
 use crate::net::feature_node;
 use crate::net::features::Names;
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
-use crate::net::discovery::{self, DiscoveryContext};
 use crate::net::mail::{self, DiscoveryMsg};
 use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
@@ -93,7 +93,8 @@
         WireList { all: true, ..known }.news()
     });
     let unasked = info.settings.discovery == Discovery::Pushed;
-    let context = DiscoveryContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
+    let context =
+        DiscoveryContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
     let discovery = discovery::start(config.discovery, rev, unasked, context);
     let context = NodeContext {
         core: core_mail.clone(),
@@ -144,7 +145,9 @@
     };
     let service = Arc::new(Service::new(clock, Lifecycle::new(spans)));
     let permits = Permits::new(limits.clients);
-    let shared = Shared { core: core.clone(), limits: limits.clone(), service: service.clone(), permits };
+    let turned_away = Permits::new(limits.turned_away);
+    let shared =
+        Shared { core: core.clone(), limits: limits.clone(), service: service.clone(), permits, turned_away };
     let open = |addr, front: Arc<dyn Front>| {
         let cannot = |e: io::Error| format!("cannot listen at {addr}: {e}");
         server::listen(addr, front, shared.clone()).map_err(cannot)
@@ -179,7 +182,7 @@
             let operated = Arc::new(Operations(Operation {
                 core: core.clone(),
                 service: service.clone(),
-                young: limits.client_silent,
+                limits: limits.clone(),
             }));
             let cannot = |e| format!("cannot listen at the second address {addr}: {e}");
             Some(control::start(addr, operated, limits.control_calls, limits.clone()).map_err(cannot)?)
@@ -223,8 +226,7 @@
 struct Operation {
     core: Core,
     service: Arc<Service>,
-    /// A connection is not closed before this, since its first request may be on its way.
-    young: Duration,
+    limits: Arc<Limits>,
 }
 
 impl Operated for Operation {
@@ -237,7 +239,7 @@
     }
 
     fn drain(&self) -> Result<(), &'static str> {
-        let (service, young) = (self.service.clone(), self.young);
+        let (service, limits) = (self.service.clone(), self.limits.clone());
         let (called, change) = {
             let mut life = service.lifecycle();
             (life.drain_start(service.now()), life.changes())
@@ -248,7 +250,7 @@
             let empty = move || {
                 while service.lifecycle().changes() == change {
                     if service.closing() == Closing::Resting {
-                        service.close_idle(young);
+                        service.close_idle(limits.client_silent, limits.linger);
                     }
                     std::thread::sleep(LOOK);
                 }
@@ -367,7 +369,11 @@
         let mut at_rest = 0;
         // Twice, so that what came while connections were closed is seen.
         while at_rest < 2 && start.elapsed() < self.limits.term_finish {
-            at_rest = if self.service.close_idle(self.limits.client_silent) { at_rest + 1 } else { 0 };
+            at_rest = if self.service.close_idle(self.limits.client_silent, self.limits.linger) {
+                at_rest + 1
+            } else {
+                0
+            };
             std::thread::sleep(LOOK);
         }
         if let Some(keep) = &self.keep {
