--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -408,6 +408,12 @@
     }
 }
 
+/// Whatever discovery has to tell counts as told this long after it had it and could be reached.
+pub const TOLD_AFTER: Nanos = 6_000_000_000;
+
+/// The most between the beginnings of two calls of discovery: the rest of that time is the later one's.
+pub const ASK_GAP: Nanos = TOLD_AFTER / 5 * 3;
+
 /// What the module is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -417,12 +423,6 @@
         kind: ListKind,
         /// Its lines.
         entries: Vec<ListEntry>,
-/// Whatever discovery has to tell counts as told this long after it had it and could be reached.
-pub const TOLD_AFTER: Nanos = 6_000_000_000;
-
-/// The most between the beginnings of two calls of discovery: the rest of that time is the later one's.
-pub const ASK_GAP: Nanos = TOLD_AFTER / 5 * 3;
-
     },
     /// A query has come; its parts follow in the same round.
     Query {
@@ -439,6 +439,8 @@
         /// When the client gives up on this try.
         valid_until: Nanos,
     },
+    /// This mixer ends: no query takes longer than this, those that are held included.
+    Ending(Nanos),
     /// A part of a query that is held.
     Part {
         /// Its id.
@@ -448,8 +450,6 @@
         /// Where its data is.
         shard: ShardId,
         /// Its share of its step's weight.
-    /// This mixer ends: no query takes longer than this, those that are held included.
-    Ending(Nanos),
         weight: f64,
     },
     /// An attempt has ended. Comes once for each [`Action::Send`].
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -393,11 +393,11 @@
     /// The latter, and until when.
     rested: VecDeque<(Nanos, String)>,
     name_rest: Nanos,
+    /// All is answered by then: the process ends.
+    ends_by: Nanos,
     parts: HashMap<PartId, Part>,
     attempts: HashMap<AttemptId, Attempt>,
     probes: HashMap<ServerId, Vec<Nanos>>,
-    /// All is answered by then: the process ends.
-    ends_by: Nanos,
     next_part: u64,
     next_attempt: u64,
     events: Vec<Event>,
@@ -426,10 +426,10 @@
             names: HashSet::new(),
             rested: VecDeque::new(),
             name_rest,
+            ends_by: Nanos::MAX,
             parts: HashMap::new(),
             attempts: HashMap::new(),
             probes: HashMap::new(),
-            ends_by: Nanos::MAX,
             next_part: 0,
             next_attempt: 0,
             events: Vec::new(),
@@ -553,9 +553,6 @@
         self.events.push(Event::Part { id, query, shard, weight });
     }
 
-    /// The client of a query has left.
-    pub fn gone(&mut self, query: QueryId) {
-        if self.close(query) {
     /// The process ends: whatever time clients give, all is answered by then, what is held included.
     pub fn ending(&mut self, by: Nanos) {
         self.ends_by = self.ends_by.min(by);
@@ -566,6 +563,9 @@
         self.events.push(Event::Ending(by));
     }
 
+    /// The client of a query has left.
+    pub fn gone(&mut self, query: QueryId) {
+        if self.close(query) {
             self.events.push(Event::Gone(query));
         }
     }
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -860,11 +860,9 @@
     /// Adds to the doubt of a server, at its class too: where only that class fails, passes of others
     /// clear the server but not the class.
     fn doubt(&mut self, id: ServerId, class: ClassId, amount: f64) {
-        let gap = self.send_gap();
-        let aim = self.set.shortest_aim();
+        let (gap, aim, now) = (self.send_gap(), self.set.shortest_aim(), self.now);
         let most = (DOUBT_AIMS * aim as f64).max(DOUBT_WARM * self.set.cold.warm_after as f64);
         let base = (2.0 * gap).clamp(aim as f64, most) as Nanos;
-        let now = self.now;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
         let half = base << s.failures.min(DOUBLINGS);
         s.failures += 1;
@@ -949,10 +947,8 @@
             self.ways[z].1 = self.now + self.set.shortest_aim() / 2;
             let there = self.fleet.servers.iter().filter(|(_, s)| s.listed && s.zone == zone);
             let there: Vec<ServerId> = there.map(|(&id, _)| id).collect();
-            match there.len() {
-                n if n > 0 && self.set.may_probe => {
-                    self.actions.push(Action::Probe { server: there[self.rng.usize(0..n)] });
-                }
+            match self.rng.choice(&there) {
+                Some(&server) if self.set.may_probe => self.actions.push(Action::Probe { server }),
                 _ => self.judge_way(zone, false),
             }
         }
@@ -992,11 +988,11 @@
 
     // ---- The list, drains and cold servers. ----
 
-        self.seen.heard_at = self.now;
     fn take_list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
         if kind == ListKind::Error {
             return self.ask_later();
         }
+        self.seen.heard_at = self.now;
         if self.ask_at.is_some_and(|at| at > self.now) {
             self.ask_at = None;
             self.seen.failed_asks = 0;
@@ -1065,20 +1061,19 @@
         let last = self.seen.heard_at.max(self.seen.asked_at).saturating_add(ASK_GAP);
         let most = (base << self.seen.failed_asks.min(3)).min(last.saturating_sub(self.now));
         self.seen.failed_asks += 1;
-        let wait = span / 2 + (span as f64 * self.rng.f64()) as Nanos;
-        self.ask_at = Some(self.now + wait);
+        self.ask_at = Some(self.now + most / 3 + (most as f64 * self.rng.f64() / 1.5) as Nanos);
     }
 
     fn watch(&mut self) {
         let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
         let span = self.ask_span(must_ask_in);
         if self.ask_at == Some(0) && span > must_ask_in / 20 {
-            self.seen.asked_at = self.now;
             // All mixers may have started at once: more than the service answers at once.
             self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
         }
         if self.ask_at.is_some_and(|at| at <= self.now) {
             self.actions.push(Action::Watch);
+            self.seen.asked_at = self.now;
             self.ask_at = Some(self.now + must_ask_in / 2);
         }
     }
