--- a/src/net/frame/tests.rs
+++ b/src/net/frame/tests.rs
@@ -94,3 +94,20 @@
         let _ = parse(&bytes, FrameLimits { frame: 32, line: 16 });
     }
 }
+
+/// Guards drains, windows of repeats and times while a frame waits for its socket: what may not go out at that moment is
+/// left out, and told so.
+#[test]
+fn parts_that_may_not_go_out_now_are_left_out() {
+    let kept = dispatch(None);
+    let window = Dispatch { attempt: AttemptId(2), begin_by: 20 * MILLI, ..dispatch(None) };
+    let time = Dispatch { attempt: AttemptId(3), until: 20 * MILLI, ..dispatch(None) };
+    let frame = Frame::Call(vec![kept.clone(), window, time]);
+    let all = [AttemptId(1), AttemptId(2), AttemptId(3)];
+    assert_eq!(frame.current(10 * MILLI, true).sent, all);
+    let later = frame.current(20 * MILLI, true);
+    assert_eq!((&later.sent[..], &later.stale[..]), (&all[..1], &all[1..]));
+    assert_eq!(later.bytes, Frame::Call(vec![kept]).current(20 * MILLI, true).bytes);
+    let drained = frame.current(10 * MILLI, false);
+    assert_eq!((drained.bytes, drained.stale.len()), (None, 3));
+}
