A frame may take as long to come as the aims allow a silence

Need: 0.25 s for a frame that has begun suits short aims only; where aims are long, a large value over a poor link was taken for spoilt. Change: the fifth of the shortest aim that a silent connection is given, where that is longer.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -26,7 +26,8 @@
     pub frame: usize,
     /// Bytes of the line that begins an answer in a frame.
     pub frame_line: usize,
-    /// A frame that has begun to come must be whole within this.
+    /// A frame that has begun to come must be whole within this, or within the silence that the aims allow where that is
+    /// longer.
     pub frame_read: Duration,
     /// Parts given up, and parts answered, that one connection remembers: their answers may come late or
     /// twice.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -241,6 +241,7 @@
 
 fn read_frames(stream: &Stream, context: &NodeContext, tell: impl Fn(Come)) {
     let limits = &context.limits;
+    let whole = limits.frame_read.max(limits.silence(context.shortest_aim));
     let bounds = FrameLimits { frame: limits.frame, line: limits.frame_line };
     let spoilt = |frames, why| {
         log::warn!("a data node's answers cannot be read: {why}");
@@ -252,7 +253,7 @@
     // When the frame began that is not yet whole.
     let mut begun: Option<Instant> = None;
     loop {
-        let left = begun.map_or(LOOK * 120, |at| limits.frame_read.saturating_sub(at.elapsed()));
+        let left = begun.map_or(LOOK * 120, |at| whole.saturating_sub(at.elapsed()));
         if left.is_zero() {
             return spoilt(Vec::new(), "a frame stopped midway");
         }
