Queries that cannot be paced are throttled by those that are answered in time

A coordinator asks 0.45 queries a second of some 60 parts, so that the bound of parts out, at its least one, lets each query go whole: 300 coordinators with one query each are 18,000 parts for 188 data nodes. All pace, and nobody sheds. Change: adaptive throttling in the module: of queries that have more parts than may be out, no more are let in than 1.25 times those that were answered within their aim, over four of the longest aims.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -104,6 +104,9 @@
 const OPEN_SHARE: f64 = 0.9;
 /// So many calls the list's service answers at least within the time in which each mixer must ask.
 const ASKS_SERVED: u64 = 200;
+/// A query of more parts than the bound of all parts out cannot be paced by it. Such are throttled under
+/// overload: no more are let in than so many times those that were answered within their aim.
+const THROTTLE: f64 = 1.25;
 /// Sums of weights may fall this much short.
 const SLACK: f64 = 5e-5;
 
@@ -297,22 +300,20 @@
     fn send(&mut self, id: PartId, server: ServerId, kind: Kind) {
         let now = self.now;
         let Some(query) = self.parts.get(&id).and_then(|p| self.queries.get(&p.query)) else { return };
-        let within = self.ends_at(query).saturating_sub(now);
-        let class = query.class;
+        let (within, class) = (self.ends_at(query).saturating_sub(now), query.class);
         let free = self.parts.get(&id).is_some_and(|p| self.free(p));
         let Some(part) = self.parts.get_mut(&id) else { return };
         if within == 0 || part.attempts.len() >= self.set.classes[class.0].attempts as usize {
             return;
         }
         let attempt = part.attempts.len() as u32;
-        let counted = if free { 0 } else { attempt };
         part.attempts.push(Attempt { server, sent: now, kind, fate: Fate::Out });
         let aim = self.set.classes[class.0].aim;
         let call = self.seen.call(server, self.set.layout.batch);
         self.turn += 1;
         let idle = self.connection(server);
-        let gap = self.fleet.servers.get(&server).map_or(0, |s| self.cold_gap(s));
-        let burst = self.cold_burst();
+        let (gap, burst) =
+            (self.fleet.servers.get(&server).map_or(0, |s| self.cold_gap(s)), self.cold_burst());
         if let Some(s) = self.fleet.servers.get_mut(&server) {
             s.pending.push(Pending { part: id, attempt, sent: now, call, aim, class, idle });
             s.used_at = Some(now);
@@ -323,7 +324,7 @@
             let saved = gap.saturating_mul(burst - 1);
             s.next_at = (s.next_at.max(now.saturating_sub(saved)) + gap).max(now + pace as Nanos);
         }
-        self.counts.sent(kind, counted, now);
+        self.counts.sent(kind, if free { 0 } else { attempt }, now);
         self.actions.push(Action::Send { part: id, server, within });
     }
 
@@ -393,7 +394,8 @@
         }
         // Cut at this process's end, its time tells nothing of the client.
         let first = if end < self.ends_by { self.first_asked(class, again, end) } else { self.now };
-        self.queries.insert(id, Query { scout: again, ..Query::new(class, worth, first, end) });
+        let chance = self.rng.f64();
+        self.queries.insert(id, Query { chance, scout: again, ..Query::new(class, worth, first, end) });
         self.seen.held.insert(id);
         self.seen.touched.insert(id);
     }
@@ -463,8 +465,7 @@
 
     /// The last moment for an answer within the aim.
     fn aim_at(&self, q: &Query) -> Nanos {
-        let aim = self.set.classes[q.class.0].aim;
-        q.arrived.saturating_add(aim).saturating_sub(AIM_TICKS * self.set.tick)
+        q.arrived.saturating_add(self.set.classes[q.class.0].aim).saturating_sub(AIM_TICKS * self.set.tick)
     }
 
     /// Whether the parts that are in may make an answer that is not whole, and one that earns more at the
@@ -504,9 +505,10 @@
     fn answer(&mut self, id: QueryId, whole: bool) {
         let Some(q) = self.queries.get_mut(&id) else { return };
         let two_steps = self.set.classes[q.class.0].second_step > 0 && q.step == 1;
+        let timely = self.now < q.arrived.saturating_add(self.set.classes[q.class.0].aim);
         self.actions.push(Action::Answer { query: id, whole });
         if !two_steps {
-            return self.forget(id);
+            return self.end(id, timely);
         }
         q.stage = Stage::BetweenSteps;
         q.first_whole = whole;
@@ -541,6 +543,11 @@
             true => Action::Refuse { query: id, hold_off },
             false => Action::Fail { query: id },
         });
+        self.end(id, false);
+    }
+
+    fn end(&mut self, id: QueryId, timely: bool) {
+        self.counts.ended(timely, self.now);
         self.forget(id);
     }
 
@@ -587,13 +594,17 @@
         };
         let mut order: Vec<(f64, Nanos, QueryId)> = self.seen.held.iter().map(rank).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let (ended, timely) =
+            (self.counts.ended.count(self.now) as f64, self.counts.timely.count(self.now) as f64);
+        let throttled = (ended - THROTTLE * timely) / (ended + 1.0);
         let room = (self.set.max_open as f64 * OPEN_SHARE) as usize;
         let mut open = self.queries.len() + self.seen.open_parts;
         for &(_, _, id) in order.iter().rev() {
             let q = &self.queries[&id];
             let aim = self.set.classes[q.class.0].aim;
             let too_late = q.arrived.saturating_add(aim) < self.now + self.offset(q.class).min(aim / 2);
-            if open > room || too_late {
+            let unpaced = q.passes == 0 && q.parts.len() as f64 > self.room;
+            if open > room || too_late || unpaced && q.chance < throttled {
                 open = open.saturating_sub(1 + q.parts.len());
                 self.end_unserved(id);
             }
@@ -655,14 +666,7 @@
     /// Whether another attempt at a part that is not out is allowed by its class and limits.
     fn may_resend(&self, part: &Part, class: ClassId) -> bool {
         let class = &self.set.classes[class.0];
-        let permitted = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => {
-                part.first_possible_run().is_none_or(|t| self.now < t.saturating_add(class.repeat_window))
-            }
-            Effect::Unsafe => part.proved_unrun(),
-        };
-        permitted && part.attempts.len() < class.attempts as usize
+        self.now < class.begin_by(part.first_possible_run()) && part.attempts.len() < class.attempts as usize
     }
 
     /// Whether another try repeats no work: nothing of the part has run. A told budget counts all tries.
@@ -840,21 +844,19 @@
         let (now, jitter) = (self.now, self.rng.f64());
         let pause = self.seen.median.max(self.set.shortest_aim() / TRIAL_SHARE) as f64;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
-        if outcome == Outcome::NoRoom {
+        let turned = outcome == Outcome::NoRoom;
+        if turned || long && !matches!(outcome, Outcome::NoRoute | Outcome::Fault) {
             // What was sent before the bound was lowered was turned away for the same reason.
             if pending.sent >= s.limit_cut_at {
-                s.limit = (s.limit / 2.0).max(least);
-                s.limit_cut_at = now;
-            }
-            s.next_at = s.next_at.max(now + (pause / s.limit * (0.5 + jitter)) as Nanos);
-        } else if long && !matches!(outcome, Outcome::NoRoute | Outcome::Fault) {
-            if pending.sent >= s.limit_cut_at {
-                s.limit = (s.limit * LIMIT_CUT).max(least);
+                s.limit = (s.limit * if turned { 0.5 } else { LIMIT_CUT }).max(least);
                 s.limit_cut_at = now;
             }
         } else if outcome == Outcome::Pass && f64::from(s.calls_out() + 1) > s.limit / 2.0 {
             s.limit += (LIMIT_GROWTH * s.limit).min(1.0 / s.limit);
         }
+        if turned {
+            s.next_at = s.next_at.max(now + (pause / s.limit * (0.5 + jitter)) as Nanos);
+        }
     }
 
     /// Adds to the doubt of a server, at its class too: where only that class fails, passes of others
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -126,6 +126,8 @@
     pub(crate) passes: u32,
     /// One part goes ahead, the rest once it is in.
     pub(crate) scout: bool,
+    /// Below the share that is throttled it is turned away.
+    pub(crate) chance: f64,
 }
 
 impl Query {
@@ -196,6 +198,7 @@
             broken: 0,
             passes: 0,
             scout: false,
+            chance: 1.0,
         }
     }
 }
@@ -415,6 +418,9 @@
     pub(crate) extra: SlidingCount,
     pub(crate) first_sends: SlidingCount,
     pub(crate) copies: SlidingCount,
+    /// Queries that this mixer has ended, and those of them that were answered within their aim.
+    pub(crate) ended: SlidingCount,
+    pub(crate) timely: SlidingCount,
 }
 
 impl Counts {
@@ -429,12 +435,21 @@
         }
     }
 
+    pub(crate) fn ended(&mut self, timely: bool, now: Nanos) {
+        self.ended.add(now);
+        if timely {
+            self.timely.add(now);
+        }
+    }
+
     pub(crate) fn new(budget_span: Nanos, copy_span: Nanos) -> Self {
         Self {
             taken: SlidingCount::new(budget_span),
             extra: SlidingCount::new(budget_span),
             first_sends: SlidingCount::new(copy_span),
             copies: SlidingCount::new(copy_span),
+            ended: SlidingCount::new(copy_span),
+            timely: SlidingCount::new(copy_span),
         }
     }
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -316,3 +316,29 @@
         assert!(calls > 20, "{calls}");
     }
 }
+
+/// Guards a fleet of mixers with thin traffic against an overload that none of them can pace, since each has but one query
+/// out: where few of their queries are answered in time, most are turned away at once, and none where they are. What the
+/// bound of parts out can pace is left to it.
+#[test]
+fn queries_that_cannot_be_paced_are_throttled_by_those_in_time() {
+    let turned_away = |parts, latency| {
+        // Fifty parts may be out at once at the start.
+        let mut bed = Bed::new(Settings { mixers: 100, max_open: 200, ..settings() }, 8);
+        let mut refused = 0;
+        for n in 0..60 {
+            let actions = bed.query(0, parts).2;
+            let at_once = actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+            refused += usize::from(n >= 10 && at_once);
+            bed.now += latency;
+            let ended =
+                sends(&actions).iter().map(|s| bed.ended_after(s, 0, Outcome::Pass, latency)).collect();
+            bed.round(ended);
+            bed.pass(1500 * MS - latency);
+        }
+        refused
+    };
+    assert_eq!(turned_away(60, 100 * MS), 0);
+    let (unpaced, paced) = (turned_away(60, 1500 * MS), turned_away(1, 1500 * MS));
+    assert!(unpaced > 25 && paced == 0, "{unpaced} and {paced} of 50");
+}
