Only thin traffic is throttled: where a server is sent much, its own bound paces

Change: the throttle holds where this coordinator sends to one server less than once in two of the shortest aims, the bound of thin traffic that doubt goes by already.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -104,8 +104,7 @@
 const OPEN_SHARE: f64 = 0.9;
 /// So many calls the list's service answers at least within the time in which each mixer must ask.
 const ASKS_SERVED: u64 = 200;
-/// A query of more parts than the bound of all parts out cannot be paced by it. Such are throttled under
-/// overload: no more are let in than so many times those that were answered within their aim.
+/// Queries of more parts than may be out, where traffic is thin: so many times those answered in time go in.
 const THROTTLE: f64 = 1.25;
 /// Sums of weights may fall this much short.
 const SLACK: f64 = 5e-5;
@@ -596,6 +595,7 @@
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
         let (ended, timely) =
             (self.counts.ended.count(self.now) as f64, self.counts.timely.count(self.now) as f64);
+        let thin = self.send_gap() > THIN_AIMS * self.set.shortest_aim() as f64;
         let throttled = (ended - THROTTLE * timely) / (ended + 1.0);
         let room = (self.set.max_open as f64 * OPEN_SHARE) as usize;
         let mut open = self.queries.len() + self.seen.open_parts;
@@ -603,7 +603,7 @@
             let q = &self.queries[&id];
             let aim = self.set.classes[q.class.0].aim;
             let too_late = q.arrived.saturating_add(aim) < self.now + self.offset(q.class).min(aim / 2);
-            let unpaced = q.passes == 0 && q.parts.len() as f64 > self.room;
+            let unpaced = thin && q.passes == 0 && q.parts.len() as f64 > self.room;
             if open > room || too_late || unpaced && q.chance < throttled {
                 open = open.saturating_sub(1 + q.parts.len());
                 self.end_unserved(id);
