An overdue part is sent elsewhere only where the first can be called off or copies are allowed

Cause: Policy::chase_overdue took a part as called off where Policy::cancel_out had cancelled nothing, since cancels are not allowed. Excluded: copies of siblings, which look at may_duplicate. Change: such a part waits for its end.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -746,11 +746,11 @@
         if self.seen.strain > STRAINED || self.kills(query) {
             return;
         }
-        let class = self.queries[&query].class;
+        let (class, may) = (self.queries[&query].class, self.set.may_cancel || self.set.may_duplicate);
         for (sent, id) in self.queries[&query].lone_attempts(&self.parts) {
             let due = self.now >= sent.saturating_add(self.overdue_after(class));
             let alone = due && !self.parts[&id].copied() && !self.copy(id);
-            if alone && self.may_resend(&self.parts[&id], class) {
+            if alone && may && self.may_resend(&self.parts[&id], class) {
                 self.resend(id, Kind::Retry, 0);
             }
         }
--- a/crates/core/tests/module.rs
+++ b/crates/core/tests/module.rs
@@ -373,3 +373,19 @@
     }
     assert!(late <= 1, "{late} of the last 20 went to the slow server");
 }
+
+/// Guards deployments that allow neither a cancel nor two attempts of a part at once: an overdue part waits for its end,
+/// and is tried again after it only.
+#[test]
+fn a_part_that_cannot_be_called_off_is_not_sent_twice_at_once() {
+    for (may_cancel, may_duplicate, sent) in [(false, false, 0), (true, false, 1)] {
+        let mut bed = Bed::new(Settings { may_cancel, may_duplicate, ..settings() }, 3);
+        bed.warm_up(30);
+        let first = sends(&bed.query(0, 1).2)[0];
+        assert_eq!(sends(&bed.pass(900 * MS)).len(), sent, "cancel {may_cancel}");
+        if sent == 0 {
+            let again = bed.round(vec![bed.ended_after(&first, 0, Outcome::Fault, 900 * MS)]);
+            assert_eq!(sends(&again).len(), 1);
+        }
+    }
+}
