A lack of sockets is tried and said once in a while, not for every part

Change: the pure machine of a data node's connections (net::link) opens none for 20 ms after one found no socket. What would have needed one ends as after a try of its own: over an open connection with room, silent or not, else as not sent. The actor tells the machine of the lack at once instead of through its mailbox. The line is bounded by a pure type (net::log_limit) that all actors share: one in 10 s at most, with the tries since the last; what is left unsaid is told by the next actor that is idle for half a second.

Measured: the program with 42 sockets for 60 data nodes (tests/operation.rs) wrote 72 lines before and fails its new test; with it one, and passes. An actor with 100 parts in its mailbox, one for a connection and no socket (net::node): one try; 100 without the pause, and 100 with the word in the mailbox. Without the pause, two new tests of net::link and its model test fail too.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -38,6 +38,10 @@
     pub link_silence: Duration,
     /// See there.
     pub link_silence_part: u32,
+    /// Where no socket was left for a connection to a data node, its actor does not try for another one for so long.
+    pub no_socket_pause: Duration,
+    /// The log says so this often at most, for all data nodes together.
+    pub no_socket_log: Duration,
     /// The name of a query is not taken again for so long after its end: late answers bear it.
     pub name_rest: Duration,
     /// Bytes of the list of data nodes, or of a change to it.
@@ -180,6 +184,8 @@
             past_parts: 128,
             link_silence: Duration::from_millis(100),
             link_silence_part: 5,
+            no_socket_pause: Duration::from_millis(20),
+            no_socket_log: Duration::from_secs(10),
             name_rest: Duration::from_secs(10),
             discovery_object: 1024 * 1024,
             headers: 64,
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -82,6 +82,8 @@
     pub past: usize,
     /// A connection that is silent for this long with parts out gets nothing new.
     pub silence: Nanos,
+    /// Where this process had no socket left, no other connection is opened for so long.
+    pub no_socket_pause: Nanos,
 }
 
 #[derive(Debug, Clone)]
@@ -92,6 +94,15 @@
     Probe,
 }
 
+impl Item {
+    fn parts(&self) -> usize {
+        match self {
+            Self::Call(call, _) => call.len(),
+            Self::GiveUp(_) | Self::Probe => 0,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Dialing,
@@ -128,8 +139,7 @@
 
 impl Link {
     fn parts(&self) -> usize {
-        let calls = |i: &Item| if let Item::Call(c, _) = i { c.len() } else { 0 };
-        self.out.len() + self.waiting.iter().chain(&self.writing).map(calls).sum::<usize>()
+        self.out.len() + self.waiting.iter().chain(&self.writing).map(Item::parts).sum::<usize>()
     }
 
     fn is_over(&mut self, name: String, how: Past, most: usize) {
@@ -164,6 +174,8 @@
     limits: LinkLimits,
     links: BTreeMap<LinkId, Link>,
     takes_new: bool,
+    /// No connection is opened before this: there was no socket left for one.
+    no_socket_until: Nanos,
     next: u64,
     now: Nanos,
     outputs: Vec<Output>,
@@ -172,7 +184,15 @@
 impl Links {
     /// No connection yet; nothing is sent before [`Input::TakesNew`].
     pub fn new(limits: LinkLimits) -> Self {
-        Self { limits, links: BTreeMap::new(), takes_new: false, next: 0, now: 0, outputs: Vec::new() }
+        Self {
+            limits,
+            links: BTreeMap::new(),
+            takes_new: false,
+            no_socket_until: 0,
+            next: 0,
+            now: 0,
+            outputs: Vec::new(),
+        }
     }
 
     /// Connections that are open, being opened or being closed.
@@ -193,10 +213,7 @@
             Input::Drop(id) => self.drop_attempt(id),
             Input::TakesNew(yes) => self.takes_new = yes,
             Input::CloseIdle => self.close_idle(0),
-            Input::Probe => {
-                let link = self.choose(0);
-                self.put(link, Item::Probe);
-            }
+            Input::Probe => self.place(Item::Probe),
             Input::Up(id) => {
                 if let Some(link) = self.links.get_mut(&id).filter(|l| l.state == State::Dialing) {
                     link.state = State::Up;
@@ -233,8 +250,17 @@
         self.outputs.push(Output::End(id, outcome, value));
     }
 
-    /// A connection with room for so many parts: an open one, one that is being opened, or a new one.
-    fn choose(&mut self, parts: usize) -> LinkId {
+    /// Hands what is to be sent to a connection.
+    fn place(&mut self, item: Item) {
+        match self.choose(item.parts()) {
+            Some(link) => self.put(link, item),
+            None => self.place_without_socket(item),
+        }
+    }
+
+    /// A connection with room for so many parts: an open one, one that is being opened, or a new one. None where that
+    /// would have to be a new one, and there was no socket for one a moment ago.
+    fn choose(&mut self, parts: usize) -> Option<LinkId> {
         let (most, idle, now) = (self.limits.multiplex, self.limits.idle, self.now);
         let room = |l: &Link| l.parts() + parts <= most.max(parts);
         let silence = self.limits.silence;
@@ -244,7 +270,10 @@
             of_state.map(|(&id, _)| id).next()
         };
         if let Some(id) = fits(State::Up).or_else(|| fits(State::Dialing)) {
-            return id;
+            return Some(id);
+        }
+        if self.now < self.no_socket_until {
+            return None;
         }
         let id = LinkId(self.next);
         self.next += 1;
@@ -264,7 +293,7 @@
         };
         self.links.insert(id, link);
         self.outputs.push(Output::Dial(id));
-        id
+        Some(id)
     }
 
     fn put(&mut self, id: LinkId, item: Item) {
@@ -280,8 +309,7 @@
             return call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
         }
         if self.takes_new {
-            let link = self.choose(call.len());
-            return self.put(link, Item::Call(call, false));
+            return self.place(Item::Call(call, false));
         }
         call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
     }
@@ -360,21 +388,25 @@
         self.fail_waiting(link.waiting);
     }
 
-    /// What waited for a connection that this process has no socket for goes over an open one with room, silent or
-    /// not. Where there is none, it was not sent, which says nothing of the data node.
+    /// This process has no socket for a connection: for a moment, no other one is tried.
     fn no_socket(&mut self, id: LinkId) {
         let Some(link) = self.links.remove(&id) else { return };
-        for item in link.waiting {
-            let parts = if let Item::Call(call, _) = &item { call.len() } else { 0 };
-            let room = |l: &Link| l.state == State::Up && l.parts() + parts <= self.limits.multiplex;
-            let other = self.links.iter().find(|(_, l)| room(l)).map(|(&id, _)| id);
-            match (other, item) {
-                (Some(other), item) => self.put(other, item),
-                (None, Item::Call(call, _)) => {
-                    call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
-                }
-                (None, item) => self.fail_waiting([item].into()),
+        self.no_socket_until = self.now.saturating_add(self.limits.no_socket_pause);
+        link.waiting.into_iter().for_each(|item| self.place_without_socket(item));
+    }
+
+    /// What this process has no socket for goes over an open connection with room, silent or not. Where there is none,
+    /// it was not sent, which says nothing of the data node.
+    fn place_without_socket(&mut self, item: Item) {
+        let parts = item.parts();
+        let room = |l: &Link| l.state == State::Up && l.parts() + parts <= self.limits.multiplex;
+        let other = self.links.iter().find(|(_, l)| room(l)).map(|(&id, _)| id);
+        match (other, item) {
+            (Some(other), item) => self.put(other, item),
+            (None, Item::Call(call, _)) => {
+                call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
             }
+            (None, item) => self.fail_waiting([item].into()),
         }
     }
 
@@ -461,19 +493,11 @@
     /// they like. One that is gone shows it when the next connection does not come up.
     fn move_waiting(&mut self, waiting: VecDeque<Item>) {
         for item in waiting {
-            let (item, parts) = match item {
-                Item::Call(call, false) => {
-                    let parts = call.len();
-                    (Item::Call(call, true), parts)
-                }
-                Item::Probe => (Item::Probe, 0),
-                item => {
-                    self.fail_waiting([item].into());
-                    continue;
-                }
-            };
-            let link = self.choose(parts);
-            self.put(link, item);
+            match item {
+                Item::Call(call, false) => self.place(Item::Call(call, true)),
+                Item::Probe => self.place(Item::Probe),
+                item => self.fail_waiting([item].into()),
+            }
         }
     }
 
--- a/src/net/link/tests.rs
+++ b/src/net/link/tests.rs
@@ -10,6 +10,7 @@
 const PROBE: Nanos = 50;
 const WAIT: Nanos = 400;
 const SILENCE: Nanos = 100;
+const NO_SOCKET_PAUSE: Nanos = 20;
 
 fn links() -> Links {
     Links::new(LinkLimits {
@@ -19,6 +20,7 @@
         backlog: 64,
         past: 8,
         silence: SILENCE,
+        no_socket_pause: NO_SOCKET_PAUSE,
     })
 }
 
@@ -57,6 +59,7 @@
     writing: Vec<(LinkId, Vec<u64>)>,
     takes_new: bool,
     now: Nanos,
+    no_socket_until: Nanos,
     probes: i64,
 }
 
@@ -70,6 +73,7 @@
             // What was begun may have run, as if it were written.
             Input::WriteFailed(id, begun) => self.end_write(*id, *begun),
             Input::LeftOut(id, left) => self.left_out(*id, left),
+            Input::NoSocket(_) => self.no_socket_until = self.now + NO_SOCKET_PAUSE,
             _ => {}
         }
         for output in links.step(self.now, input) {
@@ -103,7 +107,10 @@
 
     fn check(&mut self, output: Output) {
         match output {
-            Output::Dial(id) => self.dialing.push(id),
+            Output::Dial(id) => {
+                assert!(self.now >= self.no_socket_until, "tried again where no socket was left");
+                self.dialing.push(id);
+            }
             Output::Shut(id) => {
                 self.up.retain(|&u| u != id);
                 self.shut.push(id);
@@ -261,7 +268,8 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Whatever happens in whatever order: each attempt ends exactly once and as its frame's progress
-    /// says, nothing is handed to a data node that takes nothing new, and no connection is left over.
+    /// says, nothing is handed to a data node that takes nothing new, no connection is left over, and none is tried in
+    /// the moment after there was no socket for one.
     #[test]
     fn every_attempt_ends_once_and_as_it_went(
         steps in proptest::collection::vec((0..21u8, any::<usize>()), 0..200),
@@ -413,6 +421,37 @@
     assert_eq!(links.count(), 0);
 }
 
+/// Guards against a try for every part in the moment in which no socket is left: one coordinator did, hundreds of
+/// times. The parts end as after a try of their own, and the next moment there is another.
+#[test]
+fn a_lack_of_sockets_is_found_once_in_a_moment() {
+    let mut links = links();
+    links.step(0, Input::TakesNew(true));
+    assert_eq!(links.step(0, Input::Call(vec![part(0, WAIT)])), [Output::Dial(LinkId(0))]);
+    links.step(0, Input::NoSocket(LinkId(0)));
+    for id in 1..100 {
+        let ended = links.step(NO_SOCKET_PAUSE - 1, Input::Call(vec![part(id, WAIT)]));
+        assert_eq!(ended, [Output::End(AttemptId(id), Outcome::StaleSend, None)]);
+    }
+    assert_eq!(links.step(NO_SOCKET_PAUSE - 1, Input::Probe), [Output::Probed(Outcome::NoRoute)]);
+    assert_eq!(links.count(), 0);
+    let tried = links.step(NO_SOCKET_PAUSE, Input::Call(vec![part(100, WAIT)]));
+    assert_eq!(tried, [Output::Dial(LinkId(1))]);
+}
+
+/// Guards the parts of that moment where a connection is open, though silent: they go over it, as long as it has room.
+#[test]
+fn in_a_lack_of_sockets_open_connections_are_filled() {
+    let (mut links, now) = (used(2), 1 + SILENCE);
+    links.step(now, Input::Call(vec![part(2, WAIT)]));
+    links.step(now, Input::NoSocket(LinkId(1)));
+    links.step(now, Input::Written(LinkId(0)));
+    let sent = links.step(now, Input::Call(vec![part(3, WAIT)]));
+    assert!(matches!(sent[..], [Output::Write(LinkId(0), _)]), "{sent:?}");
+    let full = links.step(now, Input::Call(vec![part(4, WAIT)]));
+    assert_eq!(full, [Output::End(AttemptId(4), Outcome::StaleSend, None)]);
+}
+
 /// Guards against choosing such a connection again once all that was out on it is given up.
 #[test]
 fn a_connection_given_up_in_silence_is_closed() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod io;
 pub mod link;
+pub mod log_limit;
 pub mod mail;
 pub mod members;
 pub mod node;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,22 +1,23 @@
 //! The actor of one data node: carries out on sockets what [`Links`] decides.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use std::sync::mpsc::RecvTimeoutError;
 
 use may::sync::mpsc::{channel, Receiver, Sender};
 
-use crate::api::ServerId;
+use crate::api::{Nanos, ServerId};
 use crate::counters::Counters;
 use crate::limits::Limits;
 use crate::net::frame::{self, Current, Frame, FrameLimits};
-use crate::net::io::{nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream, Unwritten};
+use crate::net::io::{lock, nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream, Unwritten};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
+use crate::net::log_limit::LogLimit;
 use crate::net::mail::{Come, CoreMail, Gate, Msg, NodeMsg, Rest, REQUEST};
 use crate::settings::Connections;
 
@@ -33,6 +34,8 @@
     pub shortest_aim: Duration,
     /// Sockets that data nodes may hold together.
     pub permits: Permits,
+    /// Bounds the line that says that none is left.
+    pub no_socket_log: Arc<Mutex<LogLimit>>,
     /// Counters.
     pub counters: Arc<Counters>,
     /// The clock.
@@ -48,18 +51,7 @@
 pub fn start(id: ServerId, gate: Gate, context: NodeContext) -> Sender<NodeMsg> {
     let (mail, inbox) = channel();
     let own = mail.clone();
-    spawn_vital("node", context.limits.stack_words, move || {
-        let connections = context.connections;
-        let links = Links::new(LinkLimits {
-            multiplex: connections.multiplex,
-            idle: nanos(context.limits.usable_idle(Duration::from_nanos(connections.idle))),
-            probe: nanos(context.limits.probe),
-            backlog: context.limits.node_backlog,
-            past: context.limits.past_parts,
-            silence: nanos(context.limits.silence(context.shortest_aim)),
-        });
-        Node { id, gate, context, own, links, addr: None, open: HashMap::new() }.run(&inbox);
-    });
+    spawn_vital("node", context.limits.stack_words, move || Node::new(id, gate, context, own).run(&inbox));
     mail
 }
 
@@ -74,13 +66,30 @@
 }
 
 impl Node {
+    fn new(id: ServerId, gate: Gate, context: NodeContext, own: Sender<NodeMsg>) -> Self {
+        let (connections, limits) = (context.connections, &context.limits);
+        let links = Links::new(LinkLimits {
+            multiplex: connections.multiplex,
+            idle: nanos(limits.usable_idle(Duration::from_nanos(connections.idle))),
+            probe: nanos(limits.probe),
+            backlog: limits.node_backlog,
+            past: limits.past_parts,
+            silence: nanos(limits.silence(context.shortest_aim)),
+            no_socket_pause: nanos(limits.no_socket_pause),
+        });
+        Self { id, gate, context, own, links, addr: None, open: HashMap::new() }
+    }
+
     fn run(mut self, inbox: &Receiver<NodeMsg>) {
         loop {
             let look = if self.links.probing() { LOOK_PROBING } else { LOOK };
             match inbox.recv_timeout(look) {
                 Ok(NodeMsg::Retire) => break,
                 Ok(message) => self.take(message),
-                Err(RecvTimeoutError::Timeout) => self.step(Input::Tick),
+                Err(RecvTimeoutError::Timeout) => {
+                    self.step(Input::Tick);
+                    self.log_no_socket(LogLimit::due);
+                }
                 Err(RecvTimeoutError::Disconnected) => break,
             }
         }
@@ -132,11 +141,16 @@
 
     fn step(&mut self, input: Input) {
         let now = self.context.clock.now();
-        let mut outputs = self.links.step(now, Input::TakesNew(self.gate.open()));
+        let mut outputs = VecDeque::from(self.links.step(now, Input::TakesNew(self.gate.open())));
         outputs.extend(self.links.step(now, input));
-        for output in outputs {
+        while let Some(output) = outputs.pop_front() {
             match output {
-                Output::Dial(id) => self.dial(id),
+                Output::Dial(id) => {
+                    if !self.dial(id) {
+                        // At once, so that what comes next does not wait for this connection, or try for another.
+                        outputs.extend(self.links.step(now, Input::NoSocket(id)));
+                    }
+                }
                 Output::Write(id, frame) => {
                     let sent = self.open.get(&id).is_some_and(|o| o.1.send(frame).is_ok());
                     if !sent {
@@ -158,18 +172,28 @@
         }
     }
 
-    fn dial(&mut self, id: LinkId) {
+    /// Begins to open a connection; returns whether there was a socket for it.
+    fn dial(&mut self, id: LinkId) -> bool {
         let permit = self.context.permits.take();
         let (Some(addr), Some(permit)) = (self.addr, permit) else {
-            log::warn!("no socket left for a connection to a data node");
-            // The mailbox outlives the actor's own loop.
-            let _ = self.own.send(NodeMsg::Link(Input::NoSocket(id)));
-            return;
+            self.log_no_socket(LogLimit::occurred);
+            return false;
         };
         Counters::add(&self.context.counters.dials);
         let (context, own) = (self.context.clone(), self.own.clone());
         let (gate, addr) = (self.gate.clone(), (addr, permit));
         spawn("link", context.limits.stack_words, move || connection(id, addr, gate, &context, &own));
+        true
+    }
+
+    /// Says that no socket was left, as often as the limit finds a line due.
+    fn log_no_socket(&self, due: fn(&mut LogLimit, Nanos) -> Option<u64>) {
+        let times = due(&mut lock(&self.context.no_socket_log), self.context.clock.now());
+        if let Some(times) = times {
+            log::warn!(
+                "no socket left for a connection to a data node (tries since the last such line: {times})"
+            );
+        }
     }
 }
 
@@ -290,3 +314,6 @@
         tell(Come { frames, rest });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -29,6 +29,7 @@
 use crate::net::feature_node;
 use crate::net::features::Names;
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
+use crate::net::log_limit::LogLimit;
 use crate::net::mail::{self, DiscoveryMsg};
 use crate::net::members::{ListNews, WireList};
 use crate::net::node::{self, NodeContext};
@@ -102,6 +103,7 @@
         connections: info.connections,
         shortest_aim: Duration::from_nanos(info.settings.shortest_aim()),
         permits: Permits::new(limits.node_sockets),
+        no_socket_log: Arc::new(Mutex::new(LogLimit::new(nanos(limits.no_socket_log)))),
         counters: counters.clone(),
         clock,
     };
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -7,12 +7,14 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
-use bed::stand_in::{exchange, get, read_answer, Discovery, NodeReply};
-use bed::{held_back, operate, query, query_bytes, served, two, until, yes, Bed, Program};
+use curlewdeck::limits::{Limits, Platform};
+
+use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply};
+use bed::{held_back, member, operate, query, query_bytes, served, two, until, yes, Bed, Program};
 
 /// A configuration with a second address, changed as the test wants.
 fn config(discovery: &Discovery, change: impl FnOnce(&mut Value)) -> String {
@@ -325,3 +327,34 @@
     }
     std::fs::remove_dir_all(&dir).unwrap();
 }
+
+/// Guards the log against a line for every part in the moment in which no socket is left for data nodes: a coordinator
+/// wrote hundreds. The parts that were not sent are held against no data node.
+#[test]
+fn a_lack_of_sockets_is_said_once_in_a_while() {
+    let begun = Instant::now();
+    let (release, slow) = held_back();
+    let node = DataNode::start(slow);
+    // One shard at each, and fewer sockets than data nodes.
+    let nodes = 60;
+    let list = (0..nodes).map(|n| member(&format!("n{n}"), n, node.addr)).collect();
+    let discovery = Discovery::start("127.0.0.1:0", list);
+    let bed = Bed { cells: nodes, in_a_row: 1, ranges: nodes, sockets: 128, ..Bed::default() };
+    let limits = Limits::within(Platform { sockets: 128, memory_mb: 192, others: 0, nodes: 0 }).unwrap();
+    let program = Program::start(&bed.config(discovery.addr));
+    let shards: Vec<u32> = (0..nodes).collect();
+    let open = asked(program.addr, &query_bytes("plaza-ranking", &shards, "60000m"));
+    until("all sockets taken", || node.parts().len() == limits.node_sockets);
+    // The rest of the parts were handed out with these, and is tried again until the end.
+    program.signal("TERM");
+    release.store(true, Ordering::SeqCst);
+    answer(open);
+    let log = program.ended();
+    let told = log.lines().filter(|l| l.contains("no socket left for a connection to a data node")).count();
+    let most = 1 + begun.elapsed().as_nanos() / limits.no_socket_log.as_nanos();
+    assert!((1..=most).contains(&(told as u128)), "{told} lines: {log}");
+    assert!(
+        log.lines().filter(|l| l.trim().starts_with("node ")).all(|l| l.contains(" noRoute=0 ")),
+        "{log}"
+    );
+}
