sighup_moves_the_list: the bad file is turned down before the next is put in place

Cause: the test, not the program. It put a file that cannot be read in place, sent SIGHUP, and put the next file in place without waiting. The program reads the file as it is when it comes to it, and words that come fast run together, as tests/operation.rs has it ("files that come fast upon each other end in the last one"): on a busy machine it never saw the bad file, and the last assertion found no line of it in the log (0 for 1). No wait ran against the program's end in the failures whose output was kept; the one after SIGTERM could have.

Change: the test waits for the figure of files turned down before it goes on. Stricter: the drain must be a 503 (a failed call was enough), the third list must be unasked until the word, and waits after SIGTERM fail at once, with the reason, where the program has ended.

--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -215,13 +215,34 @@
 
     /// The same with whatever is made at that path; returns where it is then.
     pub fn reload_made(&self, make: impl FnOnce(&Path)) -> PathBuf {
+        let config = self.put_made(make);
+        self.signal("HUP");
+        config
+    }
+
+    /// Puts a file in the place of its configuration; it is read at the next SIGHUP.
+    pub fn put(&self, text: &str) {
+        self.put_made(|path| std::fs::write(path, text).unwrap());
+    }
+
+    fn put_made(&self, make: impl FnOnce(&Path)) -> PathBuf {
         let (next, config) = (self.dir.join("next.json"), self.dir.join("config.json"));
         make(&next);
         std::fs::rename(next, &config).unwrap();
-        self.signal("HUP");
         config
     }
 
+    /// Waits for something that is bound to happen before the program ends, and no longer than until then.
+    pub fn until(&mut self, what: &str, mut happened: impl FnMut() -> bool) {
+        until(what, || {
+            // Looked at first: what has not happened after it never will.
+            let ended = self.child.try_wait().unwrap();
+            let happened = happened();
+            assert!(happened || ended.is_none(), "the program ended ({ended:?}) before: {what}");
+            happened
+        });
+    }
+
     /// Waits for its end, which must be a good one; returns its log.
     pub fn ended(mut self) -> String {
         assert!(self.child.wait().unwrap().success());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -467,23 +467,33 @@
 fn sighup_moves_the_list() {
     let (release, slow) = held_back();
     let (a, b, first) = two(slow.clone(), slow);
-    let program = Program::start(&Bed::default().config(first.addr));
+    // With a second address, whose figures tell that a file was turned down.
+    let config = |discovery: &Discovery| {
+        Bed::default().config(discovery.addr).replacen('{', r#"{"control":"127.0.0.1:0","#, 1)
+    };
+    let mut program = Program::start(&config(&first));
     until("the first watch", || first.watches() == 1);
     program.reload("{");
+    // Words that come fast upon each other run together, and the file is read as it is by then: only now may another
+    // be put in its place.
+    until("the file to be turned down", || program.figure("reloads_failed") == Some(1));
     // The second knows one data node of the two, and the third both.
     let second = Discovery::start("127.0.0.1:0", vec![member("b", 1, b.addr)]);
-    program.reload(&Bed::default().config(second.addr));
+    program.reload(&config(&second));
     until("the second watch", || second.watches() == 1 && second.lists() == 1);
     assert_eq!(first.watches(), 1);
     let addr = program.addr;
     let asked = std::thread::spawn(move || query(addr, "tag-lookup", &[0, 1]).unwrap());
     until("the parts", || b.parts().len() == 2);
     assert_eq!(a.parts().len(), 0);
-    program.signal("TERM");
-    until("the drain", || get(addr, "/_health").map_or(true, |a| a.status == 503));
+    // From SIGTERM on the program's own time runs: all is in place before it, but for the word itself.
     let third = Discovery::start("127.0.0.1:0", vec![member("a", 0, a.addr), member("b", 1, b.addr)]);
-    program.reload(&Bed::default().config(third.addr));
-    until("the third watch", || third.watches() == 1 && third.lists() == 1);
+    program.put(&config(&third));
+    program.signal("TERM");
+    program.until("the drain", || get(addr, "/_health").is_ok_and(|a| a.status == 503));
+    assert_eq!((third.watches(), third.lists()), (0, 0));
+    program.signal("HUP");
+    program.until("the third watch", || third.watches() == 1 && third.lists() == 1);
     release.store(true, Ordering::SeqCst);
     assert_eq!(asked.join().unwrap().status, 200);
     let log = program.ended();
