Tests share the list's service as scripted call by call

tests/crossings.rs alone had the scripted list's service; more tests need it. The bed also starts a coordinator from a configuration's text, kills a program with SIGKILL and tells whether it is stopped. No test changes.

--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -1,6 +1,7 @@
 //! A coordinator on loopback, with stand-ins round it.
 #![allow(dead_code)]
 
+pub mod scripted;
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
 
@@ -70,13 +71,18 @@
 
     /// Starts a coordinator in this process.
     pub fn start(&self, discovery: SocketAddr, edge: &str) -> Coordinator {
-        static WORKERS: Once = Once::new();
-        WORKERS.call_once(|| serve::set_up_workers(&Limits::default()));
-        let config = Config::read(&self.config(discovery), |_| None).unwrap();
-        serve::start(config, Edge::read(edge).unwrap()).unwrap()
+        start(&self.config(discovery), edge)
     }
 }
 
+/// Starts a coordinator in this process from the text of its configuration.
+pub fn start(config: &str, edge: &str) -> Coordinator {
+    static WORKERS: Once = Once::new();
+    WORKERS.call_once(|| serve::set_up_workers(&Limits::default()));
+    let config = Config::read(config, |_| None).unwrap();
+    serve::start(config, Edge::read(edge).unwrap()).unwrap()
+}
+
 pub fn member(uid: &str, cell: u32, endpoint: SocketAddr) -> Member {
     Member { uid: uid.to_string(), endpoint, cell, state: "up" }
 }
@@ -208,6 +214,12 @@
         signal(&self.child, name);
     }
 
+    /// The letter of its state: `T` once it is stopped.
+    pub fn state(&self) -> char {
+        let status = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        status.rsplit(") ").next().and_then(|rest| rest.chars().next()).unwrap()
+    }
+
     /// Puts a file in the place of its configuration, and has it read.
     pub fn reload(&self, text: &str) {
         self.reload_made(|path| std::fs::write(path, text).unwrap());
@@ -249,6 +261,12 @@
         self.log.take().unwrap().join().unwrap()
     }
 
+    /// Kills it with SIGKILL, and waits until it is gone.
+    pub fn killed(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// One figure of the second address.
     pub fn figure(&self, name: &str) -> Option<u64> {
         let text = operate(self.control.unwrap(), "GET", "/ops/stats").unwrap().body;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,7 +3,7 @@
 
 mod bed;
 
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -12,6 +12,7 @@
 
 use curlewdeck::limits::{Limits, Platform};
 
+use bed::scripted::{chunk, list, Scripted, WATCH};
 use bed::stand_in::{exchange, get, read_answer, DataNode, Discovery, NodeReply};
 use bed::{held_back, member, query_bytes, ready, served, two, until, Bed, Program};
 
@@ -311,52 +312,6 @@
 
 // ---- Discovery. ----
 
-/// Discovery as the test scripts it: each call as it comes.
-struct Scripted {
-    listener: TcpListener,
-}
-
-impl Scripted {
-    fn new() -> (Self, SocketAddr) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        (Self { listener }, addr)
-    }
-
-    /// The next connection, and what is asked for on it.
-    fn call(&self) -> (TcpStream, String) {
-        let (stream, _) = self.listener.accept().unwrap();
-        let target = asked(&stream);
-        (stream, target)
-    }
-}
-
-/// Reads one request; returns its target.
-fn asked(stream: &TcpStream) -> String {
-    let mut reader = BufReader::new(stream.try_clone().unwrap());
-    let (mut first, mut line) = (String::new(), String::new());
-    reader.read_line(&mut first).unwrap();
-    while line != "\r\n" {
-        line.clear();
-        assert!(reader.read_line(&mut line).unwrap() > 0, "it left");
-    }
-    first.split(' ').nth(1).unwrap().to_string()
-}
-
-const WATCH: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-fn chunk(text: &str) -> Vec<u8> {
-    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
-}
-
-fn list(rev: u32, nodes: &[(&str, u32, SocketAddr)]) -> String {
-    let line = |(uid, cell, addr): &(&str, u32, SocketAddr)| {
-        format!(r#"{{"uid":"{uid}","endpoint":"{addr}","pod_group":{cell},"state":"up"}}"#)
-    };
-    let lines: Vec<String> = nodes.iter().map(line).collect();
-    format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, lines.join(","))
-}
-
 /// Two data nodes that hold every shard, and their list.
 fn listed() -> (DataNode, DataNode, String) {
     let (a, b) = (DataNode::start(served), DataNode::start(served));
