A test moves the list's service by SIGHUP while data nodes drain

No test had both: the service moved, or a data node drained. Five data nodes with parts out: one drains before the move, one by the new service's whole list, one is missing there, one drains by its first change, one stays. Once the grace of 250 ms is over nothing new goes to the first four, however much is asked, though they answer; what they hold is answered.

--- /dev/null
+++ b/tests/fleet_days.rs
@@ -0,0 +1,131 @@
+//! What a fleet goes through on its worst days, each forced on real sockets: a move of the list's service while data
+//! nodes drain.
+
+mod bed;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bed::scripted::{asked, chunk, news, Line, Scripted, WATCH};
+use bed::stand_in::{Answer, DataNode, Part};
+use bed::{query, served, until, Bed, Program};
+
+/// A data node that drains may be sent something new for this long after the word.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+/// Queries enough for each data node to come first several times.
+const TURNS: u32 = 40;
+/// The shard whose parts are held back.
+const HELD: u32 = 3;
+
+/// One cell with every shard, whose parts may be out for as long as a test takes: nothing is chased or copied.
+fn patient(discovery: SocketAddr) -> String {
+    let config = Bed { cells: 1, in_a_row: 1, ..Bed::default() }.config(discovery);
+    config.replace(r#""aim_ns":1000000000"#, r#""aim_ns":60000000000"#)
+}
+
+/// Data nodes that hold back the parts of one shard until they are released.
+fn holding<const N: usize>() -> (Arc<AtomicBool>, [DataNode; N]) {
+    let release = Arc::new(AtomicBool::new(false));
+    let nodes = std::array::from_fn(|_| {
+        let held = release.clone();
+        DataNode::start(move |part: &Part| {
+            until("the release", || part.shard != HELD || held.load(Ordering::SeqCst));
+            served(part)
+        })
+    });
+    (release, nodes)
+}
+
+/// Queries until each data node holds a part back; returns who waits for the answers.
+fn held_at_each(addr: SocketAddr, nodes: &[DataNode]) -> Vec<thread::JoinHandle<Answer>> {
+    let mut waiting = Vec::new();
+    until("a held part at each data node", || {
+        if nodes.iter().all(|node| !node.parts().is_empty()) {
+            return true;
+        }
+        let sent = || nodes.iter().map(|node| node.parts().len()).sum::<usize>();
+        let before = sent();
+        waiting.push(thread::spawn(move || query(addr, "tag-lookup", &[HELD]).unwrap()));
+        until("the part", || sent() > before);
+        false
+    });
+    waiting
+}
+
+fn all_answered(waiting: Vec<thread::JoinHandle<Answer>>) {
+    for asked in waiting {
+        assert_eq!(asked.join().unwrap().body, r#"{"exact":true,"rows":[{"id":3,"data":"v3"}]}"#);
+    }
+}
+
+/// Queries of two parts at once, for which two data nodes are wanted.
+fn ask_in_turn(addr: SocketAddr, turns: u32) {
+    for turn in 0..turns {
+        let shards = [turn % HELD, (turn + 1) % HELD];
+        assert_eq!(query(addr, "tag-lookup", &shards).unwrap().status, 200);
+    }
+}
+
+/// Asks on while the grace lasts; then nothing more may go to these, however much is asked, and something to the others.
+fn nothing_new_after_the_grace(addr: SocketAddr, told: Instant, shut: &[&DataNode], open: &[&DataNode]) {
+    while told.elapsed() <= DRAIN_GRACE {
+        ask_in_turn(addr, 1);
+    }
+    let parts = |nodes: &[&DataNode]| nodes.iter().map(|node| node.parts().len()).collect::<Vec<_>>();
+    let (shut_before, open_before) = (parts(shut), parts(open));
+    ask_in_turn(addr, TURNS);
+    assert_eq!(parts(shut), shut_before, "sent to one that drains or is gone");
+    let served = parts(open).iter().zip(&open_before).all(|(now, before)| now > before);
+    assert!(served, "{open_before:?} {:?}", parts(open));
+}
+
+// ---- The list's service moves. ----
+
+/// Guards drains and absences over a move by SIGHUP: who drained before, who drains by the new service's whole list, who
+/// is missing there, and who drains by its first change, all with parts out that they answer in the end.
+#[test]
+fn a_move_by_sighup_sends_nothing_to_who_drains_or_is_left_out() {
+    let (release, nodes) = holding::<5>();
+    let [drained, drains, left_out, drains_next, stays] = &nodes;
+    let (old, old_addr) = Scripted::new();
+    let starting = thread::spawn(move || Program::start(&patient(old_addr)));
+    let (mut old_watch, _) = old.call();
+    let all = |states: [&'static str; 5]| -> Vec<Line> {
+        let names = ["drained", "drains", "left-out", "drains-next", "stays"];
+        nodes.iter().zip(names).zip(states).map(|((n, name), state)| (name, 0, n.addr, state)).collect()
+    };
+    let first = news(1, true, &all(["up"; 5]));
+    old_watch.write_all(&[WATCH, &chunk(&(first + "\n"))].concat()).unwrap();
+    let program = starting.join().unwrap();
+    let addr = program.addr;
+    let waiting = held_at_each(addr, &nodes);
+    old_watch.write_all(&chunk(&(news(2, false, &all(["draining"; 5])[..1]) + "\n"))).unwrap();
+    let told = Instant::now();
+    nothing_new_after_the_grace(addr, told, &[drained], &[drains, left_out, drains_next, stays]);
+
+    let (new, new_addr) = Scripted::new();
+    program.reload(&patient(new_addr));
+    let (mut call, target) = new.call();
+    assert_eq!(target, "/catalog/members");
+    let mut lines = all(["draining", "draining", "", "up", "up"]);
+    lines.remove(2);
+    let list = news(1, true, &lines);
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+    call.write_all((head + &list).as_bytes()).unwrap();
+    let told = Instant::now();
+    // The old service is not heard any more, whether or not its connection still takes this.
+    let _ = old_watch.write_all(&chunk(&(news(3, true, &all(["up"; 5])) + "\n")));
+    nothing_new_after_the_grace(addr, told, &[drained, drains, left_out], &[drains_next, stays]);
+
+    assert!(asked(&call).ends_with("stream=1&index=1"));
+    let change = news(2, false, &[("drains-next", 0, drains_next.addr, "draining")]);
+    call.write_all(&[WATCH, &chunk(&(change + "\n"))].concat()).unwrap();
+    let told = Instant::now();
+    nothing_new_after_the_grace(addr, told, &[drained, drains, left_out, drains_next], &[stays]);
+    release.store(true, Ordering::SeqCst);
+    all_answered(waiting);
+}
