A test leaves out in a whole list who drained

No test had a whole list without a data node that drains, on the watch, as the first of the next watch, or behind the list that the configuration knew. It is gone then, and nothing new is sent to it though it answers and has a part out; named again, it is sent something.

--- a/tests/fleet_days.rs
+++ b/tests/fleet_days.rs
@@ -1,10 +1,10 @@
-//! What a fleet goes through on its worst days, each forced on real sockets: a move of the list's service while data
-//! nodes drain.
+//! What a fleet goes through on its worst days, each forced on real sockets: moves of the list's service while data nodes
+//! drain, and lists that leave out who drained.
 
 mod bed;
 
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -12,7 +12,9 @@
 
 use bed::scripted::{asked, chunk, news, Line, Scripted, WATCH};
 use bed::stand_in::{Answer, DataNode, Part};
-use bed::{query, served, until, Bed, Program};
+use bed::{query, ready, served, until, Bed, Program};
+use curlewdeck::api::Phase;
+use curlewdeck::serve::Coordinator;
 
 /// A data node that drains may be sent something new for this long after the word.
 const DRAIN_GRACE: Duration = Duration::from_millis(250);
@@ -129,3 +131,74 @@
     release.store(true, Ordering::SeqCst);
     all_answered(waiting);
 }
+
+// ---- Whole lists. ----
+
+fn phase(coordinator: &Coordinator, name: &str) -> Phase {
+    let books = coordinator.accounts().expect("the core answers");
+    books.nodes.iter().find(|node| node.name == name).map_or(Phase::Out, |node| node.phase)
+}
+
+/// Where a whole list comes that leaves out one that drains.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WholeList {
+    OnTheWatch,
+    OnTheNextWatch,
+    BehindTheKnownList,
+}
+
+/// Guards against sending to a data node that drained and is then missing in a whole list: it is gone, though it answers
+/// and has a part out. Once a whole list names it again, it is sent something.
+#[test]
+fn who_drained_and_is_missing_in_a_whole_list_is_gone() {
+    for way in [WholeList::OnTheWatch, WholeList::OnTheNextWatch, WholeList::BehindTheKnownList] {
+        let (release, nodes) = holding::<2>();
+        let [drains, stays] = &nodes;
+        let both = |state| [("drains", 0, drains.addr, state), ("stays", 0, stays.addr, "up")];
+        let known = way == WholeList::BehindTheKnownList;
+        let (discovery, addr) = Scripted::new();
+        let mut config = patient(addr);
+        if known {
+            config.insert_str(1, &format!(r#""known":{},"#, news(1, true, &both("draining"))));
+        }
+        let coordinator = bed::start(&config, "");
+        let (mut watch, target) = discovery.call();
+        let changes = || coordinator.core.counters.list_changes.load(Ordering::SeqCst);
+        let tell = |watch: &mut TcpStream, text: String| {
+            let before = changes();
+            watch.write_all(&chunk(&(text + "\n"))).unwrap();
+            until("the list's news", || changes() > before);
+        };
+        let mut waiting = Vec::new();
+        watch.write_all(WATCH).unwrap();
+        if known {
+            assert!(target.ends_with("index=1"), "{target}");
+        } else {
+            tell(&mut watch, news(1, true, &both("up")));
+            waiting = held_at_each(coordinator.listen, &nodes);
+            tell(&mut watch, news(2, false, &both("draining")[..1]));
+        }
+        ready(&coordinator);
+        assert_eq!(phase(&coordinator, "drains"), Phase::Draining, "{way:?}");
+        if way == WholeList::OnTheNextWatch {
+            drop(watch);
+            (watch, _) = discovery.call();
+            watch.write_all(WATCH).unwrap();
+        }
+        tell(&mut watch, news(3, true, &both("up")[1..]));
+        assert_eq!(phase(&coordinator, "drains"), Phase::Out, "{way:?}");
+        let before = drains.parts().len();
+        ask_in_turn(coordinator.listen, TURNS);
+        // A change that does not name it changes nothing for it.
+        tell(&mut watch, news(4, false, &both("up")[1..]));
+        ask_in_turn(coordinator.listen, TURNS);
+        assert_eq!(drains.parts().len(), before, "{way:?}: sent to one that is gone");
+        release.store(true, Ordering::SeqCst);
+        all_answered(waiting);
+        tell(&mut watch, news(5, true, &both("up")));
+        until("a part at the one that is back", || {
+            ask_in_turn(coordinator.listen, 1);
+            drains.parts().len() > before
+        });
+    }
+}
