A test lets a watch fall silent after it has been up for a while

What there was fell silent in its first second, or had no bound. A watch is up for 5.5 s, then gives nothing, or half a line; the next call is answered 0.4 s before its own end. The change must be in force 6 s after the silence began, for both ways of discovery, and with calls wanted in 10 s and in 4 s.

--- a/tests/fleet_days.rs
+++ b/tests/fleet_days.rs
@@ -1,5 +1,5 @@
 //! What a fleet goes through on its worst days, each forced on real sockets: moves of the list's service while data nodes
-//! drain, and lists that leave out who drained.
+//! drain, watches that fall silent late, and lists that leave out who drained.
 
 mod bed;
 
@@ -14,6 +14,7 @@
 use bed::stand_in::{Answer, DataNode, Part};
 use bed::{query, ready, served, until, Bed, Program};
 use curlewdeck::api::Phase;
+use curlewdeck::limits::Limits;
 use curlewdeck::serve::Coordinator;
 
 /// A data node that drains may be sent something new for this long after the word.
@@ -202,3 +203,69 @@
         });
     }
 }
+
+// ---- A watch that falls silent. ----
+
+/// By then, what discovery has to tell counts as told.
+const IN_FORCE: Duration = Duration::from_secs(6);
+/// Longer than half the 10 s in which the bed's settings want a call, and than all of the 4 s of others.
+const UP_FOR: Duration = Duration::from_millis(5500);
+/// What a call of discovery leaves of the time that it may take.
+const CALL_LEAVES: Duration = Duration::from_millis(400);
+
+/// Guards against a watch that falls silent, or goes on without a whole line, after it has been up for a while: it is
+/// opened anew in time for a change to be in force within 6 s, also where the service takes nearly as long as it may.
+#[test]
+fn a_watch_that_falls_silent_late_is_opened_anew_in_time() {
+    let half = "{\"rev\":2,";
+    let kinds = [
+        ("on_request", 10, ""),
+        ("on_request", 10, half),
+        ("on_request", 4, ""),
+        ("on_request", 4, half),
+        ("pushed", 10, ""),
+        ("pushed", 10, half),
+    ];
+    let silent = |(how, ask_in, last_words): (&'static str, u32, &'static str)| {
+        let (old, new) = (DataNode::start(served), DataNode::start(served));
+        let (discovery, addr) = Scripted::new();
+        let bed = Bed { cells: 1, in_a_row: 1, discovery: how, ..Bed::default() };
+        let asks = |seconds: u32| format!(r#""must_ask_in_ns":{seconds}000000000"#);
+        let config = bed.config(addr).replace(&asks(10), &asks(ask_in));
+        assert!(config.contains(&asks(ask_in)));
+        let coordinator = bed::start(&config, "");
+        let (mut watch, _) = discovery.call();
+        let text = news(1, true, &[("old", 0, old.addr, "up")]);
+        watch.write_all(&[WATCH, &chunk(&(text + "\n"))].concat()).unwrap();
+        ready(&coordinator);
+        let begun = Instant::now();
+        while begun.elapsed() < UP_FOR {
+            watch.write_all(&chunk("\n")).unwrap();
+            thread::sleep(Duration::from_millis(250));
+        }
+        watch.write_all(&chunk("\n")).unwrap();
+        let silent_since = Instant::now();
+        if !last_words.is_empty() {
+            watch.write_all(&chunk(last_words)).unwrap();
+        }
+        let (mut next, target) = discovery.call();
+        assert!(target.ends_with("stream=1&index=1"), "{target}");
+        // Paced by the program's own bound of a call.
+        thread::sleep(Limits::default().discovery_call - CALL_LEAVES);
+        let text = news(2, false, &[("old", 0, old.addr, "removed"), ("new", 0, new.addr, "up")]);
+        next.write_all(&[WATCH, &chunk(&(text + "\n"))].concat()).unwrap();
+        until("a part at the new one", || {
+            // Both changes come in one object: there is no moment without a data node.
+            ask_in_turn(coordinator.listen, 1);
+            !new.parts().is_empty()
+        });
+        let took = silent_since.elapsed();
+        println!("{how} {ask_in} '{last_words}': in force after {took:?}");
+        assert!(took < IN_FORCE, "{how} {ask_in} '{last_words}': {took:?}");
+        let sent = old.parts().len();
+        ask_in_turn(coordinator.listen, TURNS);
+        assert_eq!(old.parts().len(), sent, "{how} '{last_words}'");
+        drop(watch);
+    };
+    thread::scope(|scope| kinds.map(|kind| scope.spawn(move || silent(kind))).map(|t| t.join().unwrap()));
+}
