A test kills the program behind an accept and starts it at the same address

No test sent SIGKILL. Connections that wait to be accepted, and those accepted, with nothing, a byte, half a request or all of one, end without a byte of an answer; from an empty folder the program serves at the same address, the same request included.

No change to the program was tried under which it fails.

--- a/tests/fleet_days.rs
+++ b/tests/fleet_days.rs
@@ -1,9 +1,9 @@
 //! What a fleet goes through on its worst days, each forced on real sockets: moves of the list's service while data nodes
-//! drain, watches that fall silent late, and lists that leave out who drained.
+//! drain, watches that fall silent late, lists that leave out who drained, and SIGKILL.
 
 mod bed;
 
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -11,12 +11,14 @@
 use std::time::{Duration, Instant};
 
 use bed::scripted::{asked, chunk, news, Line, Scripted, WATCH};
-use bed::stand_in::{Answer, DataNode, Part};
-use bed::{query, ready, served, until, Bed, Program};
+use bed::stand_in::{exchange, Answer, DataNode, Part};
+use bed::{held_back, query, query_bytes, ready, served, two, until, Bed, Program};
 use curlewdeck::api::Phase;
 use curlewdeck::limits::Limits;
 use curlewdeck::serve::Coordinator;
 
+/// Far longer than anything here takes, and an end all the same.
+const LONG: Duration = Duration::from_secs(60);
 /// A data node that drains may be sent something new for this long after the word.
 const DRAIN_GRACE: Duration = Duration::from_millis(250);
 /// Queries enough for each data node to come first several times.
@@ -269,3 +271,69 @@
     };
     thread::scope(|scope| kinds.map(|kind| scope.spawn(move || silent(kind))).map(|t| t.join().unwrap()));
 }
+
+// ---- SIGKILL. ----
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Guards a restart behind SIGKILL: connections that wait to be accepted, and those just accepted, with nothing, half a
+/// request or all of one, end without an answer, and the same address serves again from an empty folder.
+#[test]
+fn after_sigkill_behind_an_accept_the_same_address_serves_anew() {
+    let (release, slow) = held_back();
+    let (a, b, discovery) = two(slow.clone(), slow);
+    // An address of its own: no other test's port is in the way at the restart.
+    let at = |addr: &str| {
+        Bed::default()
+            .config(discovery.addr)
+            .replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{addr}""#))
+    };
+    let parts = || a.parts().len() + b.parts().len();
+    let mut program = Program::start(&at("127.0.40.1:0"));
+    let addr = program.addr;
+    for stopped in [false, true, false, true] {
+        release.store(false, Ordering::SeqCst);
+        if stopped {
+            // What connects from now on waits to be accepted.
+            program.signal("STOP");
+            until("the stop", || program.state() == 'T');
+        }
+        let sent = parts();
+        let whole = query_bytes("tag-lookup", &[0], "60000m");
+        let mut clients: Vec<TcpStream> = Vec::new();
+        for bytes in [&whole[..0], &whole[..1], &whole[..whole.len() / 2], &whole[..]] {
+            let mut stream = connect(addr);
+            stream.write_all(bytes).unwrap();
+            clients.push(stream);
+        }
+        if !stopped {
+            // Connections are accepted in their order, so all have been.
+            until("the part of the last", || parts() > sent);
+        }
+        program.killed();
+        for (n, client) in clients.iter_mut().enumerate() {
+            let mut came = Vec::new();
+            let end = client.read_to_end(&mut came);
+            assert!(came.is_empty(), "{n}: {}", String::from_utf8_lossy(&came));
+            let ended = end.map_or_else(|e| e.kind() == ErrorKind::ConnectionReset, |n| n == 0);
+            assert!(ended, "{n}: neither reset nor ended");
+        }
+        assert_eq!(connect_error(addr), Some(ErrorKind::ConnectionRefused));
+        release.store(true, Ordering::SeqCst);
+        program = Program::start(&at(&addr.to_string()));
+        assert_eq!(program.addr, addr);
+        // The client asks again, under the same name, and is the only one to be answered.
+        let answer = exchange(addr, &whole).unwrap();
+        assert_eq!(answer.body, r#"{"exact":true,"rows":[{"id":0,"data":"v0"}]}"#);
+        ask_in_turn(addr, TURNS);
+    }
+}
+
+fn connect_error(addr: SocketAddr) -> Option<ErrorKind> {
+    TcpStream::connect(addr).err().map(|e| e.kind())
+}
