Core tests share one stand-in for a coordinator, under its usual name

Cause: the stand-in of the fleet tests answered each part after a fixed time and only knew shard 0; a test of a fleet with data nodes that queue and turn parts away would have had to copy it.

Change: it moves to tests/common as Coordinator. What becomes of a part is said by the caller, queries name their shards, attempts that are called off end as Undone, and it tells when its timer or an answer is due. No bound is changed.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -139,3 +139,111 @@
     };
     actions.iter().filter_map(sent).collect()
 }
+
+/// An attempt that a [`Coordinator`] has out: how and when it ends, unless it is called off before.
+struct Out {
+    part: PartId,
+    attempt: u32,
+    server: ServerId,
+    sent: Nanos,
+    ends: Nanos,
+    outcome: Outcome,
+}
+
+/// One policy with queries of its own, and a stand-in for the data nodes' answers to it.
+pub struct Coordinator {
+    pub policy: Policy,
+    out: Vec<Out>,
+    attempts: std::collections::BTreeMap<PartId, u32>,
+    next: u64,
+    wake_at: Nanos,
+}
+
+impl Coordinator {
+    pub fn new(set: &Settings, seed: u64, entries: &[ListEntry]) -> Self {
+        Self::started_at(START, set, seed, entries)
+    }
+
+    /// One that starts now, with the list told to it at once.
+    pub fn started_at(now: Nanos, set: &Settings, seed: u64, entries: &[ListEntry]) -> Self {
+        let policy = Policy::new(set.clone(), seed).unwrap();
+        let mut new = Self { policy, out: Vec::new(), attempts: Default::default(), next: 0, wake_at: 0 };
+        new.policy.round(now, vec![Event::List { kind: ListKind::Full, entries: entries.to_vec() }]);
+        new
+    }
+
+    /// Whether a timer or an answer has come due.
+    pub fn due(&self, now: Nanos) -> bool {
+        self.wake_at <= now || self.out.iter().any(|o| o.ends <= now)
+    }
+
+    /// A round with a query of so many parts at shard 0 if any, each answered in `work`; returns where parts were
+    /// sent, and what was done.
+    pub fn round(&mut self, now: Nanos, parts: usize, work: Nanos) -> (Vec<ServerId>, Vec<Action>) {
+        self.round_at(now, Vec::new(), &vec![ShardId(0); parts], |_, _| (now + work, Outcome::Pass))
+    }
+
+    /// A round with further events and a query of parts at these shards if any. `serve` takes the server that a part
+    /// is sent to and the part's time-out, and says when and how the attempt ends.
+    pub fn round_at(
+        &mut self,
+        now: Nanos,
+        further: Vec<Event>,
+        shards: &[ShardId],
+        mut serve: impl FnMut(ServerId, Nanos) -> (Nanos, Outcome),
+    ) -> (Vec<ServerId>, Vec<Action>) {
+        let mut events = self.ended(now);
+        events.extend(further);
+        events.extend(self.query(now, shards));
+        let actions = self.policy.round(now, events);
+        let mut sent = Vec::new();
+        for action in &actions {
+            match *action {
+                Action::Send { part, server, within } => {
+                    let attempt = *self.attempts.entry(part).and_modify(|n| *n += 1).or_insert(0);
+                    let (ends, outcome) = serve(server, within);
+                    self.out.push(Out { part, attempt, server, sent: now, ends, outcome });
+                    sent.push(server);
+                }
+                Action::Cancel { part, attempt } => {
+                    let called_off = |o: &&mut Out| (o.part, o.attempt) == (part, attempt);
+                    if let Some(o) = self.out.iter_mut().find(called_off) {
+                        (o.ends, o.outcome) = (now, Outcome::Undone);
+                    }
+                }
+                Action::Wake { after } => self.wake_at = now + after,
+                _ => {}
+            }
+        }
+        (sent, actions)
+    }
+
+    /// The attempts that have ended, and the timer if it is due.
+    fn ended(&mut self, now: Nanos) -> Vec<Event> {
+        let mut events = vec![Event::Wake];
+        self.wake_at = Nanos::MAX;
+        self.out.retain(|o| {
+            if o.ends <= now {
+                let (part, attempt, server, outcome) = (o.part, o.attempt, o.server, o.outcome);
+                events.push(Event::Ended { part, attempt, server, outcome, latency: o.ends - o.sent });
+            }
+            o.ends > now
+        });
+        events
+    }
+
+    /// A query of class 0 with parts at these shards, nothing without shards.
+    fn query(&mut self, now: Nanos, shards: &[ShardId]) -> Vec<Event> {
+        if shards.is_empty() {
+            return Vec::new();
+        }
+        let query = QueryId(self.next);
+        self.next += 1 + shards.len() as u64;
+        let (class, tenant, key, valid_until) = (ClassId(0), None, None, now + 4000 * MS);
+        let mut events = vec![Event::Query { id: query, class, tenant, key, repeated: false, valid_until }];
+        let weight = 1.0 / shards.len() as f64;
+        let part = |(p, &shard)| Event::Part { id: PartId(query.0 + 1 + p as u64), query, shard, weight };
+        events.extend(shards.iter().enumerate().map(part));
+        events
+    }
+}
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -1,5 +1,5 @@
 //! Many modules over scripted time: what all of them together ask of one service or send to one server, for a few
-//! mixers and for a hundred.
+//! coordinators and for a hundred.
 
 mod common;
 
@@ -10,7 +10,7 @@
 const MUST_ASK_IN: Nanos = 10_000 * MS;
 const STEP: Nanos = 10 * MS;
 
-/// The list's service: one call after the other, and on with those whose mixer has stopped waiting.
+/// The list's service: one call after the other, and on with those whose coordinator has stopped waiting.
 struct ListService {
     /// What a call takes, and how long it may wait.
     call: Nanos,
@@ -27,12 +27,16 @@
     }
 }
 
-/// Mixers that all start at once with an old list: when each was first answered, and how many calls there were.
-fn start_at_once(mixers: u32, span: Nanos) -> (Vec<Option<Nanos>>, usize) {
-    let set = Settings { mixers, discovery: Discovery::OnRequest { must_ask_in: MUST_ASK_IN }, ..settings() };
+/// Coordinators that all start at once with an old list: when each was first answered, and how many calls there were.
+fn start_at_once(coordinators: u32, span: Nanos) -> (Vec<Option<Nanos>>, usize) {
+    let set = Settings {
+        mixers: coordinators,
+        discovery: Discovery::OnRequest { must_ask_in: MUST_ASK_IN },
+        ..settings()
+    };
     let mut service = ListService { call: MUST_ASK_IN / 150, patience: 2000 * MS, free_at: 0 };
     let mut fleet: Vec<Policy> =
-        (0..mixers).map(|n| Policy::new(set.clone(), u64::from(n) + 1).unwrap()).collect();
+        (0..coordinators).map(|n| Policy::new(set.clone(), u64::from(n) + 1).unwrap()).collect();
     let mut calls: Vec<Option<(Nanos, bool)>> = vec![None; fleet.len()];
     let (mut told, mut made) = (vec![None; fleet.len()], 0);
     for now in (START..START + span).step_by(STEP as usize) {
@@ -55,92 +59,43 @@
     (told, made)
 }
 
-/// Guards against a release after which most mixers know nothing of the nodes: asked by all at once, the service
+/// Guards against a release after which most coordinators know nothing of the nodes: asked by all at once, the service
 /// answers a few, wears itself out on calls that nobody waits for, and is asked again by all others together.
 #[test]
 fn a_hundred_that_start_at_once_are_all_told_of_the_list() {
     let (told, made) = start_at_once(100, 12_000 * MS);
     let late = told.iter().filter(|t| t.is_none()).count();
-    assert!(late == 0 && made <= 150, "{late} mixers know no list after 12 s and {made} calls");
+    assert!(late == 0 && made <= 150, "{late} coordinators know no list after 12 s and {made} calls");
 }
 
-/// Guards against a pause that three mixers have no need of.
+/// Guards against a pause that three coordinators have no need of.
 #[test]
 fn three_that_start_at_once_are_told_without_a_pause() {
     let (told, made) = start_at_once(3, 1000 * MS);
     assert!(told.iter().all(|t| t.is_some_and(|t| t <= 320 * MS)) && made == 3, "{told:?}, {made} calls");
 }
 
-/// One module with a few queries of its own, each answered by its data nodes in `work`.
-struct Mixer {
-    policy: Policy,
-    /// Parts out: when they pass, the part, its attempt and its server.
-    out: Vec<(Nanos, PartId, u32, ServerId)>,
-    tries: std::collections::BTreeMap<PartId, u32>,
-    next: u64,
-}
-
-impl Mixer {
-    fn new(set: &Settings, seed: u64, entries: &[ListEntry]) -> Self {
-        let mut policy = Policy::new(set.clone(), seed).unwrap();
-        policy.round(START, vec![Event::List { kind: ListKind::Full, entries: entries.to_vec() }]);
-        Self { policy, out: Vec::new(), tries: Default::default(), next: 0 }
-    }
-
-    /// A round with a query of so many parts if any; returns where parts were sent, and what else was done.
-    fn round(&mut self, now: Nanos, parts: u64, work: Nanos) -> (Vec<ServerId>, Vec<Action>) {
-        let mut events = vec![Event::Wake];
-        self.out.retain(|&(at, part, attempt, server)| {
-            if at <= now {
-                let outcome = Outcome::Pass;
-                events.push(Event::Ended { part, attempt, server, outcome, latency: work });
-            }
-            at > now
-        });
-        if parts > 0 {
-            let query = QueryId(self.next);
-            self.next += 1 + parts;
-            let valid_until = now + 4000 * MS;
-            let (class, tenant, key) = (ClassId(0), None, None);
-            events.push(Event::Query { id: query, class, tenant, key, repeated: false, valid_until });
-            let part = |p| Event::Part {
-                id: PartId(query.0 + p),
-                query,
-                shard: ShardId(0),
-                weight: 1.0 / parts as f64,
-            };
-            events.extend((1..=parts).map(part));
-        }
-        let actions = self.policy.round(now, events);
-        let sent = sends(&actions);
-        for s in &sent {
-            let tries = self.tries.entry(s.part).and_modify(|n| *n += 1).or_insert(0);
-            self.out.push((now + work, s.part, *tries, s.server));
-        }
-        (sent.into_iter().map(|s| s.server).collect(), actions)
-    }
-}
-
 /// The most parts that reached a server which has just started within one fall window, as a share of what the
-/// rule allows in it, and beyond that and what is put down to chance: all mixers send what eight servers of so many parts
-/// a second can do at 60%.
-fn pressed(mixers: u32, rate: f64) -> (f64, f64) {
-    let set = Settings { mixers, ..settings() };
+/// rule allows in it, and beyond that and what is put down to chance: all coordinators send
+/// what eight servers of so many parts a second can do at 60%.
+fn pressed(coordinators: u32, rate: f64) -> (f64, f64) {
+    let set = Settings { mixers: coordinators, ..settings() };
     let cold = set.cold;
     let entries: Vec<ListEntry> = (0..8).map(|s| entry(s, Phase::In)).collect();
-    let mut fleet: Vec<Mixer> = (0..mixers).map(|n| Mixer::new(&set, u64::from(n) + 1, &entries)).collect();
+    let mut fleet: Vec<Coordinator> =
+        (0..coordinators).map(|n| Coordinator::new(&set, u64::from(n) + 1, &entries)).collect();
     let mut rng = fastrand::Rng::with_seed(5);
-    let chance = 0.6 * 8.0 * rate / 4.0 / f64::from(mixers) * (STEP as f64 / 1e9);
+    let chance = 0.6 * 8.0 * rate / 4.0 / f64::from(coordinators) * (STEP as f64 / 1e9);
     let restart = START + 10_000 * MS;
     let mut reached: Vec<Nanos> = Vec::new();
     for now in (START..restart + 8000 * MS).step_by(STEP as usize) {
-        for mixer in &mut fleet {
+        for coordinator in &mut fleet {
             if now == restart {
                 let entries = vec![ListEntry { started_at: now, ..entry(7, Phase::In) }];
-                mixer.policy.round(now, vec![Event::List { kind: ListKind::Diff, entries }]);
+                coordinator.policy.round(now, vec![Event::List { kind: ListKind::Diff, entries }]);
             }
             let parts = if rng.f64() < chance { 4 } else { 0 };
-            let (sent, _) = mixer.round(now, parts, (1e9 / rate * 2.0) as Nanos);
+            let (sent, _) = coordinator.round(now, parts, (1e9 / rate * 2.0) as Nanos);
             reached.extend(sent.iter().filter(|s| s.0 == 7 && now >= restart).map(|_| now));
         }
     }
@@ -155,12 +110,12 @@
     (0..reached.len()).map(window).fold((0.0, f64::MIN), |w, n| (w.0.max(n.0), w.1.max(n.1)))
 }
 
-/// Guards against a cold server that each mixer alone sends little, and all together push over.
+/// Guards against a cold server that each coordinator alone sends little, and all together push over.
 #[test]
-fn a_cold_server_is_safe_from_three_mixers_and_from_a_hundred() {
-    for mixers in [3, 100] {
-        let share = pressed(mixers, 60.0).0;
-        assert!(share < 1.0, "{mixers} mixers send {share:.2} times what it bears");
+fn a_cold_server_is_safe_from_three_coordinators_and_from_a_hundred() {
+    for coordinators in [3, 100] {
+        let share = pressed(coordinators, 60.0).0;
+        assert!(share < 1.0, "{coordinators} coordinators send {share:.2} times what it bears");
     }
 }
 
@@ -168,25 +123,28 @@
 /// put down to chance, however many processes share it.
 #[test]
 fn a_small_cold_server_is_safe_from_a_fleet() {
-    for mixers in [3, 20, 30, 100] {
+    for coordinators in [3, 20, 30, 100] {
         for rate in [5.0, 10.0, 20.0] {
-            let over = pressed(mixers, rate).1;
-            assert!(over <= 0.0, "{mixers} mixers send {over:.1} calls too many at {rate} a second");
+            let over = pressed(coordinators, rate).1;
+            assert!(
+                over <= 0.0,
+                "{coordinators} coordinators send {over:.1} calls too many at {rate} a second"
+            );
         }
     }
 }
 
-/// Guards against clients that were turned away at one moment by a hundred mixers and come back at one moment.
+/// Guards against clients that were turned away at one moment by a hundred coordinators and come back at one moment.
 #[test]
-fn clients_refused_by_a_hundred_mixers_do_not_come_back_together() {
+fn clients_refused_by_a_hundred_coordinators_do_not_come_back_together() {
     let set = Settings { mixers: 100, ..settings() };
     let mut back: Vec<Nanos> = Vec::new();
     for n in 0..100 {
         // No data node is known: nothing can be served.
-        let mut mixer = Mixer::new(&set, n + 1, &[]);
-        mixer.round(START, 1, MS);
+        let mut coordinator = Coordinator::new(&set, n + 1, &[]);
+        coordinator.round(START, 1, MS);
         for now in (START..START + 4000 * MS).step_by(STEP as usize) {
-            let (_, actions) = mixer.round(now, 0, MS);
+            let (_, actions) = coordinator.round(now, 0, MS);
             back.extend(actions.iter().filter_map(|a| match a {
                 Action::Refuse { hold_off, .. } => Some(now + hold_off),
                 _ => None,
@@ -199,25 +157,25 @@
     assert!(together < Some(50), "{together:?} of 100 come back within 50 ms");
 }
 
-/// Guards against a fleet that turns queries away beside cold servers with room: among a hundred mixers each may send
-/// a few parts at once for the gaps that it left unused, which a few mixers may not.
+/// Guards against a fleet that turns queries away beside cold servers with room: among a hundred coordinators each may
+/// send a few parts at once for the gaps that it left unused, which a few coordinators may not.
 #[test]
-fn gaps_left_unused_at_a_cold_server_add_up_among_many_mixers_only() {
-    for (mixers, fit) in [(3, 1..=1), (100, 2..=3)] {
-        let set = Settings { mixers, ..settings() };
-        let mut mixer = Mixer::new(&set, 1, &[entry(0, Phase::In)]);
+fn gaps_left_unused_at_a_cold_server_add_up_among_many_coordinators_only() {
+    for (coordinators, fit) in [(3, 1..=1), (100, 2..=3)] {
+        let set = Settings { mixers: coordinators, ..settings() };
+        let mut coordinator = Coordinator::new(&set, 1, &[entry(0, Phase::In)]);
         let restart = START + 1000 * MS;
         let entries = vec![ListEntry { started_at: restart, ..entry(0, Phase::In) }];
-        mixer.policy.round(restart, vec![Event::List { kind: ListKind::Diff, entries }]);
+        coordinator.policy.round(restart, vec![Event::List { kind: ListKind::Diff, entries }]);
         // Warm enough that its gaps are over, all but the last.
         let later = restart + set.cold.warm_after - 10 * MS;
-        let sent: usize = (0..4).map(|_| mixer.round(later, 1, 50 * MS).0.len()).sum();
-        assert!(fit.contains(&sent), "{mixers} mixers: {sent} parts at once");
+        let sent: usize = (0..4).map(|_| coordinator.round(later, 1, 50 * MS).0.len()).sum();
+        assert!(fit.contains(&sent), "{coordinators} coordinators: {sent} parts at once");
     }
 }
 
 /// Guards against trusting a server that stands still half of the time anew for each part that it answers: where a
-/// mixer sends to it once in seconds, it comes after the others for long.
+/// coordinator sends to it once in seconds, it comes after the others for long.
 #[test]
 fn a_server_that_stands_still_now_and_then_is_left_for_others_where_traffic_is_thin() {
     let mut set = Settings { mixers: 100, ..settings() };
@@ -262,8 +220,8 @@
     }
 }
 
-/// Guards against giving up queries whose parts were turned away unrun by full servers, as happens to many mixers at once:
-/// where no budget is told, only tries that repeat work count towards the bound of our own.
+/// Guards against giving up queries whose parts were turned away unrun by full servers, as happens to many coordinators
+/// at once: where no budget is told, only tries that repeat work count towards the bound of our own.
 #[test]
 fn a_part_that_was_turned_away_is_tried_again_without_a_charge() {
     let tried_again = |outcome| {
@@ -281,13 +239,14 @@
     assert!(unrun > 15 && run < 15, "{unrun} of 20 turned away, {run} of 20 that failed");
 }
 
-/// Guards what counts as told 6 s after discovery had it: however calls fail, and for however many mixers, the next one
-/// begins early enough to be answered by then; and after a watch that fell silent so long after it was last heard.
+/// Guards what counts as told 6 s after discovery had it: however calls fail, and for however many coordinators, the
+/// next one begins early enough to be answered by then; and after a watch that fell silent so long after it was last heard.
 #[test]
 fn a_call_of_discovery_is_followed_by_another_in_time() {
-    for (mixers, seed) in (0..40).map(|n| ([1, 3, 30, 300][n % 4], n as u64)) {
+    for (coordinators, seed) in (0..40).map(|n| ([1, 3, 30, 300][n % 4], n as u64)) {
         let discovery = Discovery::OnRequest { must_ask_in: MUST_ASK_IN };
-        let mut policy = Policy::new(Settings { mixers, discovery, ..settings() }, seed).unwrap();
+        let mut policy =
+            Policy::new(Settings { mixers: coordinators, discovery, ..settings() }, seed).unwrap();
         let news = |kind| Event::List { kind, entries: vec![entry(1, Phase::In)] };
         policy.round(START, vec![news(ListKind::Full)]);
         let mut lasts = fastrand::Rng::with_seed(seed);
@@ -301,7 +260,11 @@
             }
             if policy.round(now, events).contains(&Action::Watch) && ends.is_none() {
                 let least = if calls == 0 { counted + MUST_ASK_IN / 2 } else { counted + ASK_GAP };
-                assert!(now <= least + STEP, "{mixers} mixers: {} ms after", (now - counted) / MS);
+                assert!(
+                    now <= least + STEP,
+                    "{coordinators} coordinators: {} ms after",
+                    (now - counted) / MS
+                );
                 (counted, calls) = (now, calls + 1);
                 // It fails within its time, or is answered and falls silent later.
                 ends = match lasts.u64(0..4) {
@@ -317,9 +280,9 @@
     }
 }
 
-/// Guards a fleet of mixers with thin traffic against an overload that none of them can pace, since each has but one query
-/// out: where few of their queries are answered in time, most are turned away at once, and none where they are. What can
-/// be paced, by the bound of parts out or by that of a server that is sent much, is left to it.
+/// Guards a fleet of coordinators with thin traffic against an overload that none of them can pace, since each has but
+/// one query out: where few of their queries are answered in time, most are turned away at once, and none where they
+/// are. What can be paced, by the bound of parts out or by that of a server that is sent much, is left to it.
 #[test]
 fn queries_that_cannot_be_paced_are_throttled_by_those_in_time() {
     let turned_away = |servers, parts, latency| {
