Spans of counts are half-open, as the rule on the budget counts them

Cause: `SlidingCount` counted what had happened exactly one window ago, the rule on the budget does not. So a further attempt could rest on a query that no longer counted.

Change: what happened right at the begin of a span is over. Measured: tests/rules.rs fails without and passes with it.

--- a/crates/core/src/window.rs
+++ b/crates/core/src/window.rs
@@ -20,7 +20,7 @@
         self.times.push_back(now);
     }
 
-    /// How many happened in the closed span that ends at `now`.
+    /// How many happened in the span that ends at `now`: what happened right at its begin is over.
     pub(crate) fn count(&mut self, now: u64) -> usize {
         self.prune(now);
         self.times.len()
@@ -32,7 +32,7 @@
     }
 
     fn prune(&mut self, now: u64) {
-        while self.times.front().is_some_and(|&t| t.saturating_add(self.span) < now) {
+        while self.times.front().is_some_and(|&t| t.saturating_add(self.span) <= now) {
             self.times.pop_front();
         }
     }
