Nothing is sent by the list from before the start until a call for the present one has ended

Cause: what was told to a process counts as told to the one that takes its place, 6 s after discovery had it.

Excluded: first asks spread over 1 s at most.

Change: the list from before the start has a kind of its own, `Known`. While no call for the present one has ended, 6 s at most, queries are queued; the first one makes its coordinator ask at once, so that the asks come as spread as the queries do, and the others stay spread as before.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -374,10 +374,19 @@
     Diff,
     /// The full list; what is missing is gone.
     Full,
+    /// The full list as it was held before the start. It may be old: nothing is sent by it until it is confirmed.
+    Known,
     /// Asking failed or the subscription broke; the list held stays in force.
     Error,
 }
 
+impl ListKind {
+    /// Whether what is missing from it is gone.
+    pub fn is_full(self) -> bool {
+        matches!(self, Self::Full | Self::Known)
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -574,7 +574,7 @@
     /// which a holder is new or has started anew: what it has may be older than what was seen.
     pub fn list(&mut self, kind: ListKind, members: &[Member]) -> Vec<ShardId> {
         let mut anew: Vec<u32> = Vec::new();
-        if kind == ListKind::Full {
+        if kind.is_full() {
             self.servers.values_mut().for_each(|s| s.phase = Phase::Out);
         }
         let mut entries = Vec::with_capacity(members.len());
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -607,6 +607,9 @@
                 self.end_unserved(id);
             }
         }
+        if self.now < self.seen.unconfirmed_until {
+            return;
+        }
         // Parts out for less worth each do not keep out a query: room is given to worth, too.
         let running = self.queries.values().filter(|q| q.stage == Stage::Running);
         let out = |q: &Query| q.parts.iter().filter(|p| self.parts[p].is_out()).count();
@@ -910,8 +913,8 @@
         s.broke = false;
         // One that is back within the time in which a cold one falls over has not been away.
         if s.broke_at.take().is_some_and(|at| now.saturating_sub(at) >= self.set.cold.fall) {
-            s.cold_since = Some(now);
-            self.start_cold(id, 0.0);
+            let credit = Credit { parts: 0.0, at: now, passes: self.seen.passes };
+            (s.cold_since, s.credit) = (Some(now), credit);
         }
     }
 
@@ -990,6 +993,7 @@
     // ---- The list, drains and cold servers. ----
 
     fn take_list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
+        self.seen.unconfirmed_until = if kind == ListKind::Known { self.now + TOLD_AFTER } else { 0 };
         if kind == ListKind::Error {
             return self.ask_later();
         }
@@ -1002,19 +1006,19 @@
         let start = self.set.bursts().max(LIMIT_START);
         let fresh = || Server::new(rng.u64(1..64), start, classes);
         for id in self.fleet.update(kind, entries, fresh) {
-            let phase = self.rng.f64();
+            // Coordinators begin with different credit, or all would send to a cold server at once.
+            let credit = Credit { parts: self.rng.f64(), at: self.now, passes: self.seen.passes };
             if let Some(s) = self.fleet.servers.get_mut(&id) {
                 s.restarted(start);
-                s.cold_since = Some(s.started_at.min(self.now));
+                (s.cold_since, s.credit) = (Some(s.started_at.min(self.now)), credit);
             }
-            self.start_cold(id, phase);
         }
     }
 
-    /// How many parts a cold server may be sent now; nothing once it is warm. What it may be sent grows by
-    /// multiple x warmth x the larger of what servers complete for us on average and our share of what one core
-    /// does in that time. No server completes more than it can do, so the sum over all coordinators stays within
-    /// the rule whatever their number and traffic.
+    /// How many parts a cold server may be sent now; nothing once it is warm. This grows by multiple x warmth
+    /// x the larger of what servers complete for us on average and our share of what one core does then. No
+    /// server completes more than it can do, so all coordinators together keep the rule, whatever their
+    /// number and traffic.
     fn cold_allowance(&self, s: &Server) -> Option<f64> {
         let cold = &self.set.cold;
         let since = s.cold_since.filter(|&since| self.now.saturating_sub(since) < cold.warm_after)?;
@@ -1031,12 +1035,6 @@
         Some((s.credit.parts + grown).min((self.set.bursts() / LIMIT_START).max(1.0)))
     }
 
-    /// Coordinators begin with different credit, or all would send to a cold server at once.
-    fn start_cold(&mut self, id: ServerId, parts: f64) {
-        let credit = Credit { parts, at: self.now, passes: self.seen.passes };
-        self.fleet.servers.entry(id).and_modify(|s| s.credit = credit);
-    }
-
     /// Mean time between our first sends to one server.
     fn send_gap(&self) -> f64 {
         let span = self.set.longest_aim().saturating_mul(COPY_WINDOW_AIMS) as f64;
@@ -1069,6 +1067,10 @@
             // All mixers may have started at once: more than the service answers at once.
             self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
         }
+        let unconfirmed = self.now < self.seen.unconfirmed_until;
+        if unconfirmed && self.seen.asked_at == 0 && !self.seen.held.is_empty() {
+            self.ask_at = Some(self.now); // To each coordinator the first comes at another moment.
+        }
         if self.ask_at.is_some_and(|at| at <= self.now) {
             self.actions.push(Action::Watch);
             self.seen.asked_at = self.now;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -183,6 +183,9 @@
     pub(crate) failed_asks: u32,
     pub(crate) asked_at: Nanos,
     pub(crate) heard_at: Nanos,
+    /// The list from before the start is not confirmed yet. What was told to the process before this one counts as told
+    /// to it, too: nothing is sent by a list that may miss it, until a call for the present one has ended either way.
+    pub(crate) unconfirmed_until: Nanos,
 }
 
 impl Query {
@@ -389,7 +392,7 @@
         entries: Vec<ListEntry>,
         mut fresh: impl FnMut() -> Server,
     ) -> Vec<ServerId> {
-        if kind == ListKind::Full {
+        if kind.is_full() {
             self.servers.values_mut().for_each(|s| (s.listed, s.gone) = (false, true));
         }
         let mut started = Vec::new();
--- a/crates/core/tests/module.rs
+++ b/crates/core/tests/module.rs
@@ -389,3 +389,53 @@
         }
     }
 }
+
+/// Settings under which the list has to be asked for, by so many that they do not all ask at their start.
+fn asking() -> Settings {
+    Settings { mixers: 300, discovery: Discovery::OnRequest { must_ask_in: 10_000 * MS }, ..settings() }
+}
+
+/// A module that knows the list from before its start, and no other.
+fn restarted(settings: Settings) -> Bed {
+    let mut bed = Bed::new(self::settings(), 0);
+    bed.policy = Policy::new(settings, 7).unwrap();
+    let entries = (0..3).map(|s| entry(s, Phase::In)).collect();
+    bed.round(vec![Event::List { kind: ListKind::Known, entries }]);
+    bed
+}
+
+/// Guards servers that began to drain while this process was away: what was told to the one before it counts as told to
+/// it. The first query makes it ask at once, and goes out with the first word, if that leaves a server in.
+#[test]
+fn nothing_is_sent_by_a_list_from_before_the_start() {
+    for (kind, drained) in [(ListKind::Diff, 1), (ListKind::Full, 3), (ListKind::Diff, 0)] {
+        let mut bed = restarted(asking());
+        let (_, _, actions) = bed.query(0, 3);
+        assert!(sends(&actions).is_empty() && actions.contains(&Action::Watch), "{actions:?}");
+        assert!(sends(&bed.pass(300 * MS)).is_empty());
+        let entries: Vec<_> = (0..drained).map(|s| entry(s, Phase::Draining)).collect();
+        let sent = sends(&bed.round(vec![Event::List { kind, entries }]));
+        assert!(sent.iter().all(|s| s.server.0 >= drained), "{sent:?}");
+        assert_eq!(sent.is_empty(), drained == 3, "{sent:?}");
+    }
+}
+
+/// Guards against serving nobody for good where discovery cannot be reached, by pushed lists as well.
+#[test]
+fn without_a_word_of_discovery_the_list_from_before_the_start_serves_in_the_end() {
+    for settings in [asking(), settings()] {
+        let mut bed = restarted(settings);
+        bed.pass(TOLD_AFTER - 100 * MS);
+        assert!(sends(&bed.query(0, 1).2).is_empty());
+        assert_eq!(sends(&bed.pass(200 * MS)).len(), 1);
+    }
+}
+
+/// Guards the service while discovery is down: nobody is told of anything then, and to wait for it helps nobody.
+#[test]
+fn a_failed_call_for_the_list_ends_the_wait_for_it() {
+    let mut bed = restarted(asking());
+    assert!(sends(&bed.query(0, 1).2).is_empty());
+    let failed = Event::List { kind: ListKind::Error, entries: Vec::new() };
+    assert_eq!(sends(&bed.round(vec![failed])).len(), 1);
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -370,7 +370,7 @@
             }
             self.heard = now;
         }
-        if news.kind == ListKind::Full {
+        if news.kind.is_full() {
             let named = |id: &ServerId| news.members.iter().any(|m| m.0.name == self.engine.server_name(*id));
             for (&id, node) in self.nodes.iter().filter(|(id, _)| !named(id)) {
                 node.gate.set(false);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -31,7 +31,7 @@
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
 use crate::net::log_limit::LogLimit;
 use crate::net::mail::{self, DiscoveryMsg};
-use crate::net::members::{ListNews, WireList};
+use crate::net::members::ListNews;
 use crate::net::node::{self, NodeContext};
 use crate::notices::{self, Stopping};
 use crate::settings::Info;
@@ -90,9 +90,8 @@
             .map_err(|e| e.to_string())?;
     let (core_mail, inbox) = mail::mailbox();
     let rev = config.known.as_ref().map_or(0, |k| k.rev);
-    let known = config.known.map_or(ListNews { kind: ListKind::Full, members: Vec::new() }, |known| {
-        WireList { all: true, ..known }.news()
-    });
+    let members = config.known.map_or(Vec::new(), |known| known.news().members);
+    let known = ListNews { kind: ListKind::Known, members };
     let unasked = info.settings.discovery == Discovery::Pushed;
     let context =
         DiscoveryContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
