Walks of managers share a bound of objects, not only a number of walkers

Cause: each of 64 walkers may be kept on a tree of its own. A data node has 18 objects, so that with 1,024 data nodes a tree has more than 18,000, and all trees together had no bound that a process of 32 to 192 MB could keep.

Change: beside the newest tree, those kept for walks hold 80,000 objects at most: four of 1,024 data nodes, or more of fewer. The oldest goes first, and walks on it go on with a newer one, as they do after 30 s.

Result: a test with trees of two objects and a bound of five keeps three of 64 trees; without the mend it fails at the fourth (seen). Bytes of a real tree were not measured.

--- a/crates/snmp/src/walkers.rs
+++ b/crates/snmp/src/walkers.rs
@@ -16,6 +16,8 @@
 pub struct Bounds {
     /// Walkers.
     pub walkers: usize,
+    /// Objects of all trees that walkers are kept on, the newest tree not counted.
+    pub objects: usize,
     /// A walker that has asked nothing for so long has ended its walk.
     pub idle: Nanos,
     /// A walk that lasts longer goes on with a newer tree.
@@ -106,6 +108,25 @@
         }
         let walker = Walker { tree: tree.clone(), made, used: now, last: behind.to_vec() };
         self.walkers.insert(who.clone(), walker);
+        while self.older_objects() > self.bounds.objects && self.drop_oldest_tree() {}
+    }
+
+    /// Objects of the trees that are kept for walks alone.
+    fn older_objects(&self) -> usize {
+        let newest = self.newest.as_ref().map(|n| Arc::as_ptr(&n.1));
+        let trees: HashMap<*const Tree, usize> =
+            self.walkers.values().map(|w| (Arc::as_ptr(&w.tree), w.tree.objects().len())).collect();
+        trees.iter().filter(|t| Some(*t.0) != newest).map(|t| t.1).sum()
+    }
+
+    /// Lets go of the oldest tree, if it is not the newest: the walks on it go on with a newer one.
+    fn drop_oldest_tree(&mut self) -> bool {
+        let newest = self.newest.as_ref().map(|n| n.1.clone());
+        let older =
+            self.walkers.values().filter(|w| !newest.as_ref().is_some_and(|n| Arc::ptr_eq(n, &w.tree)));
+        let Some(oldest) = older.min_by_key(|w| w.made).map(|w| w.tree.clone()) else { return false };
+        self.walkers.retain(|_, w| !Arc::ptr_eq(&w.tree, &oldest));
+        true
     }
 }
 
@@ -118,7 +139,7 @@
         Tree::new(vec![(vec![1, 1], Value::Gauge(n)), (vec![1, 2], Value::Gauge(n))])
     }
 
-    const BOUNDS: Bounds = Bounds { walkers: 2, idle: 100, age: 1000, fresh: 10 };
+    const BOUNDS: Bounds = Bounds { walkers: 2, objects: 100, idle: 100, age: 1000, fresh: 10 };
 
     fn number(from: From) -> Option<u32> {
         match from {
@@ -154,4 +175,19 @@
         }
         assert_eq!(tree(1).next(&[1, 2], &View::default()), None);
     }
+
+    /// Guards memory where there are many data nodes and managers: each of many walks may hold a tree of its own.
+    #[test]
+    fn trees_are_bounded_by_their_objects() {
+        let mut w = Walkers::new(Bounds { walkers: 64, objects: 5, idle: 1_000_000, ..BOUNDS });
+        for who in 0..64u32 {
+            let now = u64::from(who) * 20;
+            assert_eq!(w.from(now, &who, Some(&[1])), From::Make);
+            w.made(now, &who, Some(&[1]), tree(who));
+            // The newest, and as many older ones of two objects as fit.
+            assert_eq!(w.len(), 3.min(who as usize + 1));
+        }
+        assert_eq!(number(w.from(1270, &62, Some(&[1, 1]))), Some(62), "the latest walks go on");
+        assert_eq!(w.from(1290, &3, Some(&[1, 1])), From::Make, "the oldest ones with a newer tree");
+    }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -144,7 +144,9 @@
     /// Walks of managers whose figures are kept, and how long one may be silent, may last, and may share figures with
     /// those who come after it.
     pub snmp_walkers: usize,
-    /// See there.
+    /// Objects of all walks together: four walks of 1,024 data nodes, or more of fewer.
+    pub snmp_objects: usize,
+    /// See above.
     pub snmp_walk_idle: Duration,
     /// See there.
     pub snmp_walk: Duration,
@@ -234,6 +236,7 @@
             node_rows: 256,
             node_row_keep: Duration::from_secs(900),
             snmp_walkers: 64,
+            snmp_objects: 80_000,
             snmp_walk_idle: Duration::from_secs(2),
             snmp_walk: Duration::from_secs(30),
             snmp_fresh: Duration::from_millis(100),
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -226,6 +226,7 @@
     let local = socket.local_addr().map_err(cannot)?;
     let walkers = Walkers::new(walkers::Bounds {
         walkers: limits.snmp_walkers,
+        objects: limits.snmp_objects,
         idle: nanos(limits.snmp_walk_idle),
         age: nanos(limits.snmp_walk),
         fresh: nanos(limits.snmp_fresh),
