Test that the settings of 1,024 coordinators and 1,024 cells are taken, indented

Cause: no test guarded large deployments in the settings. There was no cap to mend: coordinators are a figure of 32 bits, and cells are kept up to a million.

--- a/crates/core/src/settings/tests.rs
+++ b/crates/core/src/settings/tests.rs
@@ -28,6 +28,20 @@
     assert_eq!(beside.after(&alone).settings.sharers(), 2.0, "kept when settings change");
 }
 
+/// Guards large deployments: the settings of 1,024 coordinators and 1,024 cells, indented, are taken as they are.
+#[test]
+fn a_thousand_coordinators_and_cells_are_taken() {
+    let text = r#"{"balancers":1024,"classes":[{"name":"c","aim_ns":1000,"deadline_ns":9000,"effect":"idempotent",
+        "importance":1}],"domain":{"batch":1,"in_a_row":3,"positions":1024,"ranges":4096},
+        "limits":{"max_attempts":3,"max_open":60},"rules":{"cold_ns":1,"cold_share":0.2,"fall_ns":1,
+        "tip_multiple":2},"tick_ns":5}"#;
+    let value: serde_json::Value = serde_json::from_str(text).unwrap();
+    let info = read(&serde_json::to_string_pretty(&value).unwrap()).unwrap();
+    assert_eq!(info.settings.check(), Ok(()));
+    assert_eq!((info.settings.mixers, info.settings.layout.cells, info.ranges), (1024, 1024, 4096));
+    assert_eq!(info.settings.sharers(), 1024.0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
