The books have a row for each of 1,024 data nodes

Cause: the table of data nodes had 256 rows, so that of a fleet of 1,024 data nodes 768 were not listed in the books, the agent's tables and the notifications.

Change: 2,048 rows: 1,024 data nodes that are there, and as many that were replaced in the last quarter of an hour. Rows are made as data nodes are met, so small fleets take no more memory. tests/fleet.rs plays 1,024 data nodes in 256 descriptors: the whole list indented as an answer with a length, in chunks, as a change on a watch in one object or in one each, and as `known` in the configuration, which serves once it is confirmed.

Measured: with 256 rows its tests fail (768 unlisted); with 2,048 the three pass. The lists needed no mend: an object may take 1 MB, 1,024 indented entries take 212 KB.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -137,7 +137,7 @@
     pub recall_entries: usize,
     /// See there.
     pub recall_age: Duration,
-    /// Rows of the books' table of data nodes.
+    /// Rows of the books' table of data nodes: 1,024 that are there, and as many that were replaced lately.
     pub node_rows: usize,
     /// How long a data node that is gone keeps its row.
     pub node_row_keep: Duration,
@@ -233,7 +233,7 @@
             desk_wait: Duration::from_secs(10),
             recall_entries: 4096,
             recall_age: Duration::from_secs(600),
-            node_rows: 256,
+            node_rows: 2048,
             node_row_keep: Duration::from_secs(900),
             snmp_walkers: 64,
             snmp_objects: 80_000,
