The core says coordinator where it said mixer

Need: names of the field in files that are touched. Change: `Settings::mixers` is `coordinators`, comments, messages and names of tests likewise; the wire of the simulator keeps its own names. No behaviour changes.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -99,7 +99,7 @@
 /// A tenant and its share.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
-    /// Queries a second over all mixers that count as within its share.
+    /// Queries a second over all coordinators that count as within its share.
     pub quota: f64,
     /// Its fraction of the service.
     pub share: f64,
@@ -152,15 +152,15 @@
     pub multiple: f64,
     /// ...for this long, it falls over.
     pub fall: Nanos,
-    /// How many processes may stand in the place of one mixer at once, and share what it may send such a server.
+    /// How many processes may stand in the place of one coordinator at once, and share what it may send such a server.
     pub processes: u32,
 }
 
 /// Everything an instance is told at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    /// How many mixers there are.
-    pub mixers: u32,
+    /// How many coordinators there are.
+    pub coordinators: u32,
     /// Classes of query.
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
@@ -227,14 +227,14 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
-    /// Bursts of so many mixers seldom meet: what each may send a server at once, where that is more than a few.
+    /// Bursts of so many coordinators seldom meet: what each may send a server at once, where that is more than a few.
     pub fn bursts(&self) -> f64 {
-        f64::from(self.mixers).sqrt()
+        f64::from(self.coordinators).sqrt()
     }
 
     /// Processes that share what a cold server may be sent.
     pub fn sharers(&self) -> f64 {
-        f64::from(self.mixers) * f64::from(self.cold.processes)
+        f64::from(self.coordinators) * f64::from(self.cold.processes)
     }
 
     /// The shortest aim of all classes.
@@ -293,7 +293,7 @@
         let cold = &self.cold;
         let tenants = self.tenants.iter().all(|t| good(t.quota) && good(t.share));
         let figures = [
-            (self.mixers > 0, "mixers must be above 0"),
+            (self.coordinators > 0, "coordinators must be above 0"),
             (self.tick > 0, "tick must be above 0"),
             (self.zones <= MAX_ZONES, "zones must be at most 65536"),
             (budget, "the budget's figures must be 0 or more"),
@@ -448,7 +448,7 @@
         /// When the client gives up on this try.
         valid_until: Nanos,
     },
-    /// This mixer ends: no query takes longer than this, those that are held included.
+    /// This coordinator ends: no query takes longer than this, those that are held included.
     Ending(Nanos),
     /// A part of a query that is held.
     Part {
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -46,7 +46,7 @@
 const LIMIT_START: f64 = 3.0;
 const LIMIT_CUT: f64 = 0.8;
 const LIMIT_GROWTH: f64 = 0.25;
-/// The least bounds of all mixers add up to so many parts a server: where there are many, each may fall
+/// The least bounds of all coordinators add up to so many parts a server: where there are many, each may fall
 /// below one part, which paces (one part, then a pause).
 const LIMIT_LEAST: f64 = 2.0;
 /// Doubt of a server: what one outcome adds to it, and what a timely pass leaves of it. A lone failure puts
@@ -88,7 +88,7 @@
 /// Connections lost by one part, none of its query's in, that show the query to be their cause. One marked as
 /// a repeat, whose first try may have broken elsewhere, sends one part ahead.
 const KILLS: u32 = 2;
-/// Part of a cold server's bound that one mixer uses: beside its peers, and of one core's work.
+/// Part of a cold server's bound that one coordinator uses: beside its peers, and of one core's work.
 const COLD_AS_PEERS: f64 = 0.75;
 const COLD_ONE_CORE: f64 = 0.8;
 /// A late answer must be worth this share, or its query ends at the aim: what it would still take at the
@@ -102,14 +102,14 @@
 const HOLD_OFF_SPREAD: f64 = 0.75;
 /// The held queue is cut once this share of `max_open` is in use.
 const OPEN_SHARE: f64 = 0.9;
-/// So many calls the list's service answers at least within the time in which each mixer must ask.
+/// So many calls the list's service answers at least within the time in which each coordinator must ask.
 const ASKS_SERVED: u64 = 200;
 /// Queries of more parts than may be out, where traffic is thin: so many times those answered in time go in.
 const THROTTLE: f64 = 1.25;
 /// Sums of weights may fall this much short.
 const SLACK: f64 = 5e-5;
 
-/// One mixer's decisions.
+/// One coordinator's decisions.
 #[derive(Debug)]
 pub struct Policy {
     set: Settings,
@@ -408,7 +408,7 @@
         self.now.saturating_sub(elapsed)
     }
 
-    /// Whether the tenant takes more of this mixer's traffic than its share of the service.
+    /// Whether the tenant takes more of this coordinator's traffic than its share of the service.
     fn over_share(&mut self, tenant: TenantId) -> bool {
         let now = self.now;
         let all: usize = self.tenant_taken.iter_mut().map(|t| t.count(now)).sum();
@@ -834,7 +834,7 @@
         if timely && (self.seen.out + 1) as f64 > self.room / 2.0 {
             self.room += 1.0 / self.room;
         } else if !timely && self.seen.strain > STRAINED {
-            let least = LIMIT_LEAST * self.fleet.listed as f64 / f64::from(self.set.mixers);
+            let least = LIMIT_LEAST * self.fleet.listed as f64 / f64::from(self.set.coordinators);
             self.room = (self.room * ROOM_CUT).max(least.max(1.0));
         }
     }
@@ -842,7 +842,7 @@
     /// Bounds our parts out at a server by what is seen: answers that take too much of the aim lower the
     /// bound, timely ones raise it while it is in use.
     fn adapt_limit(&mut self, id: ServerId, pending: &Pending, outcome: Outcome, long: bool) {
-        let least = (LIMIT_LEAST / f64::from(self.set.mixers)).min(1.0);
+        let least = (LIMIT_LEAST / f64::from(self.set.coordinators)).min(1.0);
         let (now, jitter) = (self.now, self.rng.f64());
         let pause = self.seen.median.max(self.set.shortest_aim() / TRIAL_SHARE) as f64;
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
@@ -1044,10 +1044,10 @@
 
     // ---- Asking for the list. ----
 
-    /// One service answers all mixers in turn, and works on for those that wait no longer. So this mixer's
-    /// asks are spread over what a call of each other takes there.
+    /// One service answers all coordinators in turn, and works on for those that wait no longer. So the asks
+    /// of each are spread over what a call of each other takes there.
     fn ask_span(&self, must_ask_in: Nanos) -> Nanos {
-        (must_ask_in / ASKS_SERVED).saturating_mul(u64::from(self.set.mixers - 1)).min(must_ask_in / 2)
+        (must_ask_in / ASKS_SERVED).saturating_mul(u64::from(self.set.coordinators - 1)).min(must_ask_in / 2)
     }
 
     fn ask_later(&mut self) {
@@ -1064,7 +1064,7 @@
         let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
         let span = self.ask_span(must_ask_in);
         if self.ask_at == Some(0) && span > must_ask_in / 20 {
-            // All mixers may have started at once: more than the service answers at once.
+            // All coordinators may have started at once: more than the service answers at once.
             self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
         }
         let unconfirmed = self.now < self.seen.unconfirmed_until;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -188,7 +188,7 @@
     };
     let home = info.locality.as_ref().and_then(|own| info.zones.iter().position(|z| z == own));
     let settings = Settings {
-        mixers: info.balancers,
+        coordinators: info.balancers,
         classes,
         tenants: info.realms.iter().map(|r| Tenant { quota: r.quota_rps, share: r.share }).collect(),
         over_share_worth: info.over_share_worth,
--- a/crates/core/src/settings/tests.rs
+++ b/crates/core/src/settings/tests.rs
@@ -38,7 +38,7 @@
     let value: serde_json::Value = serde_json::from_str(text).unwrap();
     let info = read(&serde_json::to_string_pretty(&value).unwrap()).unwrap();
     assert_eq!(info.settings.check(), Ok(()));
-    assert_eq!((info.settings.mixers, info.settings.layout.cells, info.ranges), (1024, 1024, 4096));
+    assert_eq!((info.settings.coordinators, info.settings.layout.cells, info.ranges), (1024, 1024, 4096));
     assert_eq!(info.settings.sharers(), 1024.0);
 }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -152,7 +152,7 @@
     }
 }
 
-/// Running figures of one mixer.
+/// Running figures of one coordinator.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
     /// Share of bad or slow outcomes among the latest.
@@ -434,7 +434,7 @@
     pub(crate) extra: SlidingCount,
     pub(crate) first_sends: SlidingCount,
     pub(crate) copies: SlidingCount,
-    /// Queries that this mixer has ended, and those of them that were answered within their aim.
+    /// Queries that this coordinator has ended, and those of them that were answered within their aim.
     pub(crate) ended: SlidingCount,
     pub(crate) timely: SlidingCount,
 }
--- a/crates/core/tests/cold_budget.rs
+++ b/crates/core/tests/cold_budget.rs
@@ -153,7 +153,7 @@
 impl Simulation {
     fn new(scene: Scene) -> Self {
         let layout = Layout { cells: scene.servers, in_a_row: 4, ..settings().layout };
-        let mut set = Settings { mixers: scene.coordinators, layout, max_open: MAX_OPEN, ..settings() };
+        let mut set = Settings { coordinators: scene.coordinators, layout, max_open: MAX_OPEN, ..settings() };
         set.classes[0].floor = scene.floor;
         let nodes: Vec<DataNode> = (0..scene.servers).map(DataNode::new).collect();
         let entries: Vec<ListEntry> = nodes.iter().map(|n| n.entry).collect();
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -26,7 +26,7 @@
 
 pub fn settings() -> Settings {
     Settings {
-        mixers: 3,
+        coordinators: 3,
         classes: vec![class(Effect::Safe), class(Effect::Unsafe), class(Effect::Keyed)],
         tenants: Vec::new(),
         over_share_worth: 0.2,
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -29,11 +29,8 @@
 
 /// Coordinators that all start at once with an old list: when each was first answered, and how many calls there were.
 fn start_at_once(coordinators: u32, span: Nanos) -> (Vec<Option<Nanos>>, usize) {
-    let set = Settings {
-        mixers: coordinators,
-        discovery: Discovery::OnRequest { must_ask_in: MUST_ASK_IN },
-        ..settings()
-    };
+    let set =
+        Settings { coordinators, discovery: Discovery::OnRequest { must_ask_in: MUST_ASK_IN }, ..settings() };
     let mut service = ListService { call: MUST_ASK_IN / 150, patience: 2000 * MS, free_at: 0 };
     let mut fleet: Vec<Policy> =
         (0..coordinators).map(|n| Policy::new(set.clone(), u64::from(n) + 1).unwrap()).collect();
@@ -79,7 +76,7 @@
 /// rule allows in it, and beyond that and what is put down to chance: all coordinators send
 /// what eight servers of so many parts a second can do at 60%.
 fn pressed(coordinators: u32, rate: f64) -> (f64, f64) {
-    let set = Settings { mixers: coordinators, ..settings() };
+    let set = Settings { coordinators, ..settings() };
     let cold = set.cold;
     let entries: Vec<ListEntry> = (0..8).map(|s| entry(s, Phase::In)).collect();
     let mut fleet: Vec<Coordinator> =
@@ -137,7 +134,7 @@
 /// Guards against clients that were turned away at one moment by a hundred coordinators and come back at one moment.
 #[test]
 fn clients_refused_by_a_hundred_coordinators_do_not_come_back_together() {
-    let set = Settings { mixers: 100, ..settings() };
+    let set = Settings { coordinators: 100, ..settings() };
     let mut back: Vec<Nanos> = Vec::new();
     for n in 0..100 {
         // No data node is known: nothing can be served.
@@ -167,7 +164,7 @@
     for (coordinators, fit) in [(1, 1), (3, 1), (9, 1), (36, 2), (100, 3), (320, 5)] {
         // Shard 0 is held by the cold server alone, shard 1 by one that is warm.
         let layout = Layout { cells: 2, in_a_row: 1, ..settings().layout };
-        let set = Settings { mixers: coordinators, layout, ..settings() };
+        let set = Settings { coordinators, layout, ..settings() };
         let entries = [0, 1].map(|cell| ListEntry { cell, ..entry(cell, Phase::In) });
         let restart = START + 1000 * MS;
         for unused in [set.cold.warm_after / 2, set.cold.warm_after - 200 * MS] {
@@ -194,7 +191,7 @@
 /// coordinator sends to it once in seconds, it comes after the others for long.
 #[test]
 fn a_server_that_stands_still_now_and_then_is_left_for_others_where_traffic_is_thin() {
-    let mut set = Settings { mixers: 100, ..settings() };
+    let mut set = Settings { coordinators: 100, ..settings() };
     set.classes.iter_mut().for_each(|c| c.aim = 300 * MS);
     let mut bed = Bed::new(set, 4);
     let (mut at_bad, mut all) = (0, 0);
@@ -261,8 +258,7 @@
 fn a_call_of_discovery_is_followed_by_another_in_time() {
     for (coordinators, seed) in (0..40).map(|n| ([1, 3, 30, 300][n % 4], n as u64)) {
         let discovery = Discovery::OnRequest { must_ask_in: MUST_ASK_IN };
-        let mut policy =
-            Policy::new(Settings { mixers: coordinators, discovery, ..settings() }, seed).unwrap();
+        let mut policy = Policy::new(Settings { coordinators, discovery, ..settings() }, seed).unwrap();
         let news = |kind| Event::List { kind, entries: vec![entry(1, Phase::In)] };
         policy.round(START, vec![news(ListKind::Full)]);
         let mut lasts = fastrand::Rng::with_seed(seed);
@@ -303,7 +299,7 @@
 fn queries_that_cannot_be_paced_are_throttled_by_those_in_time() {
     let turned_away = |servers, parts, latency| {
         // Fifty parts may be out at once at the start.
-        let mut bed = Bed::new(Settings { mixers: 100, max_open: 200, ..settings() }, servers);
+        let mut bed = Bed::new(Settings { coordinators: 100, max_open: 200, ..settings() }, servers);
         let mut refused = 0;
         for n in 0..60 {
             let actions = bed.query(0, parts).2;
--- a/crates/core/tests/grown.rs
+++ b/crates/core/tests/grown.rs
@@ -240,7 +240,7 @@
 #[test]
 fn a_share_of_a_cold_server_below_one_part_still_comes_to_a_part() {
     let mut set = settings();
-    set.mixers = 100;
+    set.coordinators = 100;
     let mut bed = Bed::new(set, 2);
     bed.warm_up(40);
     let started = ListEntry { started_at: bed.now, ..entry(1, Phase::In) };
@@ -255,9 +255,9 @@
 }
 
 #[test]
-fn with_many_mixers_a_full_server_is_sent_little_at_a_time() {
+fn with_many_coordinators_a_full_server_is_sent_little_at_a_time() {
     let mut set = settings();
-    set.mixers = 60;
+    set.coordinators = 60;
     let mut bed = Bed::new(set, 1);
     bed.warm_up(20);
     let mut sent = 0;
@@ -295,7 +295,7 @@
 #[test]
 fn parts_that_always_take_long_are_not_taken_for_overload() {
     let mut set = settings();
-    set.mixers = 60;
+    set.coordinators = 60;
     let mut bed = Bed::new(set, 4);
     let mut first_sends = 0;
     for _ in 0..60 {
--- a/crates/core/tests/module.rs
+++ b/crates/core/tests/module.rs
@@ -347,7 +347,7 @@
 }
 
 #[test]
-fn a_full_mixer_sheds_held_queries_at_once() {
+fn a_full_coordinator_sheds_held_queries_at_once() {
     let mut set = settings();
     set.max_open = 20;
     let mut bed = Bed::new(set, 1);
@@ -392,7 +392,7 @@
 
 /// Settings under which the list has to be asked for, by so many that they do not all ask at their start.
 fn asking() -> Settings {
-    Settings { mixers: 300, discovery: Discovery::OnRequest { must_ask_in: 10_000 * MS }, ..settings() }
+    Settings { coordinators: 300, discovery: Discovery::OnRequest { must_ask_in: 10_000 * MS }, ..settings() }
 }
 
 /// A module that knows the list from before its start, and no other.
--- a/src/bin/curlewdeck-wirehost/main.rs
+++ b/src/bin/curlewdeck-wirehost/main.rs
@@ -1,4 +1,4 @@
-//! The adapter: reads the wire on standard input, hosts one module instance for each mixer and
+//! The adapter: reads the wire on standard input, hosts one module instance for each coordinator and
 //! writes the module's actions on standard output. It decides nothing.
 
 mod host;
