One throttled query in four goes in at least

Change: the share that is turned away is three quarters at most: 15 queries in a row are then all turned away in 1 of 75 cases.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -106,6 +106,8 @@
 const ASKS_SERVED: u64 = 200;
 /// Queries of more parts than may be out, where traffic is thin: so many times those answered in time go in.
 const THROTTLE: f64 = 1.25;
+/// One in four goes in at least, or a coordinator may turn away all that it gets for seconds.
+const THROTTLE_MOST: f64 = 0.75;
 /// Sums of weights may fall this much short.
 const SLACK: f64 = 5e-5;
 
@@ -594,7 +596,7 @@
         let (ended, timely) =
             (self.counts.ended.count(self.now) as f64, self.counts.timely.count(self.now) as f64);
         let thin = self.send_gap() > THIN_AIMS * self.set.shortest_aim() as f64;
-        let throttled = (ended - THROTTLE * timely) / (ended + 1.0);
+        let throttled = ((ended - THROTTLE * timely) / (ended + 1.0)).min(THROTTLE_MOST);
         let room = (self.set.max_open as f64 * OPEN_SHARE) as usize;
         let mut open = self.queries.len() + self.seen.open_parts;
         for &(_, _, id) in order.iter().rev() {
@@ -1017,8 +1019,7 @@
 
     /// How many parts a cold server may be sent now; nothing once it is warm. This grows by multiple x warmth
     /// x the larger of what servers complete for us on average and our share of what one core does then. No
-    /// server completes more than it can do, so all coordinators together keep the rule, whatever their
-    /// number and traffic.
+    /// server completes more than it can do: together all keep the rule, whatever their number and traffic.
     fn cold_allowance(&self, s: &Server) -> Option<f64> {
         let cold = &self.set.cold;
         let since = s.cold_since.filter(|&since| self.now.saturating_sub(since) < cold.warm_after)?;
@@ -1067,8 +1068,7 @@
             // All coordinators may have started at once: more than the service answers at once.
             self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
         }
-        let unconfirmed = self.now < self.seen.unconfirmed_until;
-        if unconfirmed && self.seen.asked_at == 0 && !self.seen.held.is_empty() {
+        if self.now < self.seen.unconfirmed_until && self.seen.asked_at == 0 && !self.seen.held.is_empty() {
             self.ask_at = Some(self.now); // To each coordinator the first comes at another moment.
         }
         if self.ask_at.is_some_and(|at| at <= self.now) {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -319,3 +319,36 @@
     // So much goes to each server that its own bound paces.
     assert_eq!(turned_away(8, 60, 1500 * MS), 0);
 }
+
+/// Guards against a coordinator that turns away all that it gets: however few of its queries are answered in time, no 4 s
+/// pass in which it sends nothing.
+#[test]
+fn a_throttled_coordinator_sends_something_within_four_seconds() {
+    let mut bed = Bed::new(Settings { coordinators: 100, max_open: 200, ..settings() }, 800);
+    let (mut sent_at, mut longest, mut actions) = (bed.now, 0, Vec::new());
+    // Where the attempts at each part went, in their order.
+    let mut tried: std::collections::BTreeMap<PartId, Vec<ServerId>> = Default::default();
+    for _ in 0..600 {
+        actions.extend(bed.query(0, 60).2);
+        actions.extend(bed.pass(100 * MS));
+        for sent in sends(&actions) {
+            tried.entry(sent.part).or_default().push(sent.server);
+            sent_at = bed.now;
+        }
+        // None is answered: each ends with its query.
+        let ended = actions.iter().filter_map(|action| match action {
+            Action::Cancel { part, attempt } => Some(Event::Ended {
+                part: *part,
+                attempt: *attempt,
+                server: tried[part][*attempt as usize],
+                outcome: Outcome::Undone,
+                latency: 1200 * MS,
+            }),
+            _ => None,
+        });
+        let ended = ended.collect();
+        actions = bed.round(ended);
+        longest = longest.max(bed.now - sent_at);
+    }
+    assert!(longest < 4000 * MS, "nothing sent for {} ms", longest / MS);
+}
