--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -374,7 +374,8 @@
     Diff,
     /// The full list; what is missing is gone.
     Full,
-    /// The full list as it was held before the start. It may be old: nothing is sent by it until it is confirmed.
+    /// The full list as it was held before the start. It may be old: nothing is sent by it until a call for the
+    /// present one has ended.
     Known,
     /// Asking failed or the subscription broke; the list held stays in force.
     Error,
