One bad line of the membership costs that line only, not the whole update

Root cause: WireList (src/net/members.rs, lines 13-36) was read as one value by serde's derive, so a null or missing field, a number in another valid form or an endpoint that is no address in any one line failed the object. Discovery then dropped the news of all other lines, asked for the whole list and failed on the same line again, for good. Objects::next took one byte of a line that is no object at a time as an object of its own, each an error; an object cut off within a text swallowed all that followed without an error; and the limit of an object's size depended on how it was cut (4112 bytes read at once with a limit of 4096, and turned down byte by byte).

Seen without the mend (the old form given the same objects, a good draining line beside each): null line, null endpoint, capacity_hint, boot_ms, state or uid, boot_ms 7.0, pod_group 3.0 or -1, capacity_hint 1e999, az 5, a field given twice: Err each time, nothing learned. [draining, up] of one uid gave both, in order, so the gate opened again. `nonsense` and a line's end before a good object: Err at every byte. `{"rev":"\` and a line's end before a good object: nothing, ever. `[41]` was taken as version 41.

Change: MembershipUpdate { version, complete, lines } has the same form on the wire; each line is read on its own, field by field, as MemberLine::Whole, Partial (name and state only, with the reason) or Unreadable. A state that is unknown, missing, null or no text counts as draining. LineError names the cause and holds a short excerpt in printable ASCII. Within one object no line opens the gate that another one shuts, unless it tells of a newer start: the order is not promised, and a rest too long breaks no rule while a part sent to a draining node does. The stream's reader gives typed events; it goes on at the next line behind what is no object, or an object cut off within a text, holds nothing of what it skips, and skips a byte order mark at the stream's beginning. Discovery takes what can be read in the same piece and then asks for the whole list, as before.

Test replaced: what_is_no_object_is_said_at_once asked for an error; it now asks for the event Unreadable within the same two looks, and for the error TooLong for three fillings at exactly one byte above the limit.

Excluded: a uid of bytes that are no text counts as unreadable. An object cut off outside of a text can't be told from an indented one; it ends by the limit or by silence, as before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -13,7 +13,7 @@
 use crate::group::config::GroupConfig;
 use crate::keep::StateConfig;
 use crate::limits::{Limits, Platform};
-use crate::net::members::WireList;
+use crate::net::members::MembershipUpdate;
 use crate::settings::{self, Info};
 use crate::snmp::SnmpConfig;
 
@@ -27,7 +27,7 @@
     seed: String,
     control: Option<SocketAddr>,
     limits: FileLimits,
-    known: Option<WireList>,
+    known: Option<MembershipUpdate>,
     #[serde(borrow)]
     settings: &'a RawValue,
 }
@@ -72,7 +72,7 @@
     /// All that the file says, but for the list: a later one may lack nothing of it.
     pub said: Value,
     /// The list as it was last held.
-    pub known: Option<WireList>,
+    pub known: Option<MembershipUpdate>,
     /// The settings.
     pub info: Info,
 }
@@ -115,7 +115,7 @@
 
     /// What the platform allows, beside so many other processes.
     pub fn platform(&self, others: usize) -> Platform {
-        let nodes = self.known.as_ref().map_or(0, |known| known.targets.len());
+        let nodes = self.known.as_ref().map_or(0, |known| known.lines.len());
         Platform { sockets: self.sockets, memory_mb: self.memory_mb, others, nodes }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,7 +12,7 @@
 use crate::net::http::{self, Chunks};
 use crate::net::io::{spawn, spawn_vital, Stream};
 use crate::net::mail::{CoreMail, DiscoveryMsg, Msg};
-use crate::net::members::{ListNews, Objects, WireList};
+use crate::net::members::{LineError, ListNews, MembershipUpdate, Objects, WatchEvent};
 
 /// What the actor of discovery is made of.
 pub struct DiscoveryContext {
@@ -79,10 +79,10 @@
             DiscoveryMsg::Line(watch, list) if watch == self.current => {
                 let news = match list {
                     Some(list) => {
-                        self.rev = Some(list.rev);
+                        self.rev = Some(list.version);
                         list.news()
                     }
-                    None => ListNews { kind: ListKind::Diff, members: Vec::new() },
+                    None => ListNews::none(ListKind::Diff),
                 };
                 self.context.core.send(Msg::List(news));
             }
@@ -110,7 +110,7 @@
         log::info!("the watch on the list has ended: {why}");
         Counters::add(&self.context.counters.list_errors);
         self.watch = None;
-        self.context.core.send(Msg::List(ListNews { kind: ListKind::Error, members: Vec::new() }));
+        self.context.core.send(Msg::List(ListNews::none(ListKind::Error)));
         if self.unasked {
             let (own, longest) = (self.own.clone(), self.context.limits.discovery_pause);
             spawn("discovery pause", self.context.limits.stack_words, move || {
@@ -190,8 +190,8 @@
                 None => ended = !fill(&call.stream, &mut held, self.left(call))?,
             }
         };
-        let list = WireList { all: true, ..self.parsed(serde_json::from_slice(&body))? };
-        let rev = list.rev;
+        let list = MembershipUpdate { complete: true, ..self.parsed(MembershipUpdate::read(&body))? };
+        let rev = list.version;
         self.tell(DiscoveryMsg::Line(self.number, Some(list)));
         Ok((rev, !ended && head.keep_alive()))
     }
@@ -216,7 +216,7 @@
     }
 
     /// What could not be read may have been a change: the whole list is needed then.
-    fn parsed<T>(&self, read: serde_json::Result<T>) -> Result<T, String> {
+    fn parsed<T>(&self, read: Result<T, LineError>) -> Result<T, String> {
         read.map_err(|e| {
             self.tell(DiscoveryMsg::Unreadable(self.number));
             format!("the list is not as expected: {e}")
@@ -236,10 +236,17 @@
                 objects.held().extend_from_slice(&held);
             }
             held.clear();
-            while let Some(object) = self.parsed(objects.next(most))? {
+            let mut unreadable = Ok(());
+            while let Some(event) = self.parsed(objects.next(most))? {
                 heard = Instant::now();
-                self.tell(DiscoveryMsg::Line(self.number, object));
+                match event {
+                    WatchEvent::Update(update) => self.tell(DiscoveryMsg::Line(self.number, Some(update))),
+                    WatchEvent::Heartbeat => self.tell(DiscoveryMsg::Line(self.number, None)),
+                    WatchEvent::Unreadable(why) => unreadable = unreadable.and(Err(why)),
+                }
             }
+            // What can be read counts first; the whole list tells what was lost.
+            self.parsed(unreadable)?;
             if chunks.done() {
                 return Ok("it was ended".to_string());
             }
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -14,7 +14,7 @@
 use crate::net::frame::{self, Frame};
 use crate::net::io::Stream;
 use crate::net::link::{Input, LinkId};
-use crate::net::members::{ListNews, WireList};
+use crate::net::members::{ListNews, MembershipUpdate};
 use crate::settings::Info;
 
 /// How a query ends, for its front: called once.
@@ -94,7 +94,7 @@
     /// A watch has its connection.
     Up(u64, Arc<Stream>),
     /// A line of a watch: a list, or nothing where nothing has changed.
-    Line(u64, Option<WireList>),
+    Line(u64, Option<MembershipUpdate>),
     /// A watch was told what cannot be read: what is held may have gaps.
     Unreadable(u64),
     /// A watch has ended, and why.
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -1,145 +1,202 @@
-//! The form of the list of data nodes (pure): what the list's service writes, and the same for the core.
+//! The membership (pure): snapshots and deltas as discovery writes them, and the same for the core.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use serde::de::Error;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 
 use crate::api::{ListKind, Phase};
 use crate::engine::Member;
 
-/// A list or a change to it, as the list's service writes it.
+mod fault;
+mod line;
+mod objects;
+
+pub use fault::{LineError, LineFault};
+pub use line::{MemberEntry, MemberLine, MemberState};
+pub use objects::{Objects, WatchEvent};
+
+/// A snapshot of the membership or a delta to it, as discovery writes it. A line that cannot be read costs that line
+/// only.
 #[derive(Debug, Clone, Deserialize)]
-pub struct WireList {
+pub struct MembershipUpdate {
     /// Its version.
-    pub rev: u64,
-    /// Whether it is the full list.
-    #[serde(default)]
-    pub all: bool,
-    /// Its lines.
-    #[serde(default)]
-    pub targets: Vec<WireMember>,
+    #[serde(rename = "rev", deserialize_with = "version")]
+    pub version: u64,
+    /// Whether it is a snapshot: what is missing from it is gone.
+    #[serde(rename = "all", default, deserialize_with = "complete")]
+    pub complete: bool,
+    /// Its lines, in their order.
+    #[serde(rename = "targets", default, deserialize_with = "lines")]
+    pub lines: Vec<MemberLine>,
 }
 
-/// One line.
-#[derive(Debug, Clone, Deserialize)]
-pub struct WireMember {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: Option<String>,
-    pod_group: u32,
-    state: String,
-    #[serde(default = "one")]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: u64,
+fn version<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let text = Box::<RawValue>::deserialize(deserializer)?;
+    line::whole_number(text.get()).ok_or_else(|| D::Error::custom("rev is no version"))
 }
 
-fn one() -> f64 {
-    1.0
+fn complete<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    Ok(Option::deserialize(deserializer)?.unwrap_or(false))
 }
 
-/// A list ready for the core, with the address of each line.
-#[derive(Debug, Clone)]
-pub struct ListNews {
-    /// Full, a change, or the news that there is none.
-    pub kind: ListKind,
-    /// Its lines.
-    pub members: Vec<(Member, SocketAddr)>,
+fn lines<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<MemberLine>, D::Error> {
+    let lines: Vec<Box<RawValue>> = Option::deserialize(deserializer)?.unwrap_or_default();
+    Ok(lines.iter().map(|line| MemberLine::read(line.get())).collect())
 }
 
-const MILLI: u64 = 1_000_000;
+impl MembershipUpdate {
+    /// Reads an object. Bytes that are no text cost the line in whose name they stand.
+    ///
+    /// # Errors
+    /// It is no JSON object, has no version, or its lines are no list.
+    pub fn read(bytes: &[u8]) -> Result<Self, LineError> {
+        let text = String::from_utf8_lossy(bytes);
+        if !text.trim_start().starts_with('{') {
+            return Err(LineError::new(LineFault::Object, &text));
+        }
+        serde_json::from_str(&text).map_err(|e| LineError::new(LineFault::Object, &e.to_string()))
+    }
+
+    /// Why lines of it cannot be used as a whole, in the order of the lines: none for an update that can.
+    pub fn unreadable_lines(&self) -> impl Iterator<Item = &LineError> {
+        self.lines.iter().filter_map(MemberLine::error)
+    }
 
-impl WireList {
-    /// For the core. A state that is not known counts as draining: nothing new is sent there.
+    /// For the core. Each data node is named once: of lines of the same one the last counts, see [`Merged`].
     pub fn news(self) -> ListNews {
-        let member = |m: WireMember| {
-            let phase = match m.state.as_str() {
-                "up" => Phase::In,
-                "removed" => Phase::Out,
-                _ => Phase::Draining,
-            };
-            let member = Member {
-                name: m.uid,
-                cell: m.pod_group,
-                started_at: m.boot_ms.saturating_mul(MILLI),
-                rating: m.capacity_hint,
-                phase,
-                zone: m.az,
-            };
-            (member, m.endpoint)
+        let mut merged = Merged::default();
+        self.lines.into_iter().for_each(|line| merged.add(line));
+        let kind = if self.complete { ListKind::Full } else { ListKind::Diff };
+        merged.lines.into_iter().fold(ListNews::none(kind), ListNews::with)
+    }
+}
+
+/// The lines of an update with each data node named once.
+///
+/// A later line of a data node takes the place of an earlier one, but a gate that one line shuts is not opened by
+/// another line of the same object, unless that one tells of a newer start. Discovery doesn't say in which order it
+/// writes changes: if `up` is the older of the two, a node that drains would get new work; if it is the newer, one node
+/// rests until the next snapshot or change, which breaks no rule.
+#[derive(Default)]
+struct Merged {
+    lines: Vec<MemberLine>,
+    /// Where in `lines` a data node stands.
+    places: HashMap<String, usize>,
+}
+
+impl Merged {
+    fn add(&mut self, line: MemberLine) {
+        let uid = match &line {
+            MemberLine::Whole(entry) => &entry.uid,
+            MemberLine::Partial { uid, .. } => uid,
+            MemberLine::Unreadable(_) => return,
         };
-        let kind = if self.all { ListKind::Full } else { ListKind::Diff };
-        ListNews { kind, members: self.targets.into_iter().map(member).collect() }
+        match self.places.get(uid) {
+            Some(&place) => {
+                let earlier = &mut self.lines[place];
+                *earlier = later(earlier, line);
+            }
+            None => {
+                self.places.insert(uid.clone(), self.lines.len());
+                self.lines.push(line);
+            }
+        }
+    }
+}
+
+/// What two lines of the same data node say together.
+fn later(earlier: &MemberLine, line: MemberLine) -> MemberLine {
+    match (earlier, line) {
+        // It cannot open a gate, and says nothing else.
+        (_, MemberLine::Partial { state: MemberState::Up, .. }) => earlier.clone(),
+        (MemberLine::Whole(before), MemberLine::Partial { state, .. }) => {
+            MemberLine::Whole(MemberEntry { state, ..before.clone() })
+        }
+        (_, MemberLine::Whole(entry)) if entry.state == MemberState::Up && !reopens(earlier, &entry) => {
+            MemberLine::Whole(MemberEntry { state: state_of(earlier), ..entry })
+        }
+        (_, line) => line,
     }
 }
 
-/// Takes the objects of a watch apart as they come, one after the other, each on a line of its own or indented over
-/// several. Each byte is looked at once, however they are cut.
-#[derive(Debug, Default)]
-pub struct Objects {
-    held: Vec<u8>,
-    /// Bytes of `held` that have been looked at.
-    scanned: usize,
-    /// Braces and brackets that are open there.
-    depth: usize,
-    /// Within a text, and right behind a backslash there.
-    text: bool,
-    escaped: bool,
-    /// The rest of the line of an object: its end tells nothing new.
-    tail: bool,
+/// Whether a line of a data node that is up may follow an earlier one of the same object.
+fn reopens(earlier: &MemberLine, entry: &MemberEntry) -> bool {
+    let started = match earlier {
+        MemberLine::Whole(before) => Some(before.boot_ms),
+        MemberLine::Partial { boot_ms, .. } => *boot_ms,
+        MemberLine::Unreadable(_) => None,
+    };
+    !state_of(earlier).is_shut() || started.is_some_and(|started| entry.boot_ms > started)
 }
 
-impl Objects {
-    /// Where more bytes are put.
-    pub fn held(&mut self) -> &mut Vec<u8> {
-        &mut self.held
+fn state_of(line: &MemberLine) -> MemberState {
+    match line {
+        MemberLine::Whole(entry) => entry.state,
+        MemberLine::Partial { state, .. } => *state,
+        MemberLine::Unreadable(_) => MemberState::Draining,
     }
+}
 
-    /// The next object, or nothing for an empty line, which says that nothing has changed; none while it is not whole.
-    ///
-    /// # Errors
-    /// It cannot be read, or takes more than `most` bytes.
-    pub fn next(&mut self, most: usize) -> serde_json::Result<Option<Option<WireList>>> {
-        while let Some(&byte) = self.held.get(self.scanned) {
-            self.scanned += 1;
-            match byte {
-                _ if self.escaped => self.escaped = false,
-                b'\\' if self.text => self.escaped = true,
-                b'"' if self.depth > 0 => self.text = !self.text,
-                _ if self.text => {}
-                b'{' | b'[' => self.depth += 1,
-                b'}' | b']' if self.depth > 0 => {
-                    self.depth -= 1;
-                    if self.depth == 0 {
-                        self.tail = true;
-                        return self.taken().map(|list| Some(Some(list)));
-                    }
-                }
-                b'\n' if self.depth == 0 => {
-                    self.held.drain(..self.scanned);
-                    self.scanned = 0;
-                    if !std::mem::take(&mut self.tail) {
-                        return Ok(Some(None));
-                    }
-                }
-                _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
-                // No object begins so.
-                _ => return self.taken().map(|list| Some(Some(list))),
+/// An update ready for the core.
+#[derive(Debug, Clone)]
+pub struct ListNews {
+    /// Full, a change, or the news that there is none.
+    pub kind: ListKind,
+    /// Its lines, with the address of each.
+    pub members: Vec<(Member, SocketAddr)>,
+    /// What is known of data nodes of whose lines only name and state can be read. They are not gone.
+    pub partial: Vec<PartialMember>,
+}
+
+/// A data node of whose line only name and state can be read: a shut gate holds, an open one is not opened by it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartialMember {
+    /// Its name.
+    pub name: String,
+    /// Its phase.
+    pub phase: Phase,
+}
+
+impl ListNews {
+    /// News of this kind that names no data node.
+    pub fn none(kind: ListKind) -> Self {
+        Self { kind, members: Vec::new(), partial: Vec::new() }
+    }
+
+    fn with(mut self, line: MemberLine) -> Self {
+        match line {
+            MemberLine::Whole(entry) => self.members.push(member(entry)),
+            MemberLine::Partial { uid, state, .. } => {
+                self.partial.push(PartialMember { name: uid, phase: phase(state) });
             }
+            MemberLine::Unreadable(_) => {}
         }
-        match self.held.len() > most {
-            true => Err(serde_json::Error::custom("an object is too long")),
-            false => Ok(None),
-        }
+        self
     }
+}
+
+const MILLI: u64 = 1_000_000;
+
+fn member(entry: MemberEntry) -> (Member, SocketAddr) {
+    let member = Member {
+        name: entry.uid,
+        cell: entry.cell,
+        started_at: entry.boot_ms.saturating_mul(MILLI),
+        rating: entry.capacity,
+        phase: phase(entry.state),
+        zone: entry.zone,
+    };
+    (member, entry.endpoint)
+}
 
-    fn taken(&mut self) -> serde_json::Result<WireList> {
-        let list = serde_json::from_slice(&self.held[..self.scanned]);
-        self.held.drain(..self.scanned);
-        self.scanned = 0;
-        list
+fn phase(state: MemberState) -> Phase {
+    match state {
+        MemberState::Up => Phase::In,
+        MemberState::Draining => Phase::Draining,
+        MemberState::Removed => Phase::Out,
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -31,7 +31,7 @@
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
 use crate::net::log_limit::LogLimit;
 use crate::net::mail::{self, DiscoveryMsg};
-use crate::net::members::ListNews;
+use crate::net::members::{ListNews, MembershipUpdate};
 use crate::net::node::{self, NodeContext};
 use crate::notices::{self, Stopping};
 use crate::settings::Info;
@@ -89,9 +89,9 @@
         Engine::new(Info::clone(&info), config.seed, nanos(limits.backstop), nanos(limits.name_rest))
             .map_err(|e| e.to_string())?;
     let (core_mail, inbox) = mail::mailbox();
-    let rev = config.known.as_ref().map_or(0, |k| k.rev);
-    let members = config.known.map_or(Vec::new(), |known| known.news().members);
-    let known = ListNews { kind: ListKind::Known, members };
+    let rev = config.known.as_ref().map_or(0, |k| k.version);
+    let known = config.known.map_or_else(|| ListNews::none(ListKind::Known), MembershipUpdate::news);
+    let known = ListNews { kind: ListKind::Known, ..known };
     let unasked = info.settings.discovery == Discovery::Pushed;
     let context =
         DiscoveryContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
