--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,6 +1,7 @@
 //! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, discovery and fronts.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,10 +14,10 @@
 
 use crate::api::{ClassId, Discovery, ListKind, Nanos, Phase, QueryId, ServerId, ShardId};
 use crate::counters::Counters;
-use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
+use crate::engine::{Ask, Command, Engine, Final, Member, Note, Rejected};
 use crate::net::io::{lock, spawn_vital, Alarm, Clock};
 use crate::net::mail::{CoreMail, DiscoveryMsg, Gate, Msg, NodeMsg, Reply, REQUEST};
-use crate::net::members::ListNews;
+use crate::net::members::{ListNews, PartialMember};
 use crate::settings::Info;
 
 /// What the fronts see of the core.
@@ -164,6 +165,8 @@
 struct Node {
     mail: Sender<NodeMsg>,
     gate: Gate,
+    /// Its last entry of the list.
+    last: (Member, SocketAddr),
 }
 
 /// Starts the actor.
@@ -361,7 +364,18 @@
         }
     }
 
-    fn take_list(&mut self, news: ListNews) {
+    /// What is known of a data node of whose line only name and state can be read: its last entry, shut if the line
+    /// shuts it. None of one that is not known, or that a change leaves as it is.
+    fn last_known(&self, kind: ListKind, partial: &PartialMember) -> Option<(Member, SocketAddr)> {
+        let node = self.nodes.get(&self.engine.id(&partial.name)?)?;
+        let (last, addr) = node.last.clone();
+        match partial.phase {
+            Phase::In => kind.is_full().then_some((last, addr)),
+            phase => Some((Member { phase, ..last }, addr)),
+        }
+    }
+
+    fn take_list(&mut self, mut news: ListNews) {
         let now = self.core.clock.now();
         if news.kind != ListKind::Error {
             if now.saturating_sub(self.heard) > self.must_ask_in {
@@ -370,10 +384,13 @@
             }
             self.heard = now;
         }
+        let partial: Vec<_> = news.partial.iter().filter_map(|p| self.last_known(news.kind, p)).collect();
+        news.members.extend(partial);
         if news.kind.is_full() {
             let named = |id: &ServerId| news.members.iter().any(|m| m.0.name == self.engine.server_name(*id));
-            for (&id, node) in self.nodes.iter().filter(|(id, _)| !named(id)) {
+            for (&id, node) in self.nodes.iter_mut().filter(|(id, _)| !named(id)) {
                 node.gate.set(false);
+                node.last.0.phase = Phase::Out;
                 self.account.node(now, id, "", Phase::Out);
             }
         }
@@ -382,8 +399,9 @@
             if member.phase == Phase::Out {
                 // One that is not known needs no actor to be gone.
                 if let Some(id) = self.engine.id(&member.name) {
-                    if let Some(node) = self.nodes.get(&id) {
+                    if let Some(node) = self.nodes.get_mut(&id) {
                         node.gate.set(false);
+                        node.last = (member.clone(), *addr);
                     }
                     self.account.node(now, id, &member.name, Phase::Out);
                 }
@@ -394,8 +412,9 @@
             let start = &mut self.start_node;
             let node = self.nodes.entry(id).or_insert_with(|| {
                 let gate = Gate::default();
-                Node { mail: start(id, gate.clone()), gate }
+                Node { mail: start(id, gate.clone()), gate, last: (member.clone(), *addr) }
             });
+            node.last = (member.clone(), *addr);
             node.gate.set(member.phase == Phase::In);
             tell(&node.mail, NodeMsg::Address(*addr));
         }
