--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -110,7 +110,7 @@
 pub enum Discovery {
     /// Changes arrive unasked.
     Pushed,
-    /// Changes arrive only after [`Action::Watch`].
+    /// Changes arrive only where the embedder asks for them.
     OnRequest {
         /// Without a subscription, not asking for this long counts as having been told.
         must_ask_in: Nanos,
@@ -374,11 +374,9 @@
     Diff,
     /// The full list; what is missing is gone.
     Full,
-    /// The full list as it was held before the start. It may be old: nothing is sent by it until a call for the
-    /// present one has ended.
+    /// The full list as it was held before the start. It may be old: nothing is sent by it until any other list or
+    /// change has come, if only an empty one.
     Known,
-    /// Asking failed or the subscription broke; the list held stays in force.
-    Error,
 }
 
 impl ListKind {
@@ -418,12 +416,6 @@
     }
 }
 
-/// Whatever discovery has to tell counts as told this long after it had it and could be reached.
-pub const TOLD_AFTER: Nanos = 6_000_000_000;
-
-/// The most between the beginnings of two calls of discovery: the rest of that time is the later one's.
-pub const ASK_GAP: Nanos = TOLD_AFTER / 5 * 3;
-
 /// What the module is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -538,8 +530,6 @@
         /// The server.
         server: ServerId,
     },
-    /// Subscribe to changes of the list.
-    Watch,
     /// Send [`Event::Wake`] after this long.
     Wake {
         /// How long from now.
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -324,8 +324,6 @@
         /// Which.
         server: ServerId,
     },
-    /// Subscribe to the list.
-    Watch,
     /// Book this.
     Book(Note),
     /// Give a query its final answer.
@@ -784,7 +782,6 @@
                 }
             }
             Action::Close { server } => self.commands.push(Command::CloseIdle { server }),
-            Action::Watch => self.commands.push(Command::Watch),
             Action::Wake { after } => self.wakes.push(Reverse(self.now.saturating_add(after.max(1)))),
         }
     }
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -102,8 +102,6 @@
 const HOLD_OFF_SPREAD: f64 = 0.75;
 /// The held queue is cut once this share of `max_open` is in use.
 const OPEN_SHARE: f64 = 0.9;
-/// So many calls the list's service answers at least within the time in which each coordinator must ask.
-const ASKS_SERVED: u64 = 200;
 /// Queries of more parts than may be out, where traffic is thin: so many times those answered in time go in.
 const THROTTLE: f64 = 1.25;
 /// One in four goes in at least, or a coordinator may turn away all that it gets for seconds.
@@ -128,7 +126,6 @@
     ways: Vec<(Tally, Nanos)>,
     turn: u64,
     ends_by: Nanos,
-    ask_at: Option<Nanos>,
     actions: Vec<Action>,
     seen: Seen,
     timers: Timers,
@@ -159,7 +156,6 @@
             ways: vec![Default::default(); set.zones as usize],
             turn: 64,
             ends_by: Nanos::MAX,
-            ask_at: matches!(set.discovery, Discovery::OnRequest { .. }).then_some(0),
             actions: Vec::new(),
             set,
             seen: Seen::default(),
@@ -176,7 +172,6 @@
             self.take(event);
         }
         self.measure();
-        self.watch();
         self.seen.touched.extend(self.timers.due(self.now));
         for query in std::mem::take(&mut self.seen.touched) {
             self.review(query);
@@ -577,7 +572,7 @@
     }
 
     fn arm(&mut self) {
-        self.actions.extend(self.timers.arm(self.now, self.ask_at).map(|after| Action::Wake { after }));
+        self.actions.extend(self.timers.arm(self.now).map(|after| Action::Wake { after }));
     }
 
     // ---- Load: what is held back and what is shed first. ----
@@ -609,7 +604,7 @@
                 self.end_unserved(id);
             }
         }
-        if self.now < self.seen.unconfirmed_until {
+        if self.seen.list_unconfirmed {
             return;
         }
         // Parts out for less worth each do not keep out a query: room is given to worth, too.
@@ -995,15 +990,7 @@
     // ---- The list, drains and cold servers. ----
 
     fn take_list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
-        self.seen.unconfirmed_until = if kind == ListKind::Known { self.now + TOLD_AFTER } else { 0 };
-        if kind == ListKind::Error {
-            return self.ask_later();
-        }
-        self.seen.heard_at = self.now;
-        if self.ask_at.is_some_and(|at| at > self.now) {
-            self.ask_at = None;
-            self.seen.failed_asks = 0;
-        }
+        self.seen.list_unconfirmed = kind == ListKind::Known;
         let (mut rng, classes) = (self.rng.fork(), self.set.classes.len());
         let start = self.set.bursts().max(LIMIT_START);
         let fresh = || Server::new(rng.u64(1..64), start, classes);
@@ -1042,41 +1029,6 @@
         let sends = self.counts.first_sends.since(self.now.saturating_sub(span as Nanos)).max(1);
         span * self.fleet.listed.max(1) as f64 / sends as f64
     }
-
-    // ---- Asking for the list. ----
-
-    /// One service answers all coordinators in turn, and works on for those that wait no longer. So the asks
-    /// of each are spread over what a call of each other takes there.
-    fn ask_span(&self, must_ask_in: Nanos) -> Nanos {
-        (must_ask_in / ASKS_SERVED).saturating_mul(u64::from(self.set.coordinators - 1)).min(must_ask_in / 2)
-    }
-
-    fn ask_later(&mut self) {
-        let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
-        let base = (must_ask_in / 13).max(self.ask_span(must_ask_in));
-        // What discovery has to tell meanwhile counts as told, whatever became of the last call.
-        let last = self.seen.heard_at.max(self.seen.asked_at).saturating_add(ASK_GAP);
-        let most = (base << self.seen.failed_asks.min(3)).min(last.saturating_sub(self.now));
-        self.seen.failed_asks += 1;
-        self.ask_at = Some(self.now + most / 3 + (most as f64 * self.rng.f64() / 1.5) as Nanos);
-    }
-
-    fn watch(&mut self) {
-        let Discovery::OnRequest { must_ask_in } = self.set.discovery else { return };
-        let span = self.ask_span(must_ask_in);
-        if self.ask_at == Some(0) && span > must_ask_in / 20 {
-            // All coordinators may have started at once: more than the service answers at once.
-            self.ask_at = Some(self.now + (span as f64 * self.rng.f64()) as Nanos);
-        }
-        if self.now < self.seen.unconfirmed_until && self.seen.asked_at == 0 && !self.seen.held.is_empty() {
-            self.ask_at = Some(self.now); // To each coordinator the first comes at another moment.
-        }
-        if self.ask_at.is_some_and(|at| at <= self.now) {
-            self.actions.push(Action::Watch);
-            self.seen.asked_at = self.now;
-            self.ask_at = Some(self.now + must_ask_in / 2);
-        }
-    }
 }
 
 /// Replicas by tier, calls out, connection, way and turn: the least comes first.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -179,13 +179,9 @@
     pub(crate) round_calls: BTreeMap<ServerId, (u64, u32)>,
     /// Parts that servers have completed.
     pub(crate) passes: u64,
-    /// Calls for the list that failed in a row, when the last one began, and when the list was last heard of.
-    pub(crate) failed_asks: u32,
-    pub(crate) asked_at: Nanos,
-    pub(crate) heard_at: Nanos,
-    /// The list from before the start is not confirmed yet. What was told to the process before this one counts as told
-    /// to it, too: nothing is sent by a list that may miss it, until a call for the present one has ended either way.
-    pub(crate) unconfirmed_until: Nanos,
+    /// The list is from before the start, and nothing has come since. What was told to the process before this one
+    /// counts as told to it, too: nothing is sent by a list that may miss it.
+    pub(crate) list_unconfirmed: bool,
 }
 
 impl Query {
@@ -357,9 +353,9 @@
         due
     }
 
-    /// How long to the next moment, `also` among them, if no timer is set for it yet.
-    pub(crate) fn arm(&mut self, now: Nanos, also: Option<Nanos>) -> Option<Nanos> {
-        let next = self.dues.peek().map(|d| d.0 .0).into_iter().chain(also).min()?.max(now + 1);
+    /// How long to the next moment, if no timer is set for it yet.
+    pub(crate) fn arm(&mut self, now: Nanos) -> Option<Nanos> {
+        let next = self.dues.peek()?.0 .0.max(now + 1);
         if self.armed.is_some_and(|a| now < a && a <= next) {
             return None;
         }
--- /dev/null
+++ b/crates/membership/src/pacing.rs
@@ -0,0 +1,154 @@
+//! When the next call to discovery may begin: jitter, exponential backoff and hedging.
+
+use curlewdeck_core::api::{Discovery, Nanos};
+use fastrand::Rng;
+
+use crate::CALL_GAP;
+
+/// So many calls the service answers at least within the time in which each coordinator has to ask.
+const CALLS_SERVED: Nanos = 200;
+/// A spread of first calls below this share of that time is not worth a pause.
+const SPREAD_WORTH: Nanos = 20;
+/// The first pause after a failed call is this share of that time at most.
+const FIRST_PAUSE: Nanos = 13;
+/// A pause doubles with each failure in a row, so many times.
+const DOUBLINGS: u32 = 3;
+/// An agent on the own machine is asked again within this, whatever failed: what it has counts at once.
+const AGENT_PAUSE: Nanos = 50_000_000;
+/// Where what it says cannot be read, that pause doubles with each failure in a row, so many times.
+const AGENT_DOUBLINGS: u32 = 4;
+/// An agent answers at once: one that has not in this long is asked anew...
+const AGENT_ANSWER: Nanos = 500_000_000;
+/// ...and then this often, since what it learns when discovery returns counts at once.
+const AGENT_REPEAT: Nanos = 200_000_000;
+/// After a move of the service, calls follow each other within this, so that one of them is answered in time.
+const MOVED_GAP: Nanos = 800_000_000;
+/// After a failure of this machine's own, which says nothing of the service, a call begins anew within this.
+const LOCAL_PAUSE: Nanos = 200_000_000;
+/// A watch that lasted for this long was sound: the next call does not back off.
+const SOUND_WATCH: Nanos = 2_000_000_000;
+
+/// Spans of calls that the process's limits give.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spans {
+    /// A call that is not answered within this gets a second one beside it.
+    pub hedge: Nanos,
+    /// A watch without a whole line for this long is suspect.
+    pub silence: Nanos,
+}
+
+/// The pace of calls to discovery of one coordinator.
+#[derive(Debug)]
+pub struct Pacing {
+    discovery: Discovery,
+    coordinators: u32,
+    spans: Spans,
+    rng: Rng,
+    /// Calls that failed in a row.
+    failures: u32,
+}
+
+impl Pacing {
+    /// The pace under `discovery`, beside so many coordinators.
+    pub fn new(discovery: Discovery, coordinators: u32, spans: Spans, seed: u64) -> Self {
+        Self { discovery, coordinators, spans, rng: Rng::with_seed(seed), failures: 0 }
+    }
+
+    /// The spans that the process's limits give.
+    pub fn spans(&self) -> Spans {
+        self.spans
+    }
+
+    /// One service answers all coordinators in turn, and works on for those that wait no longer. So the calls of each
+    /// are spread over what a call of each other takes there.
+    fn spread(&self, must_ask_in: Nanos) -> Nanos {
+        let others = Nanos::from(self.coordinators.saturating_sub(1));
+        (must_ask_in / CALLS_SERVED).saturating_mul(others).min(must_ask_in / 2)
+    }
+
+    /// How long after the start the first call begins: all coordinators may have started at once.
+    pub fn first_pause(&mut self) -> Nanos {
+        let Discovery::OnRequest { must_ask_in } = self.discovery else { return 0 };
+        let spread = self.spread(must_ask_in);
+        if spread <= must_ask_in / SPREAD_WORTH {
+            return 0;
+        }
+        self.share_of(spread)
+    }
+
+    /// A watch or a call has been answered, and stood for `lasted` since.
+    pub fn stood(&mut self, lasted: Nanos) {
+        if lasted >= SOUND_WATCH {
+            self.failures = 0;
+        }
+    }
+
+    /// How long after a failed call, or the end of a watch, the next one begins. `gone` is the time since discovery was
+    /// last heard or called; `moved` tells that the service has moved just now, and `unreadable` that what it said could
+    /// not be read.
+    pub fn pause(&mut self, gone: Nanos, moved: bool, unreadable: bool) -> Nanos {
+        let failures = self.failures;
+        self.failures = self.failures.saturating_add(1);
+        let Discovery::OnRequest { must_ask_in } = self.discovery else {
+            return self.agent_pause(failures, unreadable);
+        };
+        let spread = self.spread(must_ask_in);
+        let first = (must_ask_in / FIRST_PAUSE).max(spread);
+        let mut most = (first << failures.min(DOUBLINGS)).min(CALL_GAP.saturating_sub(gone));
+        if moved {
+            most = most.min(MOVED_GAP.max(spread));
+        }
+        self.jittered(most)
+    }
+
+    /// What an agent has counts at once; where it cannot be read, another call will seldom help.
+    fn agent_pause(&mut self, failures: u32, unreadable: bool) -> Nanos {
+        match (failures, unreadable) {
+            (0, _) => 0,
+            (_, false) => self.jittered(AGENT_PAUSE),
+            (_, true) => self.jittered(AGENT_PAUSE << failures.min(AGENT_DOUBLINGS)),
+        }
+    }
+
+    /// The same after a call that this machine could not even try.
+    pub fn pause_of_local_failure(&mut self) -> Nanos {
+        self.jittered(LOCAL_PAUSE)
+    }
+
+    /// How long a call may go unanswered before another one begins; `beside` tells that it has one beside it already.
+    pub fn hedge_after(&mut self, moved: bool, beside: bool) -> Nanos {
+        if matches!(self.discovery, Discovery::Pushed) {
+            return if beside { AGENT_REPEAT } else { AGENT_ANSWER };
+        }
+        let least = self.spans.hedge.min(CALL_GAP);
+        let hedge = least + self.share_of(CALL_GAP - least);
+        match moved && self.coordinators_are_few() {
+            true => hedge.min(MOVED_GAP),
+            false => hedge,
+        }
+    }
+
+    /// Whether of two calls that are not answered the oldest is kept when a third begins.
+    pub fn keeps_oldest(&self) -> bool {
+        matches!(self.discovery, Discovery::Pushed)
+    }
+
+    /// Whether the calls of all of them at once are no load.
+    fn coordinators_are_few(&self) -> bool {
+        match self.discovery {
+            Discovery::OnRequest { must_ask_in } => self.spread(must_ask_in) <= MOVED_GAP,
+            Discovery::Pushed => true,
+        }
+    }
+
+    /// Between a third of a span and all of it.
+    fn jittered(&mut self, most: Nanos) -> Nanos {
+        let least = most / 3;
+        least + self.share_of(most - least)
+    }
+
+    /// A random share of a span.
+    fn share_of(&mut self, span: Nanos) -> Nanos {
+        (span as f64 * self.rng.f64()) as Nanos
+    }
+}
--- /dev/null
+++ b/crates/membership/src/subscription.rs
@@ -0,0 +1,374 @@
+//! The calls to discovery of one coordinator: when one is begun, kept and given up.
+//!
+//! A call is a watch from a version, or a snapshot that goes on as a watch. At most two are open: the second begins where
+//! the first has not answered in time or a watch has fallen silent, and the first is heard until the second has answered.
+//! Calls that nothing is heard of, for whatever reason, end with their lifetime, so that discovery is always called
+//! again.
+
+use curlewdeck_core::api::Nanos;
+
+use crate::confirmation::Confirmation;
+use crate::pacing::Pacing;
+use crate::{CALL_LIFETIME, TOLD_AFTER};
+
+/// Calls that are open at once.
+const MOST_CALLS: usize = 2;
+/// After the service has moved, its news is in force this long after the signal.
+const MOVE_IN_FORCE: Nanos = TOLD_AFTER / 3 * 2;
+/// A watch by a version from an earlier connection that has told nothing for this long is verified by a snapshot: the
+/// service may have restarted with lower versions.
+const VERIFY_AFTER: Nanos = TOLD_AFTER / 2;
+/// A snapshot that failed to verify a watch is asked for again after this long.
+const VERIFY_AGAIN: Nanos = 2 * TOLD_AFTER;
+
+/// A call to discovery, numbered for the life of its subscription.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What a call asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Request {
+    /// The whole list, and a watch from its version on.
+    Snapshot,
+    /// A watch on what has changed since a version.
+    Watch {
+        /// That version.
+        since: u64,
+    },
+}
+
+/// How a call has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// This machine could not even try: no socket, port or memory for it.
+    LocalFailure,
+    /// No answer came: refused, reset, or out of reach.
+    Unreachable,
+    /// The service has answered that it is busy or down.
+    Busy,
+    /// The service has answered that it cannot do what was asked for.
+    Rejected,
+    /// The answer was broken off, or the watch has ended.
+    Broken,
+    /// What came could not be read, and may have been a change.
+    Unreadable,
+}
+
+/// What the subscription is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// Time has passed.
+    TimePassed,
+    /// A query waits for the list to be confirmed.
+    QueryWaiting,
+    /// The service is at another address.
+    ServiceMoved,
+    /// A watch has told that nothing has changed.
+    Heartbeat(CallId),
+    /// A call has told a snapshot or a delta of this version.
+    Told(CallId, u64),
+    /// A call has ended.
+    Ended(CallId, CallEnd),
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Command {
+    /// Begin a call: ends in [`Event::Ended`], or is never heard of.
+    Begin(CallId, Request),
+    /// Close a call's connection; it is not heard any more.
+    Abandon(CallId, Abandoned),
+    /// The list from before the start may be used, though nothing has confirmed it.
+    UseUnconfirmedList,
+}
+
+/// Why a call is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Abandoned {
+    /// A later call has taken its place.
+    Replaced,
+    /// It was silent for too long.
+    Silent,
+    /// The service has moved.
+    Moved,
+}
+
+/// How far a call has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has come yet.
+    Unanswered {
+        /// When a second call is due beside it.
+        hedge_at: Nanos,
+    },
+    /// Lines come.
+    Following {
+        answered_at: Nanos,
+        heard_at: Nanos,
+        /// When it is verified by a snapshot, where that is due.
+        verify_at: Option<Nanos>,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    id: CallId,
+    request: Request,
+    begun: Nanos,
+    stage: Stage,
+}
+
+impl Call {
+    fn heard_at(&self) -> Nanos {
+        match self.stage {
+            Stage::Unanswered { .. } => self.begun,
+            Stage::Following { heard_at, .. } => heard_at,
+        }
+    }
+
+    fn following(&self) -> bool {
+        matches!(self.stage, Stage::Following { .. })
+    }
+
+    /// Why it is given up for a later call that has been answered.
+    fn why(&self, now: Nanos, silence: Nanos) -> Abandoned {
+        match self.following() && now < self.heard_at().saturating_add(silence) {
+            true => Abandoned::Replaced,
+            false => Abandoned::Silent,
+        }
+    }
+
+    fn lifetime_ends(&self) -> Nanos {
+        self.heard_at().saturating_add(CALL_LIFETIME)
+    }
+}
+
+/// The subscription of one coordinator to the list of data nodes.
+#[derive(Debug)]
+pub struct Subscription {
+    pacing: Pacing,
+    confirmation: Confirmation,
+    /// The version from which a watch goes on; nothing where only a snapshot will do.
+    position: Option<u64>,
+    /// Whether the position was told on a connection that has ended since.
+    reconnects: bool,
+    /// Oldest first.
+    calls: Vec<Call>,
+    next_id: u64,
+    /// When the next call begins where none is open.
+    next_call_at: Nanos,
+    /// When discovery was last heard or called.
+    last_contact: Nanos,
+    /// Until when the news after a move has to be in force.
+    moved_until: Nanos,
+}
+
+impl Subscription {
+    /// A subscription that starts now with a list of version `known`, if there is one.
+    pub fn new(mut pacing: Pacing, known: Option<u64>, now: Nanos) -> Self {
+        let next_call_at = now.saturating_add(pacing.first_pause());
+        Self {
+            pacing,
+            confirmation: Confirmation::new(now),
+            position: known,
+            reconnects: false,
+            calls: Vec::with_capacity(MOST_CALLS),
+            next_id: 1,
+            next_call_at,
+            last_contact: now,
+            moved_until: 0,
+        }
+    }
+
+    /// Whether the list that is held may be used.
+    pub fn usable(&self) -> bool {
+        self.confirmation.usable()
+    }
+
+    /// Whether what a call tells still counts.
+    pub fn hears(&self, call: CallId) -> bool {
+        self.calls.iter().any(|c| c.id == call)
+    }
+
+    /// Takes what has happened by `now`.
+    pub fn step(&mut self, now: Nanos, event: Event) -> Vec<Command> {
+        let mut commands = Vec::new();
+        match event {
+            Event::TimePassed => {}
+            Event::QueryWaiting => self.query_waiting(now),
+            Event::ServiceMoved => self.service_moved(now, &mut commands),
+            Event::Heartbeat(call) => self.heard(now, call, None, &mut commands),
+            Event::Told(call, version) => self.heard(now, call, Some(version), &mut commands),
+            Event::Ended(call, end) => self.ended(now, call, end),
+        }
+        self.give_up_expired(now, &mut commands);
+        self.begin_due(now, &mut commands);
+        if self.confirmation.expire(now) {
+            commands.push(Command::UseUnconfirmedList);
+        }
+        commands
+    }
+
+    /// When time has to be told at the latest.
+    pub fn next_deadline(&self) -> Nanos {
+        let lifetimes = self.calls.iter().map(Call::lifetime_ends);
+        let call_due = self.call_due().map(|(at, _)| at);
+        let confirmation = self.confirmation.deadline();
+        lifetimes.chain(call_due).chain(confirmation).min().unwrap_or(Nanos::MAX)
+    }
+
+    fn query_waiting(&mut self, now: Nanos) {
+        let never_called = self.next_id == 1;
+        if never_called && !self.usable() {
+            self.next_call_at = now;
+        }
+    }
+
+    /// Versions of another service mean nothing here, and what it has is asked for at once.
+    fn service_moved(&mut self, now: Nanos, commands: &mut Vec<Command>) {
+        commands.extend(self.calls.drain(..).map(|call| Command::Abandon(call.id, Abandoned::Moved)));
+        self.position = None;
+        self.reconnects = false;
+        self.pacing.stood(Nanos::MAX);
+        self.next_call_at = now;
+        self.moved_until = now.saturating_add(MOVE_IN_FORCE);
+    }
+
+    /// A call has told something: earlier ones are not needed any more.
+    fn heard(&mut self, now: Nanos, id: CallId, version: Option<u64>, commands: &mut Vec<Command>) {
+        let Some(at) = self.calls.iter().position(|c| c.id == id) else { return };
+        let silence = self.pacing.spans().silence;
+        commands.extend(
+            self.calls.drain(..at).map(|earlier| Command::Abandon(earlier.id, earlier.why(now, silence))),
+        );
+        let reconnects = self.reconnects;
+        let call = &mut self.calls[0];
+        let by_version = matches!(call.request, Request::Watch { .. });
+        let (answered_at, mut verify_at) = match call.stage {
+            Stage::Following { answered_at, verify_at, .. } => (answered_at, verify_at),
+            Stage::Unanswered { .. } => {
+                (now, (by_version && reconnects).then_some(now.saturating_add(VERIFY_AFTER)))
+            }
+        };
+        if let Some(version) = version {
+            verify_at = None;
+            self.position = Some(version);
+        }
+        call.stage = Stage::Following { answered_at, heard_at: now, verify_at };
+        self.pacing.stood(now.saturating_sub(answered_at));
+        self.last_contact = now;
+        self.moved_until = 0;
+        self.confirmation.confirm();
+    }
+
+    fn ended(&mut self, now: Nanos, id: CallId, end: CallEnd) {
+        let Some(at) = self.calls.iter().position(|c| c.id == id) else { return };
+        let call = self.calls.remove(at);
+        if !matches!(end, CallEnd::LocalFailure | CallEnd::Unreachable) {
+            self.confirmation.turned_down();
+        }
+        let snapshot_needed = match end {
+            CallEnd::Unreadable | CallEnd::Rejected => true,
+            CallEnd::Broken => !call.following(),
+            CallEnd::LocalFailure | CallEnd::Unreachable | CallEnd::Busy => false,
+        };
+        if snapshot_needed {
+            self.position = None;
+        }
+        self.reconnects |= call.following();
+        self.put_verification_off(now);
+        self.next_call_at = now.saturating_add(self.pause(now, end));
+    }
+
+    fn pause(&mut self, now: Nanos, end: CallEnd) -> Nanos {
+        if end == CallEnd::LocalFailure {
+            return self.pacing.pause_of_local_failure();
+        }
+        let gone = now.saturating_sub(self.last_contact);
+        self.pacing.pause(gone, now < self.moved_until, end == CallEnd::Unreadable)
+    }
+
+    /// A snapshot that was to verify a watch has failed: the watch goes on, and is verified later.
+    fn put_verification_off(&mut self, now: Nanos) {
+        for call in &mut self.calls {
+            if let Stage::Following { verify_at: Some(at), .. } = &mut call.stage {
+                *at = (*at).max(now.saturating_add(VERIFY_AGAIN));
+            }
+        }
+    }
+
+    fn give_up_expired(&mut self, now: Nanos, commands: &mut Vec<Command>) {
+        let expired = |call: &Call| call.lifetime_ends() <= now;
+        let given_up: Vec<CallId> = self.calls.iter().filter(|c| expired(c)).map(|c| c.id).collect();
+        for id in given_up {
+            commands.push(Command::Abandon(id, Abandoned::Silent));
+            self.ended(now, id, CallEnd::Unreachable);
+        }
+    }
+
+    /// When the next call is due, and what for.
+    fn call_due(&self) -> Option<(Nanos, Due)> {
+        let Some(newest) = self.calls.last() else { return Some((self.next_call_at, Due::First)) };
+        let silence = self.pacing.spans().silence;
+        match newest.stage {
+            Stage::Following { heard_at, verify_at, .. } => {
+                let suspect_at = heard_at.saturating_add(silence);
+                let (at, due) = match verify_at.filter(|&at| at < suspect_at) {
+                    Some(at) => (at, Due::Verification),
+                    None => (suspect_at, Due::Hedge),
+                };
+                Some((at.max(self.next_call_at), due))
+            }
+            Stage::Unanswered { hedge_at } if self.calls.len() < MOST_CALLS => {
+                Some((hedge_at.max(self.next_call_at), Due::Hedge))
+            }
+            Stage::Unanswered { hedge_at } => {
+                let oldest = &self.calls[0];
+                let sound = oldest.following() && !self.suspect(oldest, newest.begun);
+                (!sound).then_some((hedge_at, Due::Replacement))
+            }
+        }
+    }
+
+    /// Whether a watch had been silent for too long by `now`.
+    fn suspect(&self, call: &Call, now: Nanos) -> bool {
+        call.heard_at().saturating_add(self.pacing.spans().silence) <= now
+    }
+
+    fn begin_due(&mut self, now: Nanos, commands: &mut Vec<Command>) {
+        let Some((_, due)) = self.call_due().filter(|&(at, _)| at <= now) else { return };
+        if due == Due::Replacement {
+            // An agent is asked so often that the oldest call is kept, which may be answered late.
+            let oldest_goes = self.calls[0].following() || !self.pacing.keeps_oldest();
+            let goes = if oldest_goes { 0 } else { 1 };
+            commands.push(Command::Abandon(self.calls.remove(goes).id, Abandoned::Silent));
+        }
+        let request = match (due, self.position) {
+            (Due::Verification, _) | (_, None) => Request::Snapshot,
+            (_, Some(since)) => Request::Watch { since },
+        };
+        if due == Due::Hedge && self.calls.last().is_some_and(Call::following) {
+            self.reconnects = true;
+        }
+        let id = CallId(self.next_id);
+        self.next_id += 1;
+        let hedge_after = self.pacing.hedge_after(now < self.moved_until, !self.calls.is_empty());
+        let hedge_at = now.saturating_add(hedge_after);
+        self.calls.push(Call { id, request, begun: now, stage: Stage::Unanswered { hedge_at } });
+        self.last_contact = now;
+        commands.push(Command::Begin(id, request));
+    }
+}
+
+/// Why a call is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Due {
+    /// None is open.
+    First,
+    /// The open one has not answered, or its watch has fallen silent.
+    Hedge,
+    /// A watch is to be verified.
+    Verification,
+    /// Two are open, and the second has not answered either.
+    Replacement,
+}
--- a/src/bin/curlewdeck-wirehost/host.rs
+++ b/src/bin/curlewdeck-wirehost/host.rs
@@ -10,10 +10,13 @@
 use curlewdeck::settings::{self, Info};
 use curlewdeck::Policy;
 
+use crate::subscriber::Subscriber;
 use crate::wire::{self, Fields};
 
 const LISTS: usize = 16;
 const WAKE: &str = "wake";
+/// The reminder of an instance's next call to discovery.
+const CALL: &str = "call";
 
 /// One line of a numbered list, not yet tied to an instance's ids.
 #[derive(Clone)]
@@ -28,6 +31,7 @@
 
 struct Instance {
     policy: Policy,
+    subscriber: Subscriber,
     classes: Vec<String>,
     second_step: Vec<bool>,
     tenants: Vec<String>,
@@ -183,9 +187,11 @@
         let read = settings::read(f.rest("info")?).map_err(|e| format!("enlist: {e}"))?;
         let Info { settings, classes, tenants, zones, .. } = read;
         let second_step = settings.classes.iter().map(|c| c.second_step > 0).collect();
+        let subscriber = Subscriber::new(&settings, salt, self.clock.unwrap_or(0));
         let policy = Policy::new(settings, salt).map_err(|e| format!("enlist: {e}"))?;
         let instance = Instance {
             policy,
+            subscriber,
             classes,
             second_step,
             tenants,
@@ -205,17 +211,18 @@
 
     fn backends_changed(&mut self, f: &mut Fields) -> Result<(), String> {
         let mixer: u32 = f.number("mixer")?;
-        let kind = match f.text("kind")? {
-            "diff" => ListKind::Diff,
-            "snapshot" | "disk" => ListKind::Full,
-            "error" => ListKind::Error,
+        let news = match f.text("kind")? {
+            "diff" => News::List(ListKind::Diff),
+            "snapshot" => News::List(ListKind::Full),
+            "disk" => News::BeforeStart,
+            "error" => News::Failed,
             other => return Err(format!("backends_changed: unknown kind '{other}'")),
         };
         f.optional_number::<u64>("stamp")?;
         let list: Option<usize> = f.optional_number("set_id")?;
         f.end()?;
-        let lines: &[Line] = match (kind, list) {
-            (ListKind::Error, _) => &[],
+        let lines: &[Line] = match (news, list) {
+            (News::Failed, _) => &[],
             (_, Some(n)) => {
                 let lines = self.lists.get(n).and_then(Option::as_ref);
                 lines.ok_or_else(|| format!("backends_changed: list {n} is not registered"))?
@@ -227,6 +234,18 @@
             instance.in_round = true;
             self.order.push(mixer);
         }
+        let now = self.clock.unwrap_or(0);
+        let kind = match news {
+            News::Failed => {
+                instance.subscriber.failed(now);
+                return Ok(());
+            }
+            News::BeforeStart => ListKind::Full,
+            News::List(kind) => {
+                instance.subscriber.heard(now);
+                kind
+            }
+        };
         let mut entries = Vec::with_capacity(lines.len());
         for line in lines {
             entries.push(ListEntry {
@@ -308,11 +327,34 @@
             for action in instance.policy.round(now, events) {
                 instance.write(mixer, &action, reply);
             }
+            instance.call_discovery(now, mixer, reply);
         }
     }
 }
 
+/// What `backends_changed` tells.
+#[derive(Debug, Clone, Copy)]
+enum News {
+    /// A list or a change.
+    List(ListKind),
+    /// The list as it was held before the start.
+    BeforeStart,
+    /// A call has failed, or the subscription has dropped.
+    Failed,
+}
+
 impl Instance {
+    /// Begins the call to discovery that is due, or asks for a reminder of it.
+    fn call_discovery(&mut self, now: u64, mixer: u32, out: &mut String) {
+        if self.subscriber.call_due(now) {
+            // Writing to a string cannot fail.
+            let _ = writeln!(out, "watch {mixer} 1");
+        }
+        if let Some(after) = self.subscriber.reminder(now) {
+            let _ = writeln!(out, "remind {mixer} {CALL} {after}");
+        }
+    }
+
     fn intern(&mut self, name: &str) -> ServerId {
         if let Some(&id) = self.ids.get(name) {
             return id;
@@ -364,7 +406,6 @@
             Action::Close { server } => {
                 writeln!(out, "release {mixer} {}", self.names[server.0 as usize])
             }
-            Action::Watch => writeln!(out, "watch {mixer} 1"),
             Action::Wake { after } => writeln!(out, "remind {mixer} {WAKE} {after}"),
         };
     }
--- a/src/bin/curlewdeck-wirehost/main.rs
+++ b/src/bin/curlewdeck-wirehost/main.rs
@@ -2,6 +2,7 @@
 //! writes the module's actions on standard output. It decides nothing.
 
 mod host;
+mod subscriber;
 mod wire;
 
 use std::io::{self, BufRead, BufReader, Write};
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -85,12 +85,14 @@
     /// Connections are not used this close to the time at which their data node closes them, or within the
     /// last quarter of it where that is short.
     pub idle_margin: Duration,
-    /// Discovery must have answered a call within this, its connection's dial included.
+    /// A connection to discovery must be up within this; a service that answers within it is heard in time.
     pub discovery_call: Duration,
+    /// A call to discovery that has not been answered within this gets another one beside it.
+    pub discovery_hedge: Duration,
     /// A watch without a whole line for this long is broken: lines come every 2 s at the latest.
     pub discovery_silence: Duration,
-    /// Where the module does not ask, a watch is asked for again within this.
-    pub discovery_pause: Duration,
+    /// The log tells of calls that fail, and of lines of the list that cannot be read, this often at most.
+    pub discovery_log: Duration,
     /// Taken off the client's time for the way of the answer.
     pub answer_margin: Duration,
     /// A query that the module leaves open is ended this long after its time, margin included.
@@ -208,8 +210,9 @@
             probe: Duration::from_millis(250),
             idle_margin: Duration::from_secs(2),
             discovery_call: Duration::from_millis(2200),
+            discovery_hedge: Duration::from_secs(3),
             discovery_silence: Duration::from_millis(2600),
-            discovery_pause: Duration::from_millis(800),
+            discovery_log: Duration::from_secs(1),
             answer_margin: Duration::from_millis(12),
             backstop: Duration::from_millis(6),
             term_longest: Duration::from_secs(3),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,7 +1,6 @@
 //! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, discovery and fronts.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -14,10 +13,10 @@
 
 use crate::api::{ClassId, Discovery, ListKind, Nanos, Phase, QueryId, ServerId, ShardId};
 use crate::counters::Counters;
-use crate::engine::{Ask, Command, Engine, Final, Member, Note, Rejected};
+use crate::engine::{Ask, Command, Engine, Final, Note, Rejected};
 use crate::net::io::{lock, spawn_vital, Alarm, Clock};
 use crate::net::mail::{CoreMail, DiscoveryMsg, Gate, Msg, NodeMsg, Reply, REQUEST};
-use crate::net::members::{ListNews, PartialMember};
+use crate::net::members::ListNews;
 use crate::settings::Info;
 
 /// What the fronts see of the core.
@@ -165,8 +164,6 @@
 struct Node {
     mail: Sender<NodeMsg>,
     gate: Gate,
-    /// Its last entry of the list.
-    last: (Member, SocketAddr),
 }
 
 /// Starts the actor.
@@ -216,6 +213,7 @@
         replies: HashMap::new(),
         must_ask_in,
         heard,
+        list: ListStanding::Unconfirmed,
         started: parts.started,
         restored: parts.restored,
         figures_every: parts.figures_every,
@@ -228,6 +226,17 @@
     Ok(core)
 }
 
+/// How far the list of data nodes can be relied on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ListStanding {
+    /// It is from before the start.
+    Unconfirmed,
+    /// The same, and a query waits for better.
+    Awaited,
+    /// It is in force.
+    InForce,
+}
+
 struct Actor {
     engine: Engine,
     /// The one table of truth; the counters of queries and attempts are a view of it.
@@ -241,6 +250,7 @@
     must_ask_in: Nanos,
     /// When the list was last heard of.
     heard: Nanos,
+    list: ListStanding,
     started: Option<Started>,
     restored: Option<Saved>,
     figures_every: Option<Nanos>,
@@ -303,6 +313,7 @@
                 match self.engine.ask(now, id, ask) {
                     Ok(()) => {
                         log::debug!(target: REQUEST, "{name} taken as query {}", id.0);
+                        self.wait_for_list();
                         self.account.taken(now, id, class);
                         self.replies.insert(id, reply);
                     }
@@ -357,6 +368,17 @@
         }
     }
 
+    /// Has discovery called at once where the first query waits for the list to be confirmed.
+    fn wait_for_list(&mut self) {
+        if self.list != ListStanding::Unconfirmed {
+            return;
+        }
+        self.list = ListStanding::Awaited;
+        if self.discovery.send(DiscoveryMsg::QueryWaiting).is_err() {
+            log::error!("the actor of discovery has ended");
+        }
+    }
+
     /// Queries that were turned away before they came here.
     fn take_over_full(&mut self) {
         for (class, &full) in lock(&self.core.full).iter().enumerate() {
@@ -364,33 +386,19 @@
         }
     }
 
-    /// What is known of a data node of whose line only name and state can be read: its last entry, shut if the line
-    /// shuts it. None of one that is not known, or that a change leaves as it is.
-    fn last_known(&self, kind: ListKind, partial: &PartialMember) -> Option<(Member, SocketAddr)> {
-        let node = self.nodes.get(&self.engine.id(&partial.name)?)?;
-        let (last, addr) = node.last.clone();
-        match partial.phase {
-            Phase::In => kind.is_full().then_some((last, addr)),
-            phase => Some((Member { phase, ..last }, addr)),
-        }
-    }
-
-    fn take_list(&mut self, mut news: ListNews) {
+    fn take_list(&mut self, news: ListNews) {
         let now = self.core.clock.now();
-        if news.kind != ListKind::Error {
-            if now.saturating_sub(self.heard) > self.must_ask_in {
-                log::warn!("the list was silent for longer than the settings allow");
-                Counters::add(&self.core.counters.list_overdue);
-            }
-            self.heard = now;
+        if now.saturating_sub(self.heard) > self.must_ask_in {
+            log::warn!("the list was silent for longer than the settings allow");
+            Counters::add(&self.core.counters.list_overdue);
         }
-        let partial: Vec<_> = news.partial.iter().filter_map(|p| self.last_known(news.kind, p)).collect();
-        news.members.extend(partial);
+        self.heard = now;
+        self.list =
+            if news.kind == ListKind::Known { ListStanding::Unconfirmed } else { ListStanding::InForce };
         if news.kind.is_full() {
             let named = |id: &ServerId| news.members.iter().any(|m| m.0.name == self.engine.server_name(*id));
-            for (&id, node) in self.nodes.iter_mut().filter(|(id, _)| !named(id)) {
+            for (&id, node) in self.nodes.iter().filter(|(id, _)| !named(id)) {
                 node.gate.set(false);
-                node.last.0.phase = Phase::Out;
                 self.account.node(now, id, "", Phase::Out);
             }
         }
@@ -399,9 +407,8 @@
             if member.phase == Phase::Out {
                 // One that is not known needs no actor to be gone.
                 if let Some(id) = self.engine.id(&member.name) {
-                    if let Some(node) = self.nodes.get_mut(&id) {
+                    if let Some(node) = self.nodes.get(&id) {
                         node.gate.set(false);
-                        node.last = (member.clone(), *addr);
                     }
                     self.account.node(now, id, &member.name, Phase::Out);
                 }
@@ -412,9 +419,8 @@
             let start = &mut self.start_node;
             let node = self.nodes.entry(id).or_insert_with(|| {
                 let gate = Gate::default();
-                Node { mail: start(id, gate.clone()), gate, last: (member.clone(), *addr) }
+                Node { mail: start(id, gate.clone()), gate }
             });
-            node.last = (member.clone(), *addr);
             node.gate.set(member.phase == Phase::In);
             tell(&node.mail, NodeMsg::Address(*addr));
         }
@@ -456,11 +462,6 @@
                 }
                 Command::Probe { server } => self.tell_node(server, NodeMsg::Probe),
                 Command::CloseIdle { server } => self.tell_node(server, NodeMsg::CloseIdle),
-                Command::Watch => {
-                    if self.discovery.send(DiscoveryMsg::Watch).is_err() {
-                        log::error!("the actor of discovery has ended");
-                    }
-                }
                 Command::Finish { query, answer } => {
                     match &answer {
                         Final::Answered { whole, share, .. } => {
--- /dev/null
+++ b/src/net/discovery/call.rs
@@ -0,0 +1,227 @@
+//! One call to discovery: a snapshot where that is asked for, and a watch that follows until its connection ends.
+//!
+//! A call keeps no time of its own but for its dial: the actor shuts its connection when it is given up.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewdeck_membership::{CallEnd, CallId, Request, CALL_LIFETIME};
+use may::sync::mpsc::Sender;
+
+use crate::limits::Limits;
+use crate::net::http::{self, Chunks};
+use crate::net::io::Stream;
+use crate::net::mail::{CallError, DiscoveryMsg};
+use crate::net::members::{LineError, MembershipUpdate, Objects, WatchEvent};
+
+const READ: usize = 4096;
+/// Longer than any call is silent: the actor has given it up by then.
+const READ_WITHIN: Duration = Duration::from_nanos(2 * CALL_LIFETIME);
+const PATH: &str = "/catalog/members";
+
+const STATUS_OK: u16 = 200;
+const STATUS_BUSY: u16 = 503;
+
+/// Errors of a dial that tell of this machine and not of the service, beside those that have a kind of their own.
+const TOO_MANY_FILES_IN_SYSTEM: i32 = 23;
+const TOO_MANY_FILES: i32 = 24;
+const NO_BUFFERS: i32 = 105;
+
+/// A call that is to be made.
+pub(super) struct Call {
+    pub(super) id: CallId,
+    pub(super) request: Request,
+    pub(super) address: SocketAddr,
+    pub(super) actor: Sender<DiscoveryMsg>,
+    pub(super) limits: Arc<Limits>,
+}
+
+impl Call {
+    /// Makes the call; it ends with [`DiscoveryMsg::Ended`].
+    pub(super) fn run(self) {
+        let error = match self.talk() {
+            Ok(()) => broken("the watch was ended"),
+            Err(error) => error,
+        };
+        self.tell(DiscoveryMsg::Ended(self.id, error));
+    }
+
+    fn tell(&self, message: DiscoveryMsg) {
+        // The actor outlives its calls.
+        let _ = self.actor.send(message);
+    }
+
+    fn talk(&self) -> Result<(), CallError> {
+        let mut connection = self.dial()?;
+        let since = match self.request {
+            Request::Watch { since } => since,
+            Request::Snapshot => {
+                let (version, reusable) = self.snapshot(&connection)?;
+                if !reusable {
+                    connection = self.dial()?;
+                }
+                version
+            }
+        };
+        self.watch(&connection, since)
+    }
+
+    fn dial(&self) -> Result<Connection, CallError> {
+        let stream =
+            Stream::dial(&self.address, self.limits.discovery_call, None).map_err(|e| CallError {
+                end: if is_local(&e) { CallEnd::LocalFailure } else { CallEnd::Unreachable },
+                why: format!("no connection: {e}"),
+            })?;
+        let connection = Connection(Arc::new(stream));
+        self.tell(DiscoveryMsg::Up(self.id, connection.0.clone()));
+        Ok(connection)
+    }
+
+    /// Reads the whole list; returns its version, and whether the connection can be asked again.
+    fn snapshot(&self, connection: &Connection) -> Result<(u64, bool), CallError> {
+        let (head, held) = self.ask(connection, PATH)?;
+        let (body, ended) = self.body(connection, &head, held)?;
+        let read = MembershipUpdate::read(&body).map_err(unreadable)?;
+        let update = MembershipUpdate { complete: true, ..read };
+        let version = update.version;
+        self.tell(DiscoveryMsg::Update(self.id, update));
+        Ok((version, !ended && head.keep_alive()))
+    }
+
+    /// Follows what changes after a version.
+    fn watch(&self, connection: &Connection, since: u64) -> Result<(), CallError> {
+        let (head, held) = self.ask(connection, &format!("{PATH}?stream=1&index={since}"))?;
+        if head.chunked() || head.until_end() {
+            return self.follow(connection, &head, held);
+        }
+        // A service without watches answers with what there is to tell by now.
+        let (body, _) = self.body(connection, &head, held)?;
+        let mut objects = Objects::default();
+        objects.held().extend_from_slice(&body);
+        self.tell_all(&mut objects)
+    }
+
+    /// Sends a request; returns the answer's head, if it is a yes, and what has come of its body.
+    fn ask(&self, connection: &Connection, target: &str) -> Result<(http::Head, Vec<u8>), CallError> {
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+        let asked = connection.0.write_all(request.as_bytes(), self.limits.node_write);
+        asked.map_err(|e| unreachable(format!("cannot ask: {e}")))?;
+        let mut held = Vec::new();
+        let head = loop {
+            if let Some((head, size)) = http::parse_head(&held, &self.limits).map_err(|e| broken(e.why))? {
+                held.drain(..size);
+                break head;
+            }
+            let begun = !held.is_empty();
+            match connection.fill(&mut held) {
+                Ok(true) => {}
+                Ok(false) if begun => return Err(broken(ENDED)),
+                Ok(false) => return Err(unreachable(ENDED.to_string())),
+                Err(why) if begun => return Err(broken(&why)),
+                Err(why) => return Err(unreachable(why)),
+            }
+        };
+        let why = || format!("answered {}", head.status);
+        match head.status {
+            STATUS_OK => Ok((head, held)),
+            STATUS_BUSY => Err(CallError { end: CallEnd::Busy, why: why() }),
+            _ => Err(CallError { end: CallEnd::Rejected, why: why() }),
+        }
+    }
+
+    /// Reads a body to its end; tells whether the connection has ended with it. A reset is no end.
+    fn body(
+        &self,
+        connection: &Connection,
+        head: &http::Head,
+        mut held: Vec<u8>,
+    ) -> Result<(Vec<u8>, bool), CallError> {
+        let (most, mut ended) = (self.limits.discovery_object, false);
+        loop {
+            match head.body(&held, most).map_err(|e| broken(e.why))? {
+                Some((body, _)) => return Ok((body, ended)),
+                None if ended && head.until_end() => return Ok((held, ended)),
+                None if ended => return Err(broken(ENDED)),
+                None => ended = !connection.fill(&mut held).map_err(|why| broken(&why))?,
+            }
+        }
+    }
+
+    /// Follows the objects of a watch. Only a whole object or an empty line is told: half a line does not show that the
+    /// watch is alive, nor one that never ends.
+    fn follow(&self, connection: &Connection, head: &http::Head, mut held: Vec<u8>) -> Result<(), CallError> {
+        let (mut chunks, mut objects) = (Chunks::default(), Objects::default());
+        let most = self.limits.discovery_object;
+        loop {
+            if head.chunked() {
+                chunks.feed(&held, objects.held(), most).map_err(|e| broken(e.why))?;
+            } else {
+                objects.held().extend_from_slice(&held);
+            }
+            held.clear();
+            self.tell_all(&mut objects)?;
+            if chunks.done() || !connection.fill(&mut held).map_err(|why| broken(&why))? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Tells all that can be read; what cannot may have been a change, and only a snapshot makes up for it.
+    fn tell_all(&self, objects: &mut Objects) -> Result<(), CallError> {
+        let mut lost = Ok(());
+        while let Some(event) = objects.next(self.limits.discovery_object).map_err(unreadable)? {
+            match event {
+                WatchEvent::Update(update) => self.tell(DiscoveryMsg::Update(self.id, update)),
+                WatchEvent::Heartbeat => self.tell(DiscoveryMsg::Heartbeat(self.id)),
+                WatchEvent::Unreadable(error) => lost = lost.and(Err(unreadable(error))),
+            }
+        }
+        lost
+    }
+}
+
+/// A connection that is shut with its last use.
+struct Connection(Arc<Stream>);
+
+impl Connection {
+    /// Reads on; returns whether anything came, or the peer has ended the connection. A reset is an error.
+    fn fill(&self, held: &mut Vec<u8>) -> Result<bool, String> {
+        let mut buffer = [0; READ];
+        let count = self.0.read(&mut buffer, READ_WITHIN).map_err(|e| format!("nothing came: {e}"))?;
+        held.extend_from_slice(&buffer[..count]);
+        Ok(count > 0)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.shut();
+    }
+}
+
+const ENDED: &str = "the connection has ended";
+
+fn broken(why: &str) -> CallError {
+    CallError { end: CallEnd::Broken, why: why.to_string() }
+}
+
+fn unreachable(why: String) -> CallError {
+    CallError { end: CallEnd::Unreachable, why }
+}
+
+fn unreadable(error: LineError) -> CallError {
+    CallError { end: CallEnd::Unreadable, why: format!("the list is not as expected: {error}") }
+}
+
+/// Whether a dial failed for want of something on this machine.
+fn is_local(error: &io::Error) -> bool {
+    let by_kind = matches!(
+        error.kind(),
+        io::ErrorKind::AddrNotAvailable | io::ErrorKind::OutOfMemory | io::ErrorKind::Interrupted
+    );
+    let by_number =
+        matches!(error.raw_os_error(), Some(TOO_MANY_FILES_IN_SYSTEM | TOO_MANY_FILES | NO_BUFFERS));
+    by_kind || by_number
+}
--- /dev/null
+++ b/src/net/discovery/mod.rs
@@ -0,0 +1,225 @@
+//! Service discovery: the actor that keeps the list of data nodes up to date.
+//!
+//! It carries out what [`Subscription`] decides, and hands on to the core what [`MembershipTable`] has in force. Its clock
+//! runs beside its calls: one that is never heard of again is given up and begun anew.
+
+mod call;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use curlewdeck_membership::{
+    Abandoned, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, State, Subscription, Update,
+};
+use may::sync::mpsc::{channel, Receiver, Sender};
+
+use crate::api::{self, ListKind, Nanos, Phase};
+use crate::counters::Counters;
+use crate::limits::Limits;
+use crate::net::io::{nanos, spawn, spawn_vital, Alarm, Clock, Stream};
+use crate::net::log_limit::LogLimit;
+use crate::net::mail::{CallError, CoreMail, DiscoveryMsg, Msg};
+use crate::net::members::{ListNews, ListedMember, MembershipUpdate};
+
+use call::Call;
+
+/// What the actor of discovery needs of the process.
+pub struct DiscoveryContext {
+    /// The core's mailbox.
+    pub core: CoreMail,
+    /// The process's limits.
+    pub limits: Arc<Limits>,
+    /// Counters.
+    pub counters: Arc<Counters>,
+    /// The clock.
+    pub clock: Clock,
+}
+
+/// How one coordinator subscribes to discovery.
+pub struct DiscoveryPlan {
+    /// The service's address.
+    pub address: SocketAddr,
+    /// How the list comes.
+    pub discovery: api::Discovery,
+    /// Coordinators that call the same service.
+    pub coordinators: u32,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as it was held before the start.
+    pub known: Option<MembershipUpdate>,
+}
+
+/// Starts the actor; returns its mailbox, and the list from before the start as the core takes it.
+///
+/// # Errors
+/// There is no thread for its alarm.
+pub fn start(plan: DiscoveryPlan, context: DiscoveryContext) -> io::Result<(Sender<DiscoveryMsg>, ListNews)> {
+    let (mail, inbox) = channel();
+    let rings = mail.clone();
+    // The actor outlives its alarm.
+    let alarm = Alarm::start(context.clock, move || drop(rings.send(DiscoveryMsg::TimePassed)))?;
+    let limits = &context.limits;
+    let spans = Spans { hedge: nanos(limits.discovery_hedge), silence: nanos(limits.discovery_silence) };
+    let pacing = Pacing::new(plan.discovery, plan.coordinators, spans, plan.seed);
+    // Everything has changed since version 0.
+    let version = plan.known.as_ref().map_or(0, |known| known.version);
+    let mut table = MembershipTable::default();
+    let known = plan.known.map(|known| ListNews::in_force(table.apply(known.into())));
+    let known = ListNews { kind: ListKind::Known, ..known.unwrap_or_else(ListNews::unchanged) };
+    let words = limits.stack_words;
+    let actor = Actor {
+        address: plan.address,
+        subscription: Subscription::new(pacing, Some(version), context.clock.now()),
+        table,
+        streams: HashMap::new(),
+        failures: LogLimit::new(nanos(limits.discovery_log)),
+        bad_lines: LogLimit::new(nanos(limits.discovery_log)),
+        alarm,
+        own: mail.clone(),
+        context,
+    };
+    spawn_vital("discovery", words, move || actor.run(&inbox));
+    Ok((mail, known))
+}
+
+struct Actor {
+    address: SocketAddr,
+    subscription: Subscription,
+    table: MembershipTable<ListedMember>,
+    /// Connections of the calls that are open.
+    streams: HashMap<CallId, Arc<Stream>>,
+    /// Bounds the lines on calls that fail, and on lines that cannot be read.
+    failures: LogLimit,
+    bad_lines: LogLimit,
+    alarm: Alarm,
+    own: Sender<DiscoveryMsg>,
+    context: DiscoveryContext,
+}
+
+impl Actor {
+    fn run(mut self, inbox: &Receiver<DiscoveryMsg>) {
+        self.step(Event::TimePassed);
+        while let Ok(message) = inbox.recv() {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: DiscoveryMsg) {
+        match message {
+            DiscoveryMsg::TimePassed => {
+                self.alarm.rung();
+                self.step(Event::TimePassed);
+            }
+            DiscoveryMsg::QueryWaiting => self.step(Event::QueryWaiting),
+            DiscoveryMsg::Moved(address) => {
+                log::info!("the list is asked for at {address} from now on");
+                self.address = address;
+                self.step(Event::ServiceMoved);
+            }
+            DiscoveryMsg::Up(call, stream) if self.subscription.hears(call) => {
+                self.streams.insert(call, stream);
+            }
+            DiscoveryMsg::Up(_, stream) => stream.shut(),
+            DiscoveryMsg::Heartbeat(call) if self.subscription.hears(call) => {
+                self.context.core.send(Msg::List(ListNews::unchanged()));
+                self.step(Event::Heartbeat(call));
+            }
+            DiscoveryMsg::Update(call, update) if self.subscription.hears(call) => self.told(call, update),
+            DiscoveryMsg::Ended(call, error) if self.subscription.hears(call) => self.ended(call, &error),
+            // Of a call that was given up.
+            DiscoveryMsg::Heartbeat(_) | DiscoveryMsg::Update(..) | DiscoveryMsg::Ended(..) => {}
+        }
+    }
+
+    fn told(&mut self, call: CallId, update: MembershipUpdate) {
+        self.log_bad_lines(&update);
+        let version = update.version;
+        let in_force = self.table.apply(update.into());
+        self.context.core.send(Msg::List(ListNews::in_force(in_force)));
+        self.step(Event::Told(call, version));
+    }
+
+    fn ended(&mut self, call: CallId, error: &CallError) {
+        self.failed(&error.why);
+        self.streams.remove(&call);
+        self.step(Event::Ended(call, error.end));
+    }
+
+    fn abandon(&mut self, call: CallId, why: Abandoned) {
+        if let Some(stream) = self.streams.remove(&call) {
+            stream.shut();
+        }
+        if why == Abandoned::Silent {
+            self.failed("nothing came in time");
+        }
+    }
+
+    fn failed(&mut self, why: &str) {
+        Counters::add(&self.context.counters.list_errors);
+        if let Some(times) = self.failures.occurred(self.now()) {
+            log::info!("a call to discovery has ended: {why} (calls since the last such line: {times})");
+        }
+    }
+
+    fn log_bad_lines(&mut self, update: &MembershipUpdate) {
+        let now = self.now();
+        let due = update
+            .unreadable_lines()
+            .fold(None, |due, error| self.bad_lines.occurred(now).map(|times| (times, error)).or(due));
+        if let Some((times, error)) = due {
+            log::warn!(
+                "the list has a line that cannot be used: {error} (since the last such line: {times})"
+            );
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now();
+        for command in self.subscription.step(now, event) {
+            match command {
+                Command::Begin(call, request) => self.begin(call, request),
+                Command::Abandon(call, why) => self.abandon(call, why),
+                Command::UseUnconfirmedList => {
+                    log::warn!("the list from before the start is used: discovery has not confirmed it");
+                    self.context.core.send(Msg::List(ListNews::unchanged()));
+                }
+            }
+        }
+        self.alarm.set(self.subscription.next_deadline());
+    }
+
+    fn begin(&mut self, id: CallId, request: Request) {
+        Counters::add(&self.context.counters.list_calls);
+        let (address, actor, limits) = (self.address, self.own.clone(), self.context.limits.clone());
+        let call = Call { id, request, address, actor, limits };
+        spawn("discovery call", self.context.limits.core_stack_words, move || call.run());
+    }
+
+    fn now(&self) -> Nanos {
+        self.context.clock.now()
+    }
+}
+
+impl ListNews {
+    /// The news that nothing has changed: the list that is held is in force.
+    fn unchanged() -> Self {
+        Self { kind: ListKind::Diff, members: Vec::new() }
+    }
+
+    /// What the core is to take over.
+    fn in_force(update: Update<ListedMember>) -> Self {
+        let kind = if update.complete { ListKind::Full } else { ListKind::Diff };
+        let member = |line: curlewdeck_membership::Line<ListedMember>| {
+            let (mut member, address) = line.member?;
+            member.phase = match line.state {
+                State::Up => Phase::In,
+                State::Draining => Phase::Draining,
+                State::Removed => Phase::Out,
+            };
+            Some((member, address))
+        };
+        Self { kind, members: update.lines.into_iter().filter_map(member).collect() }
+    }
+}
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -7,6 +7,7 @@
 
 use curlewdeck_account::saved::Saved;
 use curlewdeck_account::Snapshot;
+use curlewdeck_membership::{CallEnd, CallId};
 use may::sync::mpsc::{channel, Receiver, Sender};
 
 use crate::api::{Nanos, Outcome, QueryId, ServerId};
@@ -87,18 +88,29 @@
 /// What the actor of discovery is told.
 #[derive(Debug)]
 pub enum DiscoveryMsg {
-    /// The module asks for a watch.
-    Watch,
+    /// Time has passed.
+    TimePassed,
+    /// A query waits for the list to be confirmed.
+    QueryWaiting,
     /// Discovery is at another address from now on.
     Moved(SocketAddr),
-    /// A watch has its connection.
-    Up(u64, Arc<Stream>),
-    /// A line of a watch: a list, or nothing where nothing has changed.
-    Line(u64, Option<MembershipUpdate>),
-    /// A watch was told what cannot be read: what is held may have gaps.
-    Unreadable(u64),
-    /// A watch has ended, and why.
-    Ended(u64, String),
+    /// A call has its connection.
+    Up(CallId, Arc<Stream>),
+    /// A watch says that nothing has changed.
+    Heartbeat(CallId),
+    /// A call has told a snapshot or a delta.
+    Update(CallId, MembershipUpdate),
+    /// A call has ended.
+    Ended(CallId, CallError),
+}
+
+/// Why a call to discovery has ended.
+#[derive(Debug)]
+pub struct CallError {
+    /// What that means for the next call.
+    pub end: CallEnd,
+    /// The cause, for the log.
+    pub why: String,
 }
 
 /// What the core tells the actor of a data node, whichever protocol that speaks.
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use curlewdeck_membership::{Line, State, Update};
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
@@ -64,13 +65,43 @@
     pub fn unreadable_lines(&self) -> impl Iterator<Item = &LineError> {
         self.lines.iter().filter_map(MemberLine::error)
     }
+}
+
+/// A data node as the core knows it, and its address.
+pub type ListedMember = (Member, SocketAddr);
 
-    /// For the core. Each data node is named once: of lines of the same one the last counts, see [`Merged`].
-    pub fn news(self) -> ListNews {
+impl From<MembershipUpdate> for Update<ListedMember> {
+    /// For the table of what is in force. Each data node is named once: of lines of the same one the last counts, see
+    /// [`Merged`].
+    fn from(update: MembershipUpdate) -> Self {
         let mut merged = Merged::default();
-        self.lines.into_iter().for_each(|line| merged.add(line));
-        let kind = if self.complete { ListKind::Full } else { ListKind::Diff };
-        merged.lines.into_iter().fold(ListNews::none(kind), ListNews::with)
+        update.lines.into_iter().for_each(|line| merged.add(line));
+        let lines = merged.lines.into_iter().filter_map(table_line).collect();
+        Self { version: update.version, complete: update.complete, lines }
+    }
+}
+
+/// A line for the table; none where it is not known which data node it is of.
+fn table_line(line: MemberLine) -> Option<Line<ListedMember>> {
+    match line {
+        MemberLine::Whole(entry) => {
+            let (uid, state, boot) = (entry.uid.clone(), entry.state.into(), entry.boot_ms);
+            Some(Line { uid, state, boot: Some(boot), member: Some(member(entry)) })
+        }
+        MemberLine::Partial { uid, state, boot_ms, .. } => {
+            Some(Line { uid, state: state.into(), boot: boot_ms, member: None })
+        }
+        MemberLine::Unreadable(_) => None,
+    }
+}
+
+impl From<MemberState> for State {
+    fn from(state: MemberState) -> Self {
+        match state {
+            MemberState::Up => Self::Up,
+            MemberState::Draining => Self::Draining,
+            MemberState::Removed => Self::Removed,
+        }
     }
 }
 
@@ -146,41 +177,12 @@
     /// Full, a change, or the news that there is none.
     pub kind: ListKind,
     /// Its lines, with the address of each.
-    pub members: Vec<(Member, SocketAddr)>,
-    /// What is known of data nodes of whose lines only name and state can be read. They are not gone.
-    pub partial: Vec<PartialMember>,
-}
-
-/// A data node of whose line only name and state can be read: a shut gate holds, an open one is not opened by it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PartialMember {
-    /// Its name.
-    pub name: String,
-    /// Its phase.
-    pub phase: Phase,
-}
-
-impl ListNews {
-    /// News of this kind that names no data node.
-    pub fn none(kind: ListKind) -> Self {
-        Self { kind, members: Vec::new(), partial: Vec::new() }
-    }
-
-    fn with(mut self, line: MemberLine) -> Self {
-        match line {
-            MemberLine::Whole(entry) => self.members.push(member(entry)),
-            MemberLine::Partial { uid, state, .. } => {
-                self.partial.push(PartialMember { name: uid, phase: phase(state) });
-            }
-            MemberLine::Unreadable(_) => {}
-        }
-        self
-    }
+    pub members: Vec<ListedMember>,
 }
 
 const MILLI: u64 = 1_000_000;
 
-fn member(entry: MemberEntry) -> (Member, SocketAddr) {
+fn member(entry: MemberEntry) -> ListedMember {
     let member = Member {
         name: entry.uid,
         cell: entry.cell,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,7 +12,6 @@
 use curlewdeck_listener::Inherited;
 use may::sync::mpsc::Sender;
 
-use crate::api::{Discovery, ListKind};
 use crate::config::{Config, Edge, NodeProtocol};
 use crate::control::{self, Operated, Operations};
 use crate::counters::Counters;
@@ -25,13 +24,12 @@
 use crate::keep::Keep;
 use crate::limits::Limits;
 use crate::net::core::{self, Core};
-use crate::net::discovery::{self, DiscoveryContext};
+use crate::net::discovery::{self, DiscoveryContext, DiscoveryPlan};
 use crate::net::feature_node;
 use crate::net::features::Names;
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
 use crate::net::log_limit::LogLimit;
 use crate::net::mail::{self, DiscoveryMsg};
-use crate::net::members::{ListNews, MembershipUpdate};
 use crate::net::node::{self, NodeContext};
 use crate::notices::{self, Stopping};
 use crate::settings::Info;
@@ -89,13 +87,21 @@
         Engine::new(Info::clone(&info), config.seed, nanos(limits.backstop), nanos(limits.name_rest))
             .map_err(|e| e.to_string())?;
     let (core_mail, inbox) = mail::mailbox();
-    let rev = config.known.as_ref().map_or(0, |k| k.version);
-    let known = config.known.map_or_else(|| ListNews::none(ListKind::Known), MembershipUpdate::news);
-    let known = ListNews { kind: ListKind::Known, ..known };
-    let unasked = info.settings.discovery == Discovery::Pushed;
-    let context =
-        DiscoveryContext { core: core_mail.clone(), limits: limits.clone(), counters: counters.clone() };
-    let discovery = discovery::start(config.discovery, rev, unasked, context);
+    let plan = DiscoveryPlan {
+        address: config.discovery,
+        discovery: info.settings.discovery,
+        coordinators: info.settings.coordinators,
+        seed: config.seed,
+        known: config.known,
+    };
+    let context = DiscoveryContext {
+        core: core_mail.clone(),
+        limits: limits.clone(),
+        counters: counters.clone(),
+        clock,
+    };
+    let (discovery, known) =
+        discovery::start(plan, context).map_err(|e| format!("cannot start the actor of discovery: {e}"))?;
     let context = NodeContext {
         core: core_mail.clone(),
         limits: limits.clone(),
