Rig of drain trials: a discovery with faults, timed data nodes, a checker of the rule

Change: a stand-in of discovery with a versioned list and typed faults, a data node that logs first bytes, steady clients, a pure checker over their logs, and trials of restarts, slow calls, odd news, moves and outages.

--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -199,7 +199,8 @@
     pub seen: Arc<Mutex<Seen>>,
 }
 
-fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+/// A frame's bytes.
+pub fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
     let mut bytes = (rest.len() as u32 + 1).to_le_bytes().to_vec();
     bytes.push(letter);
     bytes.extend_from_slice(rest);
@@ -215,7 +216,8 @@
     Some((letter, body.split_off(1)))
 }
 
-fn read_parts(mut rest: &[u8]) -> Vec<Part> {
+/// The parts of a call.
+pub fn read_parts(mut rest: &[u8]) -> Vec<Part> {
     let mut parts = Vec::new();
     while let Some(end) = rest.iter().position(|&b| b == b'\n') {
         let line = String::from_utf8_lossy(&rest[..end]).into_owned();
--- /dev/null
+++ b/tests/bed/drain_trial.rs
@@ -0,0 +1,248 @@
+//! A trial of the drain rule: coordinators in processes of their own, each with its own address of discovery, steady
+//! queries, data nodes that log what begins when, and the checker's verdict at the end.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::catalog::{Catalog, FIRST_VERSION};
+use super::drain_check::{violations, Assignment, CoordinatorLog, Delivery, NodeState, PartBegun, Violation};
+use super::faulty_discovery::FaultyDiscovery;
+use super::steady_load::{coordinator_of, Answered, SteadyLoad};
+use super::timed_node::TimedNode;
+use super::{until, Bed, Program};
+
+/// Clients of each coordinator.
+const CLIENTS: u64 = 2;
+/// Over this last stretch of a trial, queries have to be answered.
+const LAST: Duration = Duration::from_secs(2);
+/// So many at least, for each coordinator; undisturbed it is some two hundred.
+const LEAST_SERVED: usize = 10;
+/// What tests wait for in the program, when it may be in vain.
+pub const PATIENCE: Duration = Duration::from_secs(8);
+
+/// One coordinator of a trial.
+struct Running {
+    program: Program,
+    load: SteadyLoad,
+    /// From when on it is configured with which service.
+    services: Vec<(Instant, Arc<FaultyDiscovery>)>,
+}
+
+/// Coordinators, data nodes and their membership.
+pub struct Trial {
+    name: String,
+    delivery: Delivery,
+    pub catalog: Arc<Catalog>,
+    /// The coordinators that the settings tell of.
+    pub fleet: u32,
+    nodes: BTreeMap<String, TimedNode>,
+    running: Vec<Running>,
+    complaints: Vec<String>,
+}
+
+/// What came of a trial.
+pub struct Verdict {
+    name: String,
+    violations: Vec<Violation>,
+    /// What else is not as it has to be.
+    complaints: Vec<String>,
+    /// Whole answers of the last stretch, by coordinator.
+    served: Vec<usize>,
+}
+
+impl Trial {
+    /// Data nodes that are all up, each with every shard.
+    pub fn new(name: &str, delivery: Delivery, uids: &[&str]) -> Self {
+        let nodes: BTreeMap<String, TimedNode> =
+            uids.iter().map(|uid| (uid.to_string(), TimedNode::start())).collect();
+        let lines: Vec<_> = nodes.iter().map(|(uid, node)| (uid.as_str(), node.addr)).collect();
+        let catalog = Arc::new(Catalog::new(&lines));
+        let name = format!("{} {name}", delivery.name());
+        Self { name, delivery, catalog, fleet: 1, nodes, running: Vec::new(), complaints: Vec::new() }
+    }
+
+    /// A service of discovery for one coordinator.
+    pub fn service(&self) -> Arc<FaultyDiscovery> {
+        Arc::new(FaultyDiscovery::start(self.catalog.clone()))
+    }
+
+    fn config(&self, service: &FaultyDiscovery) -> String {
+        let bed = Bed { cells: 1, in_a_row: 1, discovery: self.delivery.name(), ..Bed::default() };
+        let fleet = format!(r#""balancers":{}"#, self.fleet);
+        bed.config(service.addr).replace(r#""balancers":1"#, &fleet)
+    }
+
+    /// Starts a coordinator that knows nothing yet; returns its number.
+    pub fn start(&mut self, service: &Arc<FaultyDiscovery>) -> usize {
+        self.start_with(service, self.config(service))
+    }
+
+    /// Starts one that has been away: its configuration holds the first list, in which all are up.
+    pub fn start_again(&mut self, service: &Arc<FaultyDiscovery>) -> usize {
+        let known = self.catalog.snapshot(FIRST_VERSION, FIRST_VERSION, &BTreeMap::new()).json;
+        let mut config = self.config(service);
+        config.insert_str(1, &format!(r#""known":{known},"#));
+        self.start_with(service, config)
+    }
+
+    fn start_with(&mut self, service: &Arc<FaultyDiscovery>, config: String) -> usize {
+        let started = Instant::now();
+        let program = Program::start(&config);
+        let number = self.running.len();
+        let load = SteadyLoad::start(program.addr, number, CLIENTS);
+        self.running.push(Running { program, load, services: vec![(started, service.clone())] });
+        number
+    }
+
+    /// Moves a coordinator to another service by SIGHUP.
+    pub fn move_to(&mut self, number: usize, service: &Arc<FaultyDiscovery>) {
+        let config = self.config(service);
+        let running = &mut self.running[number];
+        running.services.push((Instant::now(), service.clone()));
+        running.program.reload(&config);
+    }
+
+    /// Parts that began at a data node, by all coordinators.
+    fn parts(&self, uid: &str) -> usize {
+        self.nodes[uid].parts().len()
+    }
+
+    /// Waits until each of these is sent something by each coordinator.
+    pub fn in_use(&self, uids: &[&str]) {
+        let sent = |uid: &str, number: usize| {
+            let parts = self.nodes[uid].parts();
+            parts.iter().any(|p| coordinator_of(&p.part.id) == Some(number))
+        };
+        let coordinators = || 0..self.running.len();
+        until("parts at each node", || uids.iter().all(|uid| coordinators().all(|n| sent(uid, n))));
+    }
+
+    /// A node that was shut and is up again has to be sent something.
+    pub fn is_used_again(&mut self, uid: &str) {
+        let before = self.parts(uid);
+        if !within(PATIENCE, || self.parts(uid) > before) {
+            self.complaints.push(format!("{uid} is up again and is sent nothing"));
+        }
+    }
+
+    /// Whole answers of a coordinator since then have to be so many.
+    pub fn has_served(&mut self, number: usize, since: Instant, least: usize, when: &str) {
+        let served = self.running[number].load.served_since(since);
+        if served < least {
+            self.complaints.push(format!("{served} answers {when}, not {least}"));
+        }
+    }
+
+    /// Goes on for a while, then ends it all and has the logs checked.
+    pub fn finish_after(mut self, span: Duration) -> Verdict {
+        thread::sleep(span);
+        let end = Instant::now();
+        let running = std::mem::take(&mut self.running);
+        let (mut logs, mut served) = (Vec::new(), Vec::new());
+        for Running { program, load, services } in running {
+            let answers = load.stop();
+            program.killed();
+            served.push(served_between(&answers, end - LAST, end));
+            let assignment = |(from, service): &(Instant, Arc<FaultyDiscovery>)| Assignment {
+                from: *from,
+                service: service.log(),
+            };
+            let assignments = services.iter().map(assignment).collect();
+            logs.push(CoordinatorLog { delivery: self.delivery, assignments });
+        }
+        let parts = self.begun();
+        for (number, &answers) in served.iter().enumerate() {
+            let recent = |p: &&PartBegun| p.coordinator == number && p.at >= end - LAST;
+            let parts = parts.iter().filter(recent).count();
+            if answers < LEAST_SERVED || parts == 0 {
+                self.complaints.push(format!(
+                    "coordinator {number} served {answers} with {parts} parts in the last {LAST:?}"
+                ));
+            }
+        }
+        let violations = violations(&self.catalog.changes(), &logs, &parts);
+        Verdict { name: self.name, violations, complaints: self.complaints, served }
+    }
+
+    fn begun(&self) -> Vec<PartBegun> {
+        let of = |(uid, node): (&String, &TimedNode)| {
+            let begun = |p: super::timed_node::TimedPart| {
+                coordinator_of(&p.part.id).map(|coordinator| PartBegun {
+                    coordinator,
+                    uid: uid.clone(),
+                    at: p.at,
+                })
+            };
+            node.parts().into_iter().filter_map(begun).collect::<Vec<_>>()
+        };
+        self.nodes.iter().flat_map(of).collect()
+    }
+}
+
+fn served_between(answers: &[Answered], from: Instant, to: Instant) -> usize {
+    answers.iter().filter(|a| a.status == 200 && a.at >= from && a.at <= to).count()
+}
+
+/// Whether something happens before this is over.
+pub fn within(longest: Duration, mut happened: impl FnMut() -> bool) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < longest {
+        if happened() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    false
+}
+
+impl Verdict {
+    fn passed(&self) -> bool {
+        self.violations.is_empty() && self.complaints.is_empty()
+    }
+
+    /// One line: the breaks by data node and reason, and what else is wrong.
+    fn summary(&self) -> String {
+        let mut groups = BTreeMap::<String, (usize, Duration)>::new();
+        for violation in &self.violations {
+            let group = format!("{} {:?}", violation.uid, violation.reason);
+            let (count, worst) = groups.entry(group).or_default();
+            *count += 1;
+            *worst = violation.late_by().max(*worst);
+        }
+        let mut text = format!("{}: {} late", self.name, self.violations.len());
+        for (group, (count, worst)) in groups {
+            text += &format!("; {count} to {group}, up to {:.2} s", worst.as_secs_f64());
+        }
+        self.complaints.iter().for_each(|complaint| text += &format!("; {complaint}"));
+        text + &format!("; served {:?}", self.served)
+    }
+}
+
+/// Runs all kinds of a trial side by side; all of them have to pass.
+pub fn all_pass<K: Send>(kinds: Vec<K>, trial: impl Fn(K) -> Verdict + Sync) {
+    let trial = &trial;
+    let verdicts: Vec<Verdict> = thread::scope(|scope| {
+        let threads: Vec<_> = kinds.into_iter().map(|kind| scope.spawn(move || trial(kind))).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    for verdict in &verdicts {
+        println!("{} {}", if verdict.passed() { "kept  " } else { "BROKEN" }, verdict.summary());
+    }
+    let broken: Vec<String> = verdicts.iter().filter(|v| !v.passed()).map(Verdict::summary).collect();
+    assert!(broken.is_empty(), "{} of {} are broken:\n{}", broken.len(), verdicts.len(), broken.join("\n"));
+}
+
+/// Both ways in which a coordinator learns of the membership.
+pub const BOTH: [Delivery; 2] = [Delivery::OnRequest, Delivery::Pushed];
+
+/// Discovery has had these changes for longer than any time limit of the rules.
+pub const LONG_AGO: Duration = Duration::from_secs(10);
+
+impl Trial {
+    /// One drains and one is gone, and both have been for long.
+    pub fn shut_long_ago(&self, drains: &str, removed: &str) {
+        self.catalog.set_all(&[(drains, NodeState::Draining), (removed, NodeState::Removed)], LONG_AGO);
+    }
+}
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -1,9 +1,15 @@
 //! A coordinator on loopback, with stand-ins round it.
 #![allow(dead_code)]
 
+pub mod catalog;
+pub mod drain_check;
+pub mod drain_trial;
+pub mod faulty_discovery;
 pub mod scripted;
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
+pub mod steady_load;
+pub mod timed_node;
 
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
--- /dev/null
+++ b/tests/drain_moves.rs
@@ -0,0 +1,186 @@
+//! The drain rule while watches break, discovery is down, or a coordinator moves to another service of it.
+
+mod bed;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bed::drain_check::{Delivery, NodeState};
+use bed::drain_trial::{all_pass, within, Trial, Verdict, BOTH, PATIENCE};
+use bed::faulty_discovery::CallFault;
+
+const NODES: [&str; 3] = ["drains", "stays-1", "stays-2"];
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+// ---- Watches that break. ----
+
+/// What becomes of the first call after the watch has ended.
+#[derive(Debug, Clone, Copy)]
+enum Again {
+    Answered,
+    Fails(CallFault),
+}
+
+fn ended_watch(again: Again) -> Verdict {
+    let names = ["drains-1", "drains-2", "drains-3", "drains-4", "stays-1", "stays-2"];
+    let mut trial = Trial::new(&format!("ended watch, then {again:?}"), Delivery::Pushed, &names);
+    let service = trial.service();
+    trial.start(&service);
+    trial.in_use(&names);
+    for uid in &names[..4] {
+        if let Again::Fails(fault) = again {
+            service.faults(|f| f.next.push_back(fault));
+        }
+        let written = service.writes().len();
+        service.end_connections();
+        trial.catalog.set(uid, NodeState::Draining);
+        // The watch is open again before the next round.
+        within(PATIENCE, || service.writes().len() > written);
+        thread::sleep(ms(1000));
+    }
+    trial.finish_after(ms(2500))
+}
+
+/// Guards drains right behind a watch's end where lists are pushed: the agent has them, so they count at once.
+#[test]
+fn a_drain_behind_the_end_of_a_watch_counts_at_once_where_lists_are_pushed() {
+    let kinds = [Again::Answered, Again::Fails(CallFault::Unavailable), Again::Fails(CallFault::Reset)];
+    all_pass(kinds.to_vec(), ended_watch);
+}
+
+/// One coordinator is well, one's watch falls silent, one's watch ends and its next calls fail.
+fn three_coordinators(delivery: Delivery) -> Verdict {
+    let names = ["drains", "removed", "stays-1", "stays-2"];
+    let mut trial = Trial::new("three coordinators", delivery, &names);
+    trial.fleet = 3;
+    let services = [trial.service(), trial.service(), trial.service()];
+    for service in &services {
+        trial.start(service);
+    }
+    trial.in_use(&names);
+    let [_, silent, fails] = &services;
+    silent.silence_watches();
+    fails.faults(|f| f.next.extend([CallFault::Unavailable, CallFault::Silent, CallFault::Reset]));
+    fails.end_connections();
+    let shut = [("drains", NodeState::Draining), ("removed", NodeState::Removed)];
+    trial.catalog.set_all(&shut, Duration::ZERO);
+    trial.finish_after(PATIENCE + ms(2000))
+}
+
+/// Guards the whole of a small fleet, of which each has another trouble.
+#[test]
+fn three_coordinators_with_different_troubles_all_keep_the_rule() {
+    all_pass(BOTH.to_vec(), three_coordinators);
+}
+
+// ---- Discovery moves. ----
+
+/// The first call to the new service fails, or all calls take long.
+#[derive(Debug, Clone, Copy)]
+enum NewService {
+    FirstCall(CallFault),
+    AllCalls(CallFault),
+}
+
+fn moved(new: NewService, fleet: u32, delivery: Delivery) -> Verdict {
+    let mut trial = Trial::new(&format!("move in a fleet of {fleet}, {new:?}"), delivery, &NODES);
+    trial.fleet = fleet;
+    let (old, next) = (trial.service(), trial.service());
+    let number = trial.start(&old);
+    trial.in_use(&NODES);
+    // Only the new service has it.
+    let version = trial.catalog.version();
+    old.faults(|f| f.lags_at = Some(version));
+    trial.catalog.set("drains", NodeState::Draining);
+    next.faults(|f| match new {
+        NewService::FirstCall(fault) => f.next.push_back(fault),
+        NewService::AllCalls(fault) => f.all = Some(fault),
+    });
+    trial.move_to(number, &next);
+    trial.finish_after(PATIENCE)
+}
+
+/// Guards a move whose first call fails: what the new service has counts 4 s after the signal.
+#[test]
+fn a_move_by_sighup_whose_first_call_fails_is_heard_in_4_s() {
+    let failures = [CallFault::Unavailable, CallFault::Reset, CallFault::HalfAnswer, CallFault::Silent]
+        .map(NewService::FirstCall);
+    let slow = [1500, 2500, 3500].map(|delay| NewService::AllCalls(CallFault::HeadDelayed(ms(delay))));
+    let kinds = failures.into_iter().chain(slow).flat_map(|new| {
+        let of = move |way| [1, 300].map(|fleet| (new, fleet, way));
+        BOTH.into_iter().flat_map(of)
+    });
+    all_pass(kinds.collect(), |(new, fleet, way)| moved(new, fleet, way));
+}
+
+// ---- Discovery is down. ----
+
+/// How discovery shows that it is down.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Down {
+    Refuses,
+    Unavailable,
+}
+
+/// When a node drains.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Drains {
+    Meanwhile,
+    AtTheReturn,
+    SecondsAfter,
+}
+
+/// Longer than the 6 s after which all counts as notified.
+const OUTAGE: Duration = ms(8000);
+
+fn outage(down: Down, drains: Drains, delivery: Delivery) -> Verdict {
+    let mut trial = Trial::new(&format!("outage {down:?}, drains {drains:?}"), delivery, &NODES);
+    let service = trial.service();
+    let number = trial.start(&service);
+    trial.in_use(&NODES);
+    let begun = Instant::now();
+    match down {
+        Down::Refuses => service.go_down(),
+        Down::Unavailable => {
+            service.note_reach(false);
+            service.faults(|f| f.all = Some(CallFault::Unavailable));
+            service.end_connections();
+        }
+    }
+    thread::sleep(OUTAGE / 2);
+    if drains == Drains::Meanwhile {
+        trial.catalog.set("drains", NodeState::Draining);
+    }
+    thread::sleep(OUTAGE / 2);
+    if delivery == Delivery::OnRequest {
+        // By the list that is held.
+        trial.has_served(number, begun, 100, "while discovery was down");
+    }
+    match down {
+        Down::Refuses => service.come_back(),
+        Down::Unavailable => {
+            service.note_reach(true);
+            service.faults(|f| f.all = None);
+        }
+    }
+    if drains == Drains::SecondsAfter {
+        thread::sleep(ms(2000));
+    }
+    if drains != Drains::Meanwhile {
+        trial.catalog.set("drains", NodeState::Draining);
+    }
+    trial.finish_after(PATIENCE)
+}
+
+/// Guards drains round the end of an outage that is longer than any limit of the rules.
+#[test]
+fn drains_round_the_end_of_an_outage_are_learnt_in_time() {
+    let downs = [Down::Refuses, Down::Unavailable];
+    let moments = [Drains::Meanwhile, Drains::AtTheReturn, Drains::SecondsAfter];
+    let kinds = downs.iter().flat_map(|&down| moments.map(|drains| (down, drains)));
+    let kinds = kinds.flat_map(|(down, drains)| BOTH.map(|way| (down, drains, way)));
+    all_pass(kinds.collect(), |(down, drains, way)| outage(down, drains, way));
+}
