Drain trials: each line and each ended watch in a trial of its own; calls are counted

Cause: with six data nodes or more in one trial some were sent nothing before the fault, so two tests ended in their own set-up. Change: one trial for each kind, sixteen at a time, and a bound on calls of discovery in a second.

--- a/tests/bed/catalog.rs
+++ b/tests/bed/catalog.rs
@@ -40,7 +40,7 @@
 
 impl Spoilt {
     /// Whether the uid and the state can be read all the same.
-    fn says_state(self) -> bool {
+    pub fn says_state(self) -> bool {
         !matches!(self, Self::StateNull | Self::UidMissing | Self::NotAnObject)
     }
 }
--- a/tests/bed/drain_trial.rs
+++ b/tests/bed/drain_trial.rs
@@ -2,11 +2,11 @@
 //! queries, data nodes that log what begins when, and the checker's verdict at the end.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::catalog::{Catalog, FIRST_VERSION};
+use super::catalog::{lock, Catalog, FIRST_VERSION};
 use super::drain_check::{violations, Assignment, CoordinatorLog, Delivery, NodeState, PartBegun, Violation};
 use super::faulty_discovery::FaultyDiscovery;
 use super::steady_load::{coordinator_of, Answered, SteadyLoad};
@@ -19,6 +19,8 @@
 const LAST: Duration = Duration::from_secs(2);
 /// So many at least, for each coordinator; undisturbed it is some two hundred.
 const LEAST_SERVED: usize = 10;
+/// A coordinator that calls discovery more often than this in a second is in a busy loop.
+const MOST_CALLS: usize = 12;
 /// What tests wait for in the program, when it may be in vain.
 pub const PATIENCE: Duration = Duration::from_secs(8);
 
@@ -141,6 +143,8 @@
         let end = Instant::now();
         let running = std::mem::take(&mut self.running);
         let (mut logs, mut served) = (Vec::new(), Vec::new());
+        let running_services: Vec<Arc<FaultyDiscovery>> =
+            running.iter().flat_map(|r| r.services.iter().map(|s| s.1.clone())).collect();
         for Running { program, load, services } in running {
             let answers = load.stop();
             program.killed();
@@ -152,6 +156,12 @@
             let assignments = services.iter().map(assignment).collect();
             logs.push(CoordinatorLog { delivery: self.delivery, assignments });
         }
+        for service in running_services {
+            let most = most_in_a_second(&service.call_times());
+            if most > MOST_CALLS {
+                self.complaints.push(format!("{most} calls of discovery in one second"));
+            }
+        }
         let parts = self.begun();
         for (number, &answers) in served.iter().enumerate() {
             let recent = |p: &&PartBegun| p.coordinator == number && p.at >= end - LAST;
@@ -181,6 +191,14 @@
     }
 }
 
+/// The most of these moments, in their order, that are within one second.
+fn most_in_a_second(times: &[Instant]) -> usize {
+    let second = Duration::from_secs(1);
+    let within =
+        |(n, &from): (usize, &Instant)| times[n..].iter().take_while(|&&t| t < from + second).count();
+    times.iter().enumerate().map(within).max().unwrap_or(0)
+}
+
 fn served_between(answers: &[Answered], from: Instant, to: Instant) -> usize {
     answers.iter().filter(|a| a.status == 200 && a.at >= from && a.at <= to).count()
 }
@@ -206,7 +224,8 @@
     fn summary(&self) -> String {
         let mut groups = BTreeMap::<String, (usize, Duration)>::new();
         for violation in &self.violations {
-            let group = format!("{} {:?}", violation.uid, violation.reason);
+            let Violation { uid, reason, coordinator, .. } = violation;
+            let group = format!("{uid} from {coordinator} {reason:?}");
             let (count, worst) = groups.entry(group).or_default();
             *count += 1;
             *worst = violation.late_by().max(*worst);
@@ -220,13 +239,50 @@
     }
 }
 
-/// Runs all kinds of a trial side by side; all of them have to pass.
+/// Trials that run at a time, in all tests of a file together.
+const SIDE_BY_SIDE: usize = 16;
+
+/// Trials that run, and a signal for each that has ended.
+static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+/// A trial's place among those that run; the next one begins with its end.
+struct Place;
+
+impl Place {
+    fn take() -> Self {
+        let (running, ended) = &RUNNING;
+        let running = ended.wait_while(lock(running), |running| *running >= SIDE_BY_SIDE);
+        *running.unwrap_or_else(PoisonError::into_inner) += 1;
+        Self
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let (running, ended) = &RUNNING;
+        *lock(running) -= 1;
+        ended.notify_one();
+    }
+}
+
+/// Runs all kinds of a trial, many side by side; all of them have to pass.
 pub fn all_pass<K: Send>(kinds: Vec<K>, trial: impl Fn(K) -> Verdict + Sync) {
-    let trial = &trial;
-    let verdicts: Vec<Verdict> = thread::scope(|scope| {
-        let threads: Vec<_> = kinds.into_iter().map(|kind| scope.spawn(move || trial(kind))).collect();
-        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    let (trial, kinds) = (&trial, Mutex::new(kinds.into_iter().enumerate()));
+    let verdicts = Mutex::new(BTreeMap::new());
+    let next = || lock(&kinds).next();
+    thread::scope(|scope| {
+        for _ in 0..SIDE_BY_SIDE {
+            scope.spawn(|| {
+                while let Some((number, kind)) = next() {
+                    let place = Place::take();
+                    let verdict = trial(kind);
+                    drop(place);
+                    lock(&verdicts).insert(number, verdict);
+                }
+            });
+        }
     });
+    let verdicts: Vec<Verdict> = verdicts.into_inner().unwrap().into_values().collect();
     for verdict in &verdicts {
         println!("{} {}", if verdict.passed() { "kept  " } else { "BROKEN" }, verdict.summary());
     }
--- a/tests/bed/faulty_discovery.rs
+++ b/tests/bed/faulty_discovery.rs
@@ -90,7 +90,7 @@
     log: ServiceLog,
     connections: u64,
     open: Vec<(u64, TcpStream)>,
-    calls: Vec<String>,
+    call_times: Vec<Instant>,
     closed: bool,
 }
 
@@ -180,9 +180,9 @@
         lock(&self.service.state).log.reach.push(Reach { at: Instant::now(), reachable });
     }
 
-    /// What was asked for, in the order in which it came.
-    pub fn calls(&self) -> Vec<String> {
-        lock(&self.service.state).calls.clone()
+    /// When each call came.
+    pub fn call_times(&self) -> Vec<Instant> {
+        lock(&self.service.state).call_times.clone()
     }
 
     /// What was written so far.
@@ -300,6 +300,7 @@
         }
         let fault = {
             let mut state = lock(&self.service.state);
+            state.call_times.push(Instant::now());
             state.faults.next.pop_front().or(state.faults.all)
         };
         if fault == Some(CallFault::Reset) {
@@ -311,7 +312,6 @@
             return Err(over());
         }
         let target = self.request()?;
-        lock(&self.service.state).calls.push(target.clone());
         let service = self.service.clone();
         let turn = service.wait_for_turn();
         match fault {
--- a/tests/drain_moves.rs
+++ b/tests/drain_moves.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bed::drain_check::{Delivery, NodeState};
-use bed::drain_trial::{all_pass, within, Trial, Verdict, BOTH, PATIENCE};
+use bed::drain_trial::{all_pass, Trial, Verdict, BOTH, PATIENCE};
 use bed::faulty_discovery::CallFault;
 
 const NODES: [&str; 3] = ["drains", "stays-1", "stays-2"];
@@ -24,31 +24,29 @@
     Fails(CallFault),
 }
 
-fn ended_watch(again: Again) -> Verdict {
-    let names = ["drains-1", "drains-2", "drains-3", "drains-4", "stays-1", "stays-2"];
-    let mut trial = Trial::new(&format!("ended watch, then {again:?}"), Delivery::Pushed, &names);
+fn ended_watch(again: Again, round: usize) -> Verdict {
+    let name = format!("ended watch, then {again:?}, round {round}");
+    let mut trial = Trial::new(&name, Delivery::Pushed, &NODES);
     let service = trial.service();
     trial.start(&service);
-    trial.in_use(&names);
-    for uid in &names[..4] {
-        if let Again::Fails(fault) = again {
-            service.faults(|f| f.next.push_back(fault));
-        }
-        let written = service.writes().len();
-        service.end_connections();
-        trial.catalog.set(uid, NodeState::Draining);
-        // The watch is open again before the next round.
-        within(PATIENCE, || service.writes().len() > written);
-        thread::sleep(ms(1000));
+    trial.in_use(&NODES);
+    if let Again::Fails(fault) = again {
+        service.faults(|f| f.next.push_back(fault));
     }
-    trial.finish_after(ms(2500))
+    service.end_connections();
+    trial.catalog.set("drains", NodeState::Draining);
+    trial.finish_after(ms(5000))
 }
 
+/// The program's pauses are drawn by lot: each kind is run so often.
+const ROUNDS: usize = 4;
+
 /// Guards drains right behind a watch's end where lists are pushed: the agent has them, so they count at once.
 #[test]
 fn a_drain_behind_the_end_of_a_watch_counts_at_once_where_lists_are_pushed() {
-    let kinds = [Again::Answered, Again::Fails(CallFault::Unavailable), Again::Fails(CallFault::Reset)];
-    all_pass(kinds.to_vec(), ended_watch);
+    let again = [Again::Answered, Again::Fails(CallFault::Unavailable), Again::Fails(CallFault::Reset)];
+    let kinds = again.into_iter().flat_map(|again| (0..ROUNDS).map(move |round| (again, round)));
+    all_pass(kinds.collect(), |(again, round)| ended_watch(again, round));
 }
 
 /// One coordinator is well, one's watch falls silent, one's watch ends and its next calls fail.
@@ -83,6 +81,8 @@
 enum NewService {
     FirstCall(CallFault),
     AllCalls(CallFault),
+    /// The first call is never answered, and all others so late.
+    HangsThenSlow(Duration),
 }
 
 fn moved(new: NewService, fleet: u32, delivery: Delivery) -> Verdict {
@@ -98,6 +98,10 @@
     next.faults(|f| match new {
         NewService::FirstCall(fault) => f.next.push_back(fault),
         NewService::AllCalls(fault) => f.all = Some(fault),
+        NewService::HangsThenSlow(delay) => {
+            f.next.push_back(CallFault::Silent);
+            f.all = Some(CallFault::HeadDelayed(delay));
+        }
     });
     trial.move_to(number, &next);
     trial.finish_after(PATIENCE)
@@ -109,7 +113,8 @@
     let failures = [CallFault::Unavailable, CallFault::Reset, CallFault::HalfAnswer, CallFault::Silent]
         .map(NewService::FirstCall);
     let slow = [1500, 2500, 3500].map(|delay| NewService::AllCalls(CallFault::HeadDelayed(ms(delay))));
-    let kinds = failures.into_iter().chain(slow).flat_map(|new| {
+    let hangs = [NewService::HangsThenSlow(ms(1800))];
+    let kinds = failures.into_iter().chain(slow).chain(hangs).flat_map(|new| {
         let of = move |way| [1, 300].map(|fleet| (new, fleet, way));
         BOTH.into_iter().flat_map(of)
     });
--- a/tests/drain_news.rs
+++ b/tests/drain_news.rs
@@ -149,39 +149,24 @@
     Snapshot,
 }
 
-fn bad_line(whose: BadLine, within: Within, delivery: Delivery) -> Verdict {
-    let all = [
-        ("endpoint-null", Spoilt::EndpointNull),
-        ("no-address", Spoilt::EndpointNoAddress),
-        ("no-cell", Spoilt::CellMissing),
-        ("capacity-null", Spoilt::CapacityNull),
-        ("boot-time-null", Spoilt::BootTimeNull),
-        ("state-null", Spoilt::StateNull),
-        ("no-uid", Spoilt::UidMissing),
-        ("number", Spoilt::NotAnObject),
-    ];
-    // One that drains with a state or a uid that cannot be read says nothing.
-    let kinds = if whose == BadLine::ItsOwn { &all[..5] } else { &all[..] };
-    let mut names: Vec<&str> = kinds.iter().map(|kind| kind.0).collect();
-    names.extend(["stays-1", "stays-2"]);
-    let mut trial = Trial::new(&format!("bad line {whose:?} {within:?}"), delivery, &names);
+fn bad_line(whose: BadLine, place: Within, spoilt: Spoilt, delivery: Delivery) -> Verdict {
+    let mut trial = Trial::new(&format!("bad line {whose:?} {place:?} {spoilt:?}"), delivery, &NODES);
     let service = trial.service();
     trial.start(&service);
-    trial.in_use(&names);
-    service.faults(|f| f.snapshot_first = within == Within::Snapshot);
-    for &(drains, spoilt) in kinds {
-        let spoilt_uid = if whose == BadLine::ItsOwn { drains } else { "stays-2" };
-        service.faults(|f| f.spoilt.extend([(spoilt_uid.to_string(), spoilt)]));
-        let written = service.writes().len();
-        let change = [("stays-2", NodeState::Up), (drains, NodeState::Draining)];
-        if within == Within::Snapshot {
-            service.end_connections();
-        }
-        trial.catalog.set_all(&change, Duration::ZERO);
-        until_written(&service, written);
-        thread::sleep(ms(700));
+    trial.in_use(&NODES);
+    let spoilt_uid = if whose == BadLine::ItsOwn { "drains" } else { "stays-2" };
+    service.faults(|f| {
+        f.snapshot_first = place == Within::Snapshot;
+        f.spoilt.extend([(spoilt_uid.to_string(), spoilt)]);
+    });
+    let written = service.writes().len();
+    if place == Within::Snapshot {
+        service.end_connections();
     }
-    // Good lines again, on a new watch.
+    trial.catalog.set_all(&[("stays-2", NodeState::Up), ("drains", NodeState::Draining)], Duration::ZERO);
+    until_written(&service, written);
+    thread::sleep(ms(2500));
+    // Good lines again, on a new watch: all is as it was.
     service.faults(|f| f.spoilt.clear());
     service.end_connections();
     trial.finish_after(ms(4000))
@@ -191,9 +176,22 @@
 /// in whole.
 #[test]
 fn a_line_that_cannot_be_read_costs_no_other_news() {
-    let kinds = [BadLine::OfAnother, BadLine::ItsOwn].iter().flat_map(|&whose| {
-        let delta = BOTH.map(|way| (whose, Within::Delta, way));
-        delta.into_iter().chain([(whose, Within::Snapshot, Delivery::OnRequest)])
+    let all = [
+        Spoilt::EndpointNull,
+        Spoilt::EndpointNoAddress,
+        Spoilt::CellMissing,
+        Spoilt::CapacityNull,
+        Spoilt::BootTimeNull,
+        Spoilt::StateNull,
+        Spoilt::UidMissing,
+        Spoilt::NotAnObject,
+    ];
+    // One that drains with a state or a uid that cannot be read says nothing.
+    let its_own = all.iter().filter(|spoilt| spoilt.says_state()).map(|&spoilt| (BadLine::ItsOwn, spoilt));
+    let lines = all.iter().map(|&spoilt| (BadLine::OfAnother, spoilt)).chain(its_own);
+    let kinds = lines.flat_map(|(whose, spoilt)| {
+        let delta = BOTH.map(|way| (whose, Within::Delta, spoilt, way));
+        delta.into_iter().chain([(whose, Within::Snapshot, spoilt, Delivery::OnRequest)])
     });
-    all_pass(kinds.collect(), |(whose, within, way)| bad_line(whose, within, way));
+    all_pass(kinds.collect(), |(whose, place, spoilt, way)| bad_line(whose, place, spoilt, way));
 }
