Drain trials: two moves in a row, an answer made before a change and written after it

Change: three trials and a rule of the checker, that another SIGHUP begins another 4 s, with its test.

--- a/tests/bed/drain_check.rs
+++ b/tests/bed/drain_check.rs
@@ -245,7 +245,8 @@
         };
         let from = if moved { had.at.max(assignment.from) } else { had.at };
         let Some(reached) = service.first_reachable(from) else { return Vec::new() };
-        if assignments.get(number + 1).is_some_and(|next| reached >= next.from) {
+        let replaced = |at: Instant| assignments.get(number + 1).is_some_and(|next| at >= next.from);
+        if replaced(reached) {
             return Vec::new();
         }
         let mut notified = vec![(reached + NOTIFIED_AFTER, Reason::HadFor6s)];
@@ -253,8 +254,10 @@
             service.silences.iter().find(|s| s.at <= had.at && service.resumed(s, had.at).is_none());
         notified.extend(silence.map(|s| (reached.max(s.at + SILENT_WATCH), Reason::WatchSilentFor6s)));
         let pushed = self.coordinator.delivery == Delivery::Pushed;
-        if moved && (pushed || had.at <= assignment.from) {
-            notified.push((reached.max(assignment.from + AFTER_SIGHUP), Reason::SighupFor4s));
+        let by_sighup = reached.max(assignment.from + AFTER_SIGHUP);
+        // Another SIGHUP begins another 4 s.
+        if moved && (pushed || had.at <= assignment.from) && !replaced(by_sighup) {
+            notified.push((by_sighup, Reason::SighupFor4s));
         }
         // One clock for silence, however the list comes.
         if !moved && pushed && silence.is_none() {
--- a/tests/bed/faulty_discovery.rs
+++ b/tests/bed/faulty_discovery.rs
@@ -27,6 +27,8 @@
     HeadDelayed(Duration),
     /// The answer's body comes so much later than its head.
     BodyDelayed(Duration),
+    /// The answer is made at once and comes so much later.
+    Outdated(Duration),
 }
 
 /// How a watch is answered whose version is too old.
@@ -414,6 +416,9 @@
             return self.tell(format!("{:length$}", text.json).as_bytes(), text.news);
         }
         let text = self.whole().1;
+        if let Some(CallFault::Outdated(span)) = fault {
+            self.pause(span)?;
+        }
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", text.json.len(), text.json);
         if fault == Some(CallFault::HalfAnswer) {
             self.send(&answer.as_bytes()[..answer.len() / 2])?;
@@ -438,11 +443,16 @@
             }
             None => {}
         }
+        let made = self.first_line(index);
+        if let Some(CallFault::Outdated(span)) = fault {
+            self.pause(span)?;
+        }
         self.send(WATCH)?;
         if let Some(CallFault::BodyDelayed(span)) = fault {
             self.pause(span)?;
         }
-        let (mut version, first) = self.first_line(index);
+        let outdated = matches!(fault, Some(CallFault::Outdated(_)));
+        let (mut version, first) = if outdated { made } else { self.first_line(index) };
         if fault == Some(CallFault::HalfAnswer) {
             let line = chunk(&first.map_or(" ".to_string(), |text| text.json));
             self.send(&line[..line.len() / 2])?;
--- a/tests/drain_check.rs
+++ b/tests/drain_check.rs
@@ -202,6 +202,16 @@
     moved(Delivery::Pushed, 20.0, 12.0).notified(20.0, Reason::SighupFor4s);
 }
 
+#[test]
+fn another_sighup_begins_another_4_s_within_the_6() {
+    for (second, notified, reason) in [(13.5, 17.5, Reason::SighupFor4s), (15.5, 18.0, Reason::HadFor6s)] {
+        let mut log = moved(Delivery::OnRequest, 10.0, 12.0);
+        let service = log.coordinator.assignments[1].service.clone();
+        log.coordinator.assignments.push(Assignment { from: log.clock.at(second), service });
+        log.notified(notified, reason);
+    }
+}
+
 #[test]
 fn what_the_service_before_a_move_writes_later_does_not_count() {
     let mut log = moved(Delivery::OnRequest, 10.0, 12.0);
--- a/tests/drain_moves.rs
+++ b/tests/drain_moves.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bed::drain_check::{Delivery, NodeState};
-use bed::drain_trial::{all_pass, Trial, Verdict, BOTH, PATIENCE};
+use bed::drain_trial::{all_pass, within, Trial, Verdict, BOTH, PATIENCE};
 use bed::faulty_discovery::CallFault;
 
 const NODES: [&str; 3] = ["drains", "stays-1", "stays-2"];
@@ -121,6 +121,57 @@
     all_pass(kinds.collect(), |(new, fleet, way)| moved(new, fleet, way));
 }
 
+/// Where the second SIGHUP leads.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Second {
+    Onward,
+    Back,
+}
+
+/// A move to a service that never answers, and another one soon after.
+fn moved_twice(second: Second, delivery: Delivery) -> Verdict {
+    let mut trial = Trial::new(&format!("two moves, the second {second:?}"), delivery, &NODES);
+    let (first, hangs, third) = (trial.service(), trial.service(), trial.service());
+    let number = trial.start(&first);
+    trial.in_use(&NODES);
+    let version = trial.catalog.version();
+    first.faults(|f| f.lags_at = Some(version));
+    hangs.faults(|f| f.all = Some(CallFault::Silent));
+    trial.catalog.set("drains", NodeState::Draining);
+    trial.move_to(number, &hangs);
+    within(PATIENCE, || !hangs.call_times().is_empty());
+    thread::sleep(ms(1000));
+    first.faults(|f| f.lags_at = None);
+    trial.move_to(number, if second == Second::Back { &first } else { &third });
+    trial.finish_after(PATIENCE)
+}
+
+/// Guards a move that crosses another one.
+#[test]
+fn the_second_of_two_moves_in_a_row_is_heard_in_4_s() {
+    let kinds = [Second::Onward, Second::Back].into_iter().flat_map(|second| BOTH.map(|way| (second, way)));
+    all_pass(kinds.collect(), |(second, way)| moved_twice(second, way));
+}
+
+/// The first call to a new service is answered late with what held when it came, and a node drains meanwhile.
+fn outdated_answer(delivery: Delivery) -> Verdict {
+    let mut trial = Trial::new("outdated answer behind a move", delivery, &NODES);
+    let (old, next) = (trial.service(), trial.service());
+    let number = trial.start(&old);
+    trial.in_use(&NODES);
+    next.faults(|f| f.next.push_back(CallFault::Outdated(ms(3000))));
+    trial.move_to(number, &next);
+    within(PATIENCE, || !next.call_times().is_empty());
+    trial.catalog.set("drains", NodeState::Draining);
+    trial.finish_after(PATIENCE)
+}
+
+/// Guards later news against an answer that was made before it.
+#[test]
+fn an_outdated_answer_opens_no_node_that_drains() {
+    all_pass(BOTH.to_vec(), outdated_answer);
+}
+
 // ---- Discovery is down. ----
 
 /// How discovery shows that it is down.
--- a/tests/drain_news.rs
+++ b/tests/drain_news.rs
@@ -108,13 +108,17 @@
 
 /// A service has restarted, and counts its versions from the beginning.
 fn restarted_service(ahead: AheadAnswer, delivery: Delivery) -> Verdict {
-    let mut trial = Trial::new(&format!("restarted service, {ahead:?}"), delivery, &NODES);
+    let names = ["drains", "removed", "stays-1", "stays-2"];
+    let mut trial = Trial::new(&format!("restarted service, {ahead:?}"), delivery, &names);
     let service = trial.service();
     trial.start(&service);
-    trial.in_use(&NODES);
+    trial.in_use(&names);
     service.faults(|f| (f.versions_less, f.ahead) = (FIRST_VERSION - 1, ahead));
     let written = service.writes().len();
     service.end_connections();
+    if ahead == AheadAnswer::Snapshot && delivery == Delivery::OnRequest {
+        trial.catalog.set("removed", NodeState::Removed);
+    }
     within(PATIENCE / 2, || service.writes().len() > written);
     trial.catalog.set("drains", NodeState::Draining);
     thread::sleep(ms(3000));
