--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code)]
 
 pub mod catalog;
+mod discovery_connection;
+pub mod discovery_faults;
 pub mod drain_check;
 pub mod drain_trial;
 pub mod faulty_discovery;
--- a/tests/drain_faults.rs
+++ b/tests/drain_faults.rs
@@ -6,9 +6,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bed::discovery_faults::{CallFault, Pieces};
 use bed::drain_check::{Delivery, NodeState};
 use bed::drain_trial::{all_pass, within, Trial, Verdict, BOTH, PATIENCE};
-use bed::faulty_discovery::{CallFault, Pieces};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
--- a/tests/drain_news.rs
+++ b/tests/drain_news.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use bed::catalog::{Spoilt, FIRST_VERSION};
+use bed::discovery_faults::{AheadAnswer, IndexAnswer};
 use bed::drain_check::{Delivery, News, NodeState};
 use bed::drain_trial::{all_pass, within, Trial, Verdict, BOTH, PATIENCE};
-use bed::faulty_discovery::{AheadAnswer, FaultyDiscovery, IndexAnswer};
+use bed::faulty_discovery::FaultyDiscovery;
 use bed::until;
 
 const NODES: [&str; 3] = ["drains", "stays-1", "stays-2"];
