--- a/crates/membership/src/pacing.rs
+++ b/crates/membership/src/pacing.rs
@@ -24,7 +24,7 @@
 const AGENT_ANSWER: Nanos = 500_000_000;
 /// Pauses of few coordinators, and those after a move of the service: several calls may fail before one has to be
 /// answered.
-const SHORT_PAUSE: Nanos = 800_000_000;
+const SHORT_PAUSE: Nanos = 600_000_000;
 /// The same of a call that is not answered.
 const HEDGE_OF_FEW: Nanos = 1_500_000_000;
 /// The same after a move, where the calls of many come at once.
