What waits for a data node goes elsewhere the moment it drains or is gone

The gate of a data node was looked at only when a frame's turn to be written came (link.rs, `pump`), and the core told the data node's actor nothing when it shut it (core.rs, `take_list`: `gate.set(false)` alone). A call that waited for a connection which hangs therefore ended when the dial did, up to `connect_timeout` later, and one behind a full socket after `node_write`; what was not begun on a connection that broke was given another dial to the draining data node (`move_waiting`, `place`). Nothing was sent late by this, but the queries were answered late or not at all. The same held for a feature server (feature_node.rs, `fetch`): its pages waited for the dial.

A gate that is shut is told to the actor (`NodeMsg::GateShut`). `Links` then ends all calls and probes that wait as `StaleSend` (never ran), so that the module sends them elsewhere in the same turn; what is being written is left to the writer, which looks at the gate up to the first byte. Where nothing new is taken, no connection is opened. Probes that are not sent end as `StaleSend`, too, which says nothing of their way (policy.rs, `Event::Probed`). A feature server's attempts that still wait for their connection end likewise; whoever clears `unconnected` first says how the attempt goes on, so that none is both ended as not sent and asked for.

`a_call_that_waited_past_a_drain_is_stale` demanded the end at the moment the dial came up. It is replaced by `what_waits_when_nothing_new_is_taken_ends_at_once`, which demands it at the shut, and nothing at the dial.

Excluded: no frame was found that begins after the gate is shut on this way; `pump` and the writer both look.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -218,6 +218,8 @@
             Event::Ended { part, attempt, server, outcome, latency } => {
                 self.take_ended(part, attempt, server, outcome, latency);
             }
+            // One that was not sent tells nothing.
+            Event::Probed { outcome: Outcome::StaleSend, .. } => {}
             Event::Probed { server, outcome, .. } => {
                 let zone = self.fleet.servers.get(&server).and_then(|s| s.zone);
                 self.judge_way(zone, outcome != Outcome::Pass);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,6 +1,7 @@
 //! The module's actor: the engine behind a mailbox, its commands handed on to data nodes, discovery and fronts.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -166,6 +167,24 @@
     gate: Gate,
 }
 
+impl Node {
+    /// Follows the list: where it is, and whether it may be sent anything new.
+    fn follow(&self, phase: Phase, address: SocketAddr) {
+        tell(&self.mail, NodeMsg::Address(address));
+        match phase {
+            Phase::In => drop(self.gate.set(true)),
+            Phase::Draining | Phase::Out => self.shut(),
+        }
+    }
+
+    /// Nothing new is sent from now on, and what waits ends at once.
+    fn shut(&self) {
+        if self.gate.set(false) {
+            tell(&self.mail, NodeMsg::GateShut);
+        }
+    }
+}
+
 /// Starts the actor.
 ///
 /// # Errors
@@ -398,7 +417,7 @@
         if news.kind.is_full() {
             let named = |id: &ServerId| news.members.iter().any(|m| m.0.name == self.engine.server_name(*id));
             for (&id, node) in self.nodes.iter().filter(|(id, _)| !named(id)) {
-                node.gate.set(false);
+                node.shut();
                 self.account.node(now, id, "", Phase::Out);
             }
         }
@@ -408,7 +427,7 @@
                 // One that is not known needs no actor to be gone.
                 if let Some(id) = self.engine.id(&member.name) {
                     if let Some(node) = self.nodes.get(&id) {
-                        node.gate.set(false);
+                        node.shut();
                     }
                     self.account.node(now, id, &member.name, Phase::Out);
                 }
@@ -421,8 +440,7 @@
                 let gate = Gate::default();
                 Node { mail: start(id, gate.clone()), gate }
             });
-            node.gate.set(member.phase == Phase::In);
-            tell(&node.mail, NodeMsg::Address(*addr));
+            node.follow(member.phase, *addr);
         }
         let anew = self.engine.list(news.kind, &members);
         if let Some(started) = &self.started {
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -41,10 +41,21 @@
 
 /// What ends a job early.
 struct Job {
+    /// Where it goes.
+    addr: SocketAddr,
     dropped: AtomicBool,
+    /// It waits for its connection. Whoever clears this says how the attempt goes on.
+    unconnected: AtomicBool,
     stream: may::sync::Mutex<Option<Arc<Stream>>>,
 }
 
+impl Job {
+    fn new(addr: SocketAddr) -> Self {
+        let (dropped, unconnected) = (AtomicBool::new(false), AtomicBool::new(true));
+        Self { addr, dropped, unconnected, stream: may::sync::Mutex::new(None) }
+    }
+}
+
 struct FeatureNode {
     id: ServerId,
     context: NodeContext,
@@ -75,6 +86,7 @@
                     self.rested.clear();
                 }
             }
+            NodeMsg::GateShut => self.end_unconnected(),
             NodeMsg::Call(call) => call.into_iter().for_each(|d| self.fetch(d)),
             NodeMsg::Drop(attempt) => {
                 if let Some(job) = self.jobs.get(&attempt) {
@@ -95,6 +107,15 @@
         }
     }
 
+    /// Ends the attempts that wait for a connection: it may not come up for long, and others are to have them at once.
+    fn end_unconnected(&self) {
+        for (&attempt, job) in &self.jobs {
+            if job.unconnected.swap(false, Ordering::AcqRel) {
+                self.context.core.send(Msg::Ended(attempt, Outcome::StaleSend, None));
+            }
+        }
+    }
+
     /// Closes connections that the server has closed, or soon will.
     fn prune(&mut self) {
         let idle = Duration::from_nanos(self.context.connections.idle);
@@ -114,10 +135,9 @@
         let Some(addr) = self.addr.filter(|_| !full) else {
             return self.context.core.send(Msg::Ended(attempt, Outcome::StaleSend, None));
         };
-        let job = Arc::new(Job { dropped: AtomicBool::new(false), stream: may::sync::Mutex::new(None) });
+        let job = Arc::new(Job::new(addr));
         self.jobs.insert(attempt, job.clone());
         let fetch = Fetch {
-            addr,
             context: self.context.clone(),
             names: self.names.clone(),
             gate: self.gate.clone(),
@@ -140,7 +160,6 @@
     /// A feature server is sound when its landing page can be had.
     fn probe(&mut self) {
         Counters::add(&self.context.counters.probes);
-        let job = Arc::new(Job { dropped: AtomicBool::new(false), stream: may::sync::Mutex::new(None) });
         let (id, context, addr) = (self.id, self.context.clone(), self.addr);
         let until = context.clock.now() + nanos(context.limits.probe);
         let (names, gate) = (self.names.clone(), self.gate.clone());
@@ -148,11 +167,10 @@
             let core = context.core.clone();
             let probe = |addr| {
                 let mut fetch = Fetch {
-                    addr,
                     context,
                     names,
                     gate,
-                    job,
+                    job: Arc::new(Job::new(addr)),
                     until,
                     begin_by: until,
                     wanted: Wanted::new(),
@@ -171,7 +189,6 @@
 
 /// One attempt: its pages, one after the other.
 struct Fetch {
-    addr: SocketAddr,
     context: NodeContext,
     names: Arc<Names>,
     gate: Gate,
@@ -216,7 +233,7 @@
                 let permit = self.context.permits.take().ok_or(Outcome::NoRoute)?;
                 Counters::add(&self.context.counters.dials);
                 let within = Duration::from_nanos(self.context.connections.connect_timeout).min(self.left());
-                let dialled = Stream::dial(&self.addr, within, Some(permit));
+                let dialled = Stream::dial(&self.job.addr, within, Some(permit));
                 Arc::new(dialled.map_err(|_| {
                     Counters::add(&self.context.counters.dials_failed);
                     Outcome::NoRoute
@@ -226,7 +243,10 @@
         if let Ok(mut held) = self.job.stream.lock() {
             *held = Some(stream.clone());
         }
-        Ok(stream)
+        match self.job.unconnected.swap(false, Ordering::AcqRel) {
+            true => Ok(stream),
+            false => Err(Outcome::StaleSend),
+        }
     }
 
     /// Whether the next page may be asked for. The first that may not never ran.
@@ -276,7 +296,7 @@
     /// Asks for one page and reads the answer whole.
     fn page(&mut self, stream: &Stream, target: &str) -> Result<(u16, String, bool), Outcome> {
         let accept = "application/geo+json, application/json";
-        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: {accept}\r\n\r\n", self.addr);
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: {accept}\r\n\r\n", self.job.addr);
         let within = self.context.limits.node_write.min(self.left());
         // Looked at again at the moment at which the first byte can go out.
         let may = Cell::new(Ok(()));
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -22,7 +22,7 @@
     Call(Vec<Dispatch>),
     /// An attempt is given up; its end has been told.
     Drop(AttemptId),
-    /// Whether the data node may be sent anything new.
+    /// Whether the data node may be sent anything new. What waits ends at once where it may not.
     TakesNew(bool),
     /// Connections without work are to be closed.
     CloseIdle,
@@ -211,7 +211,7 @@
         match input {
             Input::Call(call) => self.call(call),
             Input::Drop(id) => self.drop_attempt(id),
-            Input::TakesNew(yes) => self.takes_new = yes,
+            Input::TakesNew(yes) => self.takes_new(yes),
             Input::CloseIdle => self.close_idle(0),
             Input::Probe => self.place(Item::Probe),
             Input::Up(id) => {
@@ -250,8 +250,40 @@
         self.outputs.push(Output::End(id, outcome, value));
     }
 
+    /// What waits for a connection or a write goes elsewhere at once: neither may end for long.
+    fn takes_new(&mut self, yes: bool) {
+        if std::mem::replace(&mut self.takes_new, yes) && !yes {
+            self.take_waiting(|_| true).into_iter().for_each(|item| self.refuse(item));
+        }
+    }
+
+    /// Takes the calls and probes that wait on such connections.
+    fn take_waiting(&mut self, of: impl Fn(&Link) -> bool) -> Vec<Item> {
+        let mut taken = Vec::new();
+        for link in self.links.values_mut().filter(|l| of(l)) {
+            let waiting = std::mem::take(&mut link.waiting);
+            let (words, work): (_, VecDeque<_>) =
+                waiting.into_iter().partition(|item| matches!(item, Item::GiveUp(_)));
+            link.waiting = words;
+            taken.extend(work);
+        }
+        taken
+    }
+
+    /// Ends what may not be sent: it never ran, which says nothing of the data node.
+    fn refuse(&mut self, item: Item) {
+        match item {
+            Item::Call(call, _) => call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None)),
+            Item::Probe => self.outputs.push(Output::Probed(Outcome::StaleSend)),
+            Item::GiveUp(_) => {}
+        }
+    }
+
     /// Hands what is to be sent to a connection.
     fn place(&mut self, item: Item) {
+        if !self.takes_new && !matches!(item, Item::GiveUp(_)) {
+            return self.refuse(item);
+        }
         match self.choose(item.parts()) {
             Some(link) => self.put(link, item),
             None => self.place_without_socket(item),
@@ -305,13 +337,11 @@
 
     fn call(&mut self, call: Vec<Dispatch>) {
         let waiting: usize = self.links.values().map(|l| l.parts() - l.out.len()).sum();
-        if waiting + call.len() > self.limits.backlog {
-            return call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
-        }
-        if self.takes_new {
-            return self.place(Item::Call(call, false));
+        let item = Item::Call(call, false);
+        if waiting + item.parts() > self.limits.backlog {
+            return self.refuse(item);
         }
-        call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
+        self.place(item);
     }
 
     /// Hands the next frame to a connection that has none to write.
@@ -403,9 +433,7 @@
         let other = self.links.iter().find(|(_, l)| room(l)).map(|(&id, _)| id);
         match (other, item) {
             (Some(other), item) => self.put(other, item),
-            (None, Item::Call(call, _)) => {
-                call.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
-            }
+            (None, call @ Item::Call(..)) => self.refuse(call),
             (None, item) => self.fail_waiting([item].into()),
         }
     }
--- a/src/net/link/tests.rs
+++ b/src/net/link/tests.rs
@@ -76,9 +76,12 @@
             Input::NoSocket(_) => self.no_socket_until = self.now + NO_SOCKET_PAUSE,
             _ => {}
         }
+        let shut = input == Input::TakesNew(false);
         for output in links.step(self.now, input) {
             self.check(output);
         }
+        let waits = self.attempts.iter().any(|a| a.0 == At::Waiting);
+        assert!(!shut || !waits, "it waits on where nothing new is taken");
         let most = self.up.iter().map(|u| self.attempts.iter().filter(|a| a.0 == At::Written(*u)).count());
         assert!(most.max().unwrap_or(0) <= MULTIPLEX, "more parts than a connection carries");
     }
@@ -122,6 +125,8 @@
             Output::Write(id, frame) => {
                 let bytes = frame.current(self.now, true).bytes.unwrap();
                 assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
+                let new = bytes[4] != b'K';
+                assert!(!new || self.takes_new, "new on {id:?}");
                 let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
                 let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
                 let parts: Vec<u64> = if bytes[4] == b'D' { names.collect() } else { Vec::new() };
@@ -479,13 +484,28 @@
     assert_eq!(used(2).step(2, Input::Frame(LinkId(0), answer(0))), []);
 }
 
-/// Guards the drain rule for calls that waited behind a dial or a write.
+/// Guards the drain rule for calls and probes that wait behind a dial or a write: they end at once, since neither may
+/// end for long, and nothing goes out when it does.
 #[test]
-fn a_call_that_waited_past_a_drain_is_stale() {
+fn what_waits_when_nothing_new_is_taken_ends_at_once() {
+    let stale = |id| Output::End(AttemptId(id), Outcome::StaleSend, None);
     let mut links = links();
     links.step(0, Input::TakesNew(true));
     links.step(0, Input::Call(vec![part(0, WAIT)]));
-    links.step(0, Input::TakesNew(false));
-    let up = links.step(0, Input::Up(LinkId(0)));
-    assert_eq!(up, [Output::End(AttemptId(0), Outcome::StaleSend, None)]);
+    links.step(0, Input::Probe);
+    let ended = links.step(0, Input::TakesNew(false));
+    assert_eq!(ended, [stale(0), Output::Probed(Outcome::StaleSend)]);
+    assert_eq!(links.step(0, Input::Up(LinkId(0))), []);
+    assert_eq!(links.step(0, Input::Probe), [Output::Probed(Outcome::StaleSend)]);
+    // What is being written is not ended here: its first byte may be out.
+    let mut links = used(1);
+    links.step(2, Input::Call(vec![part(1, WAIT)]));
+    links.step(2, Input::Call(vec![part(2, WAIT)]));
+    assert_eq!(links.step(2, Input::TakesNew(false)), [stale(2)]);
+    assert_eq!(links.step(2, Input::LeftOut(LinkId(0), vec![AttemptId(1)])), [stale(1)]);
+    // And what was not begun on a connection that breaks is not given another.
+    let mut links = used(1);
+    links.step(2, Input::Call(vec![part(1, WAIT)]));
+    links.step(2, Input::TakesNew(false));
+    assert_eq!(links.step(2, Input::WriteFailed(LinkId(0), false)), [Output::Shut(LinkId(0)), stale(1)]);
 }
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -70,9 +70,9 @@
 pub struct Gate(Arc<AtomicBool>);
 
 impl Gate {
-    /// Opens or shuts it.
-    pub fn set(&self, open: bool) {
-        self.0.store(open, Ordering::Release);
+    /// Opens or shuts it; returns whether it was open.
+    pub fn set(&self, open: bool) -> bool {
+        self.0.swap(open, Ordering::AcqRel)
     }
 
     /// Whether it is open.
@@ -118,6 +118,8 @@
 pub enum NodeMsg {
     /// Where it is.
     Address(SocketAddr),
+    /// Its gate was shut: what waits is to go elsewhere at once.
+    GateShut,
     /// Send one call.
     Call(Vec<Dispatch>),
     /// An attempt is given up.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -103,6 +103,11 @@
                     self.step(Input::CloseIdle);
                 }
             }
+            NodeMsg::GateShut => {
+                // It may have been opened again meanwhile.
+                let open = self.gate.open();
+                self.step(Input::TakesNew(open));
+            }
             NodeMsg::Call(call) => self.step(Input::Call(call)),
             NodeMsg::Drop(id) => self.step(Input::Drop(id)),
             NodeMsg::Probe => {
