Nothing new goes over a connection to an address that a data node has left

A data node whose endpoint changes closed its connections at rest only (node.rs, `NodeMsg::Address` gave `Input::CloseIdle`). `Links::choose` knew nothing of addresses: a connection with a part out was the first choice for each new part, and a dial in progress kept what waited for it, so the earlier address was sent to for as long as anything was out there, which under load is for good. With a name that is gone and comes back while a part of the earlier process is out, the same actor goes on, and all of the new process's parts went to the earlier one. A feature server's connection that was busy at the move went back into the pool of those at rest (feature_node.rs, `Rested`) and was used for each page from then on.

A connection belongs to one of the data node's addresses (`Link::address`). After `Input::AddressChanged` a connection to an earlier one takes nothing new: what waits on it goes over one to the new address, what is out may end, and it is closed once at rest, or when its dial comes up. The gate holds the address besides (`Gate::move_to`, set in the core's turn), and a frame is begun only on a connection to that (`open_at`); what the writer leaves out on an earlier connection goes over a new one. Each page of features is looked at the same way.

--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -35,7 +35,8 @@
 fn main() {
     let word = |word: &str| std::env::args().any(|a| a == word);
     let (features, desk) = (word("features"), word("desk"));
-    let member = |(cell, endpoint)| Member { uid: format!("s-{cell}"), endpoint, cell, state: "up" };
+    let member =
+        |(cell, endpoint)| Member { uid: format!("s-{cell}"), endpoint, cell, state: "up", boot_ms: 0 };
     let node = |cell| match features {
         _ if desk => member((cell, DataNode::start(mergeable).addr)),
         true => member((cell, FeatureServer::start(|query| store(query, FEATURES, PAGE)).addr)),
--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -53,13 +53,15 @@
     pub endpoint: SocketAddr,
     pub cell: u32,
     pub state: &'static str,
+    /// When it last started, in milliseconds of Unix time; 0: long ago.
+    pub boot_ms: u64,
 }
 
 impl Member {
     fn json(&self) -> String {
-        let Self { uid, endpoint, cell, state } = self;
+        let Self { uid, endpoint, cell, state, boot_ms } = self;
         format!(
-            r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"a","model":"m","pod_group":{cell},"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+            r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"a","model":"m","pod_group":{cell},"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#
         )
     }
 }
@@ -150,6 +152,25 @@
         self.set(&uid, state);
     }
 
+    /// Puts other members in the place of all, and tells the watchers the whole list.
+    pub fn replace(&self, members: Vec<Member>) {
+        let mut list = lock(&self.list);
+        list.rev += 1;
+        list.members = members.into_iter().map(|m| (m.uid.clone(), m)).collect();
+        let line = list.json();
+        list.tell(&line);
+    }
+
+    /// Tells the watchers several members in one change, in this order; the last line of a name is the one kept.
+    pub fn change(&self, members: &[Member]) {
+        let mut list = lock(&self.list);
+        list.rev += 1;
+        list.members.extend(members.iter().map(|m| (m.uid.clone(), m.clone())));
+        let lines: Vec<String> = members.iter().map(Member::json).collect();
+        let line = format!(r#"{{"rev":{},"all":false,"targets":[{}]}}"#, list.rev, lines.join(","));
+        list.tell(&line);
+    }
+
     /// Says nothing more, and keeps the connections.
     pub fn silence(&self, silent: bool) {
         lock(&self.list).silent = silent;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -170,6 +170,7 @@
 impl Node {
     /// Follows the list: where it is, and whether it may be sent anything new.
     fn follow(&self, phase: Phase, address: SocketAddr) {
+        self.gate.move_to(address);
         tell(&self.mail, NodeMsg::Address(address));
         match phase {
             Phase::In => drop(self.gate.set(true)),
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -1,7 +1,7 @@
 //! The actor of one feature server: a data node that speaks OGC API - Features over HTTP.
 //!
 //! A part is a range's features, read page by page on one connection. Each page is new work: before it is
-//! asked for, the server's state and the attempt's time are looked at again.
+//! asked for, the server's state and address and the attempt's time are looked at again.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -84,6 +84,7 @@
             NodeMsg::Address(addr) => {
                 if self.addr.replace(addr).is_some_and(|old| old != addr) {
                     self.rested.clear();
+                    self.end_unconnected();
                 }
             }
             NodeMsg::GateShut => self.end_unconnected(),
@@ -99,8 +100,8 @@
             NodeMsg::Probe => self.probe(),
             NodeMsg::CloseIdle => self.rested.clear(),
             NodeMsg::Rested(attempt, stream) => {
-                self.jobs.remove(&attempt);
-                self.rested.extend(stream.map(|s| (s, Instant::now())));
+                let here = self.jobs.remove(&attempt).is_some_and(|job| Some(job.addr) == self.addr);
+                self.rested.extend(stream.filter(|_| here).map(|s| (s, Instant::now())));
             }
             // Only actors that speak frames send these.
             NodeMsg::Link(_) | NodeMsg::Read(..) | NodeMsg::Up(..) | NodeMsg::Retire => {}
@@ -254,7 +255,7 @@
         let dropped = self.job.dropped.load(Ordering::Acquire) || !self.wanted.yes();
         let late = !self.asked && self.context.clock.now() >= self.begin_by;
         let over = dropped || late || self.left().is_zero();
-        if over || !self.gate.open() {
+        if over || !self.gate.open_at(self.job.addr) {
             return Err(if self.asked { Outcome::Fault } else { Outcome::StaleSend });
         }
         Ok(())
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -24,6 +24,8 @@
     Drop(AttemptId),
     /// Whether the data node may be sent anything new. What waits ends at once where it may not.
     TakesNew(bool),
+    /// The data node is at another address: nothing new goes over the connections that there are.
+    AddressChanged,
     /// Connections without work are to be closed.
     CloseIdle,
     /// A probe is to be sent.
@@ -113,6 +115,8 @@
 #[derive(Debug)]
 struct Link {
     state: State,
+    /// Which of the data node's addresses it goes to, in the order in which they were told.
+    address: u64,
     waiting: VecDeque<Item>,
     writing: Option<Item>,
     /// Parts written whole, by name, and when.
@@ -174,6 +178,8 @@
     limits: LinkLimits,
     links: BTreeMap<LinkId, Link>,
     takes_new: bool,
+    /// The address that new connections go to.
+    address: u64,
     /// No connection is opened before this: there was no socket left for one.
     no_socket_until: Nanos,
     next: u64,
@@ -188,6 +194,7 @@
             limits,
             links: BTreeMap::new(),
             takes_new: false,
+            address: 0,
             no_socket_until: 0,
             next: 0,
             now: 0,
@@ -212,6 +219,7 @@
             Input::Call(call) => self.call(call),
             Input::Drop(id) => self.drop_attempt(id),
             Input::TakesNew(yes) => self.takes_new(yes),
+            Input::AddressChanged => self.address_changed(),
             Input::CloseIdle => self.close_idle(0),
             Input::Probe => self.place(Item::Probe),
             Input::Up(id) => {
@@ -243,6 +251,7 @@
             }
             Input::Tick => self.tick(),
         }
+        self.close_outdated();
         std::mem::take(&mut self.outputs)
     }
 
@@ -257,6 +266,14 @@
         }
     }
 
+    /// What is out may end where it is. What waits goes over connections to the new address.
+    fn address_changed(&mut self) {
+        self.address += 1;
+        let current = self.address;
+        let waiting = self.take_waiting(|l| l.address != current);
+        waiting.into_iter().for_each(|item| self.place(item));
+    }
+
     /// Takes the calls and probes that wait on such connections.
     fn take_waiting(&mut self, of: impl Fn(&Link) -> bool) -> Vec<Item> {
         let mut taken = Vec::new();
@@ -279,6 +296,13 @@
         }
     }
 
+    /// Closes connections to an earlier address once they are at rest.
+    fn close_outdated(&mut self) {
+        let outdated = |l: &Link| l.state == State::Up && l.address != self.address && l.at_rest();
+        let over: Vec<LinkId> = self.links.iter().filter(|(_, l)| outdated(l)).map(|(&id, _)| id).collect();
+        over.into_iter().for_each(|id| self.broken(id));
+    }
+
     /// Hands what is to be sent to a connection.
     fn place(&mut self, item: Item) {
         if !self.takes_new && !matches!(item, Item::GiveUp(_)) {
@@ -294,7 +318,7 @@
     /// would have to be a new one, and there was no socket for one a moment ago.
     fn choose(&mut self, parts: usize) -> Option<LinkId> {
         let (most, idle, now) = (self.limits.multiplex, self.limits.idle, self.now);
-        let room = |l: &Link| l.parts() + parts <= most.max(parts);
+        let room = |l: &Link| l.address == self.address && l.parts() + parts <= most.max(parts);
         let silence = self.limits.silence;
         let fresh = |l: &Link| !l.silent(now, silence) && (!l.at_rest() || now.saturating_sub(l.used) < idle);
         let fits = |state: State| {
@@ -311,6 +335,7 @@
         self.next += 1;
         let link = Link {
             state: State::Dialing,
+            address: self.address,
             waiting: VecDeque::new(),
             writing: None,
             out: Vec::new(),
@@ -429,7 +454,8 @@
     /// it was not sent, which says nothing of the data node.
     fn place_without_socket(&mut self, item: Item) {
         let parts = item.parts();
-        let room = |l: &Link| l.state == State::Up && l.parts() + parts <= self.limits.multiplex;
+        let usable = |l: &Link| l.state == State::Up && l.address == self.address;
+        let room = |l: &Link| usable(l) && l.parts() + parts <= self.limits.multiplex;
         let other = self.links.iter().find(|(_, l)| room(l)).map(|(&id, _)| id);
         match (other, item) {
             (Some(other), item) => self.put(other, item),
@@ -470,14 +496,20 @@
         self.forget(id);
     }
 
+    /// What is left out on a connection to an earlier address goes over one to the new address.
     fn left_out(&mut self, id: LinkId, attempts: &[AttemptId]) {
-        let Some(Item::Call(call, _)) = self.links.get_mut(&id).and_then(|l| l.writing.as_mut()) else {
-            return;
-        };
-        let (stale, sent) = std::mem::take(call).into_iter().partition(|d| attempts.contains(&d.attempt));
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let outdated = link.address != self.address;
+        let Some(Item::Call(call, moved)) = &mut link.writing else { return };
+        let moved = *moved;
+        let (stale, sent): (Vec<_>, Vec<_>) =
+            std::mem::take(call).into_iter().partition(|d| attempts.contains(&d.attempt));
         *call = sent;
-        let stale: Vec<Dispatch> = stale;
-        stale.iter().for_each(|d| self.end(d.attempt, Outcome::StaleSend, None));
+        match (stale.is_empty(), outdated) {
+            (true, _) => {}
+            (false, true) => self.place(Item::Call(stale, moved)),
+            (false, false) => self.refuse(Item::Call(stale, moved)),
+        }
     }
 
     /// What was not begun goes over another connection. What was cut off in its frame is told as one that may have run,
--- a/src/net/link/tests.rs
+++ b/src/net/link/tests.rs
@@ -57,6 +57,8 @@
     up: Vec<LinkId>,
     shut: Vec<LinkId>,
     writing: Vec<(LinkId, Vec<u64>)>,
+    /// Connections to the present address.
+    current: Vec<LinkId>,
     takes_new: bool,
     now: Nanos,
     no_socket_until: Nanos,
@@ -68,6 +70,7 @@
         match &input {
             Input::Probe => self.probes += 1,
             Input::TakesNew(yes) => self.takes_new = *yes,
+            Input::AddressChanged => self.current.clear(),
             Input::Drop(id) => self.attempts[id.0 as usize].0 = At::Over,
             Input::Written(id) => self.end_write(*id, true),
             // What was begun may have run, as if it were written.
@@ -82,6 +85,8 @@
         }
         let waits = self.attempts.iter().any(|a| a.0 == At::Waiting);
         assert!(!shut || !waits, "it waits on where nothing new is taken");
+        let outdated = |l: &Link| l.state == State::Up && l.address != links.address && l.at_rest();
+        assert!(!links.links.values().any(outdated), "a connection to an earlier address is kept at rest");
         let most = self.up.iter().map(|u| self.attempts.iter().filter(|a| a.0 == At::Written(*u)).count());
         assert!(most.max().unwrap_or(0) <= MULTIPLEX, "more parts than a connection carries");
     }
@@ -113,6 +118,7 @@
             Output::Dial(id) => {
                 assert!(self.now >= self.no_socket_until, "tried again where no socket was left");
                 self.dialing.push(id);
+                self.current.push(id);
             }
             Output::Shut(id) => {
                 self.up.retain(|&u| u != id);
@@ -126,7 +132,7 @@
                 let bytes = frame.current(self.now, true).bytes.unwrap();
                 assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
                 let new = bytes[4] != b'K';
-                assert!(!new || self.takes_new, "new on {id:?}");
+                assert!(!new || self.takes_new && self.current.contains(&id), "new on {id:?}");
                 let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
                 let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
                 let parts: Vec<u64> = if bytes[4] == b'D' { names.collect() } else { Vec::new() };
@@ -176,6 +182,7 @@
                 let up = if pick.is_multiple_of(4) { Input::DialFailed } else { Input::Up };
                 self.dialled(links, one(&self.dialing), up);
             }
+            21 => self.step(links, Input::AddressChanged),
             20 => self.dialled(links, one(&self.dialing), Input::NoSocket),
             9 | 10 => self.written(links, pick),
             11 | 12 => {
@@ -273,11 +280,11 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Whatever happens in whatever order: each attempt ends exactly once and as its frame's progress
-    /// says, nothing is handed to a data node that takes nothing new, no connection is left over, and none is tried in
-    /// the moment after there was no socket for one.
+    /// says, nothing is handed to a data node that takes nothing new, or on a connection to an earlier address, no
+    /// connection is left over, and none is tried in the moment after there was no socket for one.
     #[test]
     fn every_attempt_ends_once_and_as_it_went(
-        steps in proptest::collection::vec((0..21u8, any::<usize>()), 0..200),
+        steps in proptest::collection::vec((0..22u8, any::<usize>()), 0..200),
     ) {
         let (mut links, mut model) = (links(), Model::default());
         model.step(&mut links, Input::TakesNew(true));
@@ -509,3 +516,43 @@
     links.step(2, Input::TakesNew(false));
     assert_eq!(links.step(2, Input::WriteFailed(LinkId(0), false)), [Output::Shut(LinkId(0)), stale(1)]);
 }
+
+/// Guards a data node that moves: what is out where it was may end there, all else goes over a new connection, and the
+/// earlier one is closed once it is at rest.
+#[test]
+fn nothing_new_goes_over_a_connection_to_an_earlier_address() {
+    let mut links = used(3);
+    links.step(2, Input::Call(vec![part(3, WAIT)]));
+    assert_eq!(links.step(2, Input::AddressChanged), []);
+    let dialled = links.step(2, Input::Call(vec![part(4, WAIT)]));
+    assert_eq!(dialled, [Output::Dial(LinkId(1))]);
+    // Its turn to be written came after the move.
+    assert_eq!(links.step(2, Input::LeftOut(LinkId(0), vec![AttemptId(3)])), []);
+    assert_eq!(links.step(2, Input::Written(LinkId(0))), []);
+    let sent = links.step(3, Input::Up(LinkId(1)));
+    assert!(matches!(sent[..], [Output::Write(LinkId(1), _)]), "{sent:?}");
+    links.step(3, Input::Written(LinkId(1)));
+    assert_eq!(links.links[&LinkId(1)].parts(), 2);
+    links.step(4, Input::Frame(LinkId(0), answer(1)));
+    let last = links.step(4, Input::Frame(LinkId(0), answer(2)));
+    assert!(matches!(last[..], [Output::End(AttemptId(2), Outcome::Pass, _), Output::Shut(LinkId(0))]));
+}
+
+/// Guards what waits for a connection to an address that its data node has left: it waits for one to the new address,
+/// and the earlier one is closed when it comes up. Without a socket for another, no earlier connection is filled.
+#[test]
+fn a_dial_to_an_earlier_address_is_not_used() {
+    let mut links = links();
+    links.step(0, Input::TakesNew(true));
+    links.step(0, Input::Call(vec![part(0, WAIT)]));
+    links.step(0, Input::Probe);
+    assert_eq!(links.step(1, Input::AddressChanged), [Output::Dial(LinkId(1))]);
+    assert_eq!(links.step(2, Input::Up(LinkId(0))), [Output::Shut(LinkId(0))]);
+    let sent = links.step(2, Input::Up(LinkId(1)));
+    assert!(matches!(sent[..], [Output::Write(LinkId(1), _)]), "{sent:?}");
+    let mut links = used(2);
+    links.step(2, Input::AddressChanged);
+    links.step(2, Input::Call(vec![part(2, WAIT)]));
+    let ended = links.step(2, Input::NoSocket(LinkId(1)));
+    assert_eq!(ended, [Output::End(AttemptId(2), Outcome::StaleSend, None)]);
+}
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use curlewdeck_account::saved::Saved;
 use curlewdeck_account::Snapshot;
@@ -13,7 +13,7 @@
 use crate::api::{Nanos, Outcome, QueryId, ServerId};
 use crate::engine::{Ask, AttemptId, Dispatch, Final, Rejected, Value};
 use crate::net::frame::{self, Frame};
-use crate::net::io::Stream;
+use crate::net::io::{lock, Stream};
 use crate::net::link::{Input, LinkId};
 use crate::net::members::{ListNews, MembershipUpdate};
 use crate::settings::Info;
@@ -64,20 +64,37 @@
     (CoreMail(mail), inbox)
 }
 
-/// Whether a data node may be sent anything new. The list's news shuts it at once, whatever waits in the
-/// mailbox of the data node's actor.
+/// Whether a data node may be sent anything new, and at which address. The list's news holds at once, whatever waits
+/// in the mailbox of the data node's actor.
 #[derive(Debug, Clone, Default)]
-pub struct Gate(Arc<AtomicBool>);
+pub struct Gate(Arc<GateState>);
+
+#[derive(Debug, Default)]
+struct GateState {
+    open: AtomicBool,
+    /// None before the first address is told: then any will do.
+    address: Mutex<Option<SocketAddr>>,
+}
 
 impl Gate {
     /// Opens or shuts it; returns whether it was open.
     pub fn set(&self, open: bool) -> bool {
-        self.0.swap(open, Ordering::AcqRel)
+        self.0.open.swap(open, Ordering::AcqRel)
+    }
+
+    /// From now on only connections to this address may be sent anything new.
+    pub fn move_to(&self, address: SocketAddr) {
+        *lock(&self.0.address) = Some(address);
     }
 
     /// Whether it is open.
     pub fn open(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.0.open.load(Ordering::Acquire)
+    }
+
+    /// Whether it is open for connections to this address.
+    pub fn open_at(&self, address: SocketAddr) -> bool {
+        self.open() && lock(&self.0.address).is_none_or(|current| current == address)
     }
 }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -100,7 +100,7 @@
         match message {
             NodeMsg::Address(addr) => {
                 if self.addr.replace(addr).is_some_and(|old| old != addr) {
-                    self.step(Input::CloseIdle);
+                    self.step(Input::AddressChanged);
                 }
             }
             NodeMsg::GateShut => {
@@ -236,7 +236,7 @@
             // Nothing yields between the last look and the first byte, however long the socket was full before.
             let now = RefCell::new(Current::default());
             let current = || {
-                let mut next = frame.current(clock.now(), gate.open());
+                let mut next = frame.current(clock.now(), gate.open_at(addr));
                 let bytes = next.bytes.take();
                 now.replace(next);
                 bytes
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -7,6 +7,7 @@
 pub mod drain_check;
 pub mod drain_trial;
 pub mod faulty_discovery;
+pub mod held_node;
 pub mod scripted;
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
@@ -92,7 +93,7 @@
 }
 
 pub fn member(uid: &str, cell: u32, endpoint: SocketAddr) -> Member {
-    Member { uid: uid.to_string(), endpoint, cell, state: "up" }
+    Member { uid: uid.to_string(), endpoint, cell, state: "up", boot_ms: 0 }
 }
 
 /// Waits for something that is bound to happen; gives up only after far longer than that can take.
