A probe whose turn comes after the gate is shut is not written

The writer of a connection looked at the gate for calls alone: a probe was a `Frame::Whole` (link.rs, `pump`), whose bytes go out whenever there is room (frame.rs, `current`). A probe that waited for a dial or behind a full socket reached a data node that had begun to drain or was gone, or the address that it had left.

Seen without the change (the writer's look taken out again): `what_was_handed_out_before_the_news_is_not_begun_after_it` failed with "it did not end as not sent", `a_probe_does_not_go_out_where_nothing_new_is_taken` with `left: Current { bytes: Some([1, 0, 0, 0, 73]), .. } right: Current { bytes: None, .. }`.

`Frame::Probe` is looked at as a call is, up to its first byte; one that is left out ends as `StaleSend` (`Input::ProbeLeftOut`), once. A feature server whose gate is shut is not probed, and no connection is opened for it. The word that a part is given up goes out as before: what is out at a draining data node may be called off.

`what_was_handed_out_before_the_news_is_not_begun_after_it` holds a frame between its handing out and the writer, on a real connection, and so covers calls as well: neither a shut gate nor a new address lets it begin.

--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -160,6 +160,9 @@
 
     /// A feature server is sound when its landing page can be had.
     fn probe(&mut self) {
+        if !self.gate.open() {
+            return self.context.core.send(Msg::Probed(self.id, Outcome::StaleSend));
+        }
         Counters::add(&self.context.counters.probes);
         let (id, context, addr) = (self.id, self.context.clone(), self.addr);
         let until = context.clock.now() + nanos(context.limits.probe);
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -56,6 +56,8 @@
 pub enum Frame {
     /// A call.
     Call(Vec<Dispatch>),
+    /// A probe: new work for the data node, as a call is.
+    Probe,
     /// Any other, whole.
     Whole(Vec<u8>),
 }
@@ -66,6 +68,7 @@
             Self::Call(parts) => {
                 parts.iter().try_for_each(|d| write!(f, "attempt {} of {} ", d.attempt.0, d.part.name))
             }
+            Self::Probe => write!(f, "probe"),
             Self::Whole(bytes) => {
                 write!(f, "{}", String::from_utf8_lossy(bytes.get(HEAD..).unwrap_or_default()))
             }
@@ -76,12 +79,14 @@
 /// What of a frame goes out at one moment.
 #[derive(Debug, Default, PartialEq)]
 pub struct Current {
-    /// Its bytes, unless none of its parts goes out.
+    /// Its bytes, unless nothing of it goes out.
     pub bytes: Option<Vec<u8>>,
     /// Attempts that go out.
     pub sent: Vec<AttemptId>,
     /// Attempts that are left out, and never run.
     pub stale: Vec<AttemptId>,
+    /// It is a probe that does not go out.
+    pub probe_left_out: bool,
 }
 
 impl Frame {
@@ -89,7 +94,7 @@
     pub fn wanted(&self, sent: &[AttemptId]) -> bool {
         match self {
             Self::Call(parts) => parts.iter().all(|d| d.wanted.yes() || !sent.contains(&d.attempt)),
-            Self::Whole(_) => true,
+            Self::Probe | Self::Whole(_) => true,
         }
     }
 
@@ -98,12 +103,17 @@
     pub fn current(&self, now: Nanos, takes_new: bool) -> Current {
         let parts = match self {
             Self::Call(parts) => parts,
+            Self::Probe => {
+                let bytes = takes_new.then(probe);
+                return Current { probe_left_out: bytes.is_none(), bytes, ..Current::default() };
+            }
             Self::Whole(bytes) => return Current { bytes: Some(bytes.clone()), ..Current::default() },
         };
         let may = |d: &&Dispatch| takes_new && now < d.until.min(d.begin_by) && d.wanted.yes();
         let (sent, stale): (Vec<&Dispatch>, Vec<&Dispatch>) = parts.iter().partition(may);
         let ids = |parts: &[&Dispatch]| parts.iter().map(|d| d.attempt).collect();
-        Current { bytes: (!sent.is_empty()).then(|| call(&sent, now)), sent: ids(&sent), stale: ids(&stale) }
+        let bytes = (!sent.is_empty()).then(|| call(&sent, now));
+        Current { bytes, sent: ids(&sent), stale: ids(&stale), probe_left_out: false }
     }
 }
 
--- a/src/net/frame/tests.rs
+++ b/src/net/frame/tests.rs
@@ -39,6 +39,16 @@
     assert_eq!(now(vec![over]), None);
 }
 
+/// Guards a data node that takes nothing new against probes whose turn comes late; what is given up is told all the same.
+#[test]
+fn a_probe_does_not_go_out_where_nothing_new_is_taken() {
+    let now = |frame: Frame, takes_new| frame.current(10 * MILLI, takes_new);
+    assert_eq!(now(Frame::Probe, true), Current { bytes: Some(probe()), ..Current::default() });
+    assert_eq!(now(Frame::Probe, false), Current { probe_left_out: true, ..Current::default() });
+    let word = Frame::Whole(give_up("a.1"));
+    assert_eq!(now(word.clone(), false), now(word, true));
+}
+
 /// Answers come in pieces: no prefix is an error or a frame.
 #[test]
 fn a_split_answer_is_waited_for() {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -40,6 +40,8 @@
     Written(LinkId),
     /// These of the frame last given were left out of it: they never run.
     LeftOut(LinkId, Vec<AttemptId>),
+    /// The frame last given was a probe, and it was not written.
+    ProbeLeftOut(LinkId),
     /// The frame last given could not be written whole; whether some of it was, and may have been read.
     WriteFailed(LinkId, bool),
     /// A frame has come.
@@ -233,6 +235,7 @@
             Input::NoSocket(id) => self.no_socket(id),
             Input::Written(id) => self.written(id),
             Input::LeftOut(id, attempts) => self.left_out(id, &attempts),
+            Input::ProbeLeftOut(id) => self.probe_left_out(id),
             Input::WriteFailed(id, begun) => self.write_failed(id, begun),
             Input::Frame(id, reply) => self.frame(id, reply),
             // Nothing is owed on a connection at rest, but for late answers.
@@ -393,7 +396,7 @@
                 }
                 Item::Probe => {
                     link.probes.push_back(self.now);
-                    (Item::Probe, Frame::Whole(frame::probe()))
+                    (Item::Probe, Frame::Probe)
                 }
             };
             link.writing = Some(item);
@@ -512,6 +515,13 @@
         }
     }
 
+    /// The probe last handed out is the last of those that are waited for, unless its time is over.
+    fn probe_left_out(&mut self, id: LinkId) {
+        if self.links.get_mut(&id).and_then(|l| l.probes.pop_back()).is_some() {
+            self.refuse(Item::Probe);
+        }
+    }
+
     /// What was not begun goes over another connection. What was cut off in its frame is told as one that may have run,
     /// though it should not have: its first bytes may have been read, and a part that may not be repeated is lost then.
     fn write_failed(&mut self, id: LinkId, begun: bool) {
--- a/src/net/link/tests.rs
+++ b/src/net/link/tests.rs
@@ -57,8 +57,9 @@
     up: Vec<LinkId>,
     shut: Vec<LinkId>,
     writing: Vec<(LinkId, Vec<u64>)>,
-    /// Connections to the present address.
+    /// Connections to the present address, and those of `writing` that have a probe.
     current: Vec<LinkId>,
+    probing: Vec<LinkId>,
     takes_new: bool,
     now: Nanos,
     no_socket_until: Nanos,
@@ -103,6 +104,7 @@
     }
 
     fn end_write(&mut self, id: LinkId, whole: bool) {
+        self.probing.retain(|&p| p != id);
         let at = self.writing.iter().position(|w| w.0 == id).unwrap();
         for part in self.writing.remove(at).1 {
             let attempt = &mut self.attempts[part as usize];
@@ -133,6 +135,7 @@
                 assert!(self.up.contains(&id) && self.writing.iter().all(|w| w.0 != id));
                 let new = bytes[4] != b'K';
                 assert!(!new || self.takes_new && self.current.contains(&id), "new on {id:?}");
+                self.probing.extend((bytes[4] == b'I').then_some(id));
                 let text = String::from_utf8_lossy(&bytes[5..]).into_owned();
                 let names = text.split("q.").skip(1).filter_map(|t| t.split(' ').next()?.parse().ok());
                 let parts: Vec<u64> = if bytes[4] == b'D' { names.collect() } else { Vec::new() };
@@ -250,6 +253,9 @@
         if pick.is_multiple_of(5) {
             self.step(links, Input::LeftOut(id, left));
         }
+        if pick.is_multiple_of(3) && self.probing.contains(&id) {
+            self.step(links, Input::ProbeLeftOut(id));
+        }
         let whole = self.up.contains(&id) && !pick.is_multiple_of(8);
         let failed = Input::WriteFailed(id, pick.is_multiple_of(16));
         self.step(links, if whole { Input::Written(id) } else { failed });
@@ -517,6 +523,20 @@
     assert_eq!(links.step(2, Input::WriteFailed(LinkId(0), false)), [Output::Shut(LinkId(0)), stale(1)]);
 }
 
+/// Guards a probe whose turn to be written came after nothing new was taken any more: it ends, and once.
+#[test]
+fn a_probe_that_is_left_out_ends_once() {
+    let mut links = used(1);
+    links.step(2, Input::Probe);
+    assert_eq!(links.step(2, Input::ProbeLeftOut(LinkId(0))), [Output::Probed(Outcome::StaleSend)]);
+    assert_eq!(links.step(2, Input::Written(LinkId(0))), []);
+    assert_eq!(links.step(2 + PROBE, Input::Tick), []);
+    let mut links = used(1);
+    links.step(2, Input::Probe);
+    assert_eq!(links.step(2 + PROBE, Input::Tick), [Output::Probed(Outcome::TooSlow)]);
+    assert_eq!(links.step(2 + PROBE, Input::ProbeLeftOut(LinkId(0))), []);
+}
+
 /// Guards a data node that moves: what is out where it was may end there, all else goes over a new connection, and the
 /// earlier one is closed once it is at rest.
 #[test]
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -242,7 +242,7 @@
                 bytes
             };
             let written = writer_stream.write_current(current, || frame.wanted(&now.borrow().sent), within);
-            let Current { sent, stale, .. } = now.into_inner();
+            let Current { sent, stale, probe_left_out, .. } = now.into_inner();
             log::debug!(target: REQUEST, "link {}: {frame}, {} sent, {}", id.0, sent.len(), word(&written));
             let news = match &written {
                 Ok(()) => {
@@ -254,6 +254,9 @@
             if !stale.is_empty() {
                 tell(&writer_node, Input::LeftOut(id, stale));
             }
+            if probe_left_out {
+                tell(&writer_node, Input::ProbeLeftOut(id));
+            }
             tell(&writer_node, news);
         }
     });
--- a/src/net/node/tests.rs
+++ b/src/net/node/tests.rs
@@ -15,24 +15,29 @@
     }
 }
 
-/// Guards against a try for each of the parts that wait in the mailbox when no socket is left: the first that finds none
-/// speaks for all of that moment, and each part ends as not sent.
-#[test]
-fn a_lack_of_sockets_is_found_once_for_a_full_mailbox() {
-    const PARTS: u64 = 100;
+fn context(permits: usize) -> (NodeContext, Receiver<Msg>) {
     let (core, told) = mail::mailbox();
-    let no_socket_log = Arc::new(Mutex::new(LogLimit::new(Nanos::MAX)));
     let context = NodeContext {
         core,
         limits: Arc::new(Limits { no_socket_pause: Duration::from_secs(3600), ..Limits::default() }),
         // Each part needs a connection of its own.
-        connections: Connections { idle: Nanos::MAX, connect_timeout: 1, multiplex: 1 },
+        connections: Connections { idle: Nanos::MAX, connect_timeout: 60_000_000_000, multiplex: 1 },
         shortest_aim: Duration::from_secs(1),
-        permits: Permits::new(0),
-        no_socket_log: no_socket_log.clone(),
+        permits: Permits::new(permits),
+        no_socket_log: Arc::new(Mutex::new(LogLimit::new(Nanos::MAX))),
         counters: Arc::default(),
         clock: Clock::start(),
     };
+    (context, told)
+}
+
+/// Guards against a try for each of the parts that wait in the mailbox when no socket is left: the first that finds none
+/// speaks for all of that moment, and each part ends as not sent.
+#[test]
+fn a_lack_of_sockets_is_found_once_for_a_full_mailbox() {
+    const PARTS: u64 = 100;
+    let (context, told) = context(0);
+    let no_socket_log = context.no_socket_log.clone();
     let gate = Gate::default();
     gate.set(true);
     let (own, inbox) = channel();
@@ -50,3 +55,44 @@
         assert!(matches!(ended, Ok(Msg::Ended(AttemptId(n), Outcome::StaleSend, None)) if n == id), "{id}");
     }
 }
+
+/// Guards the moment between a frame's handing out and its first byte: where the gate is shut or the data node is told
+/// to be elsewhere by then, neither a call nor a probe is written, and each ends as not sent.
+#[test]
+fn what_was_handed_out_before_the_news_is_not_begun_after_it() {
+    let call = || NodeMsg::Call(vec![part(0)]);
+    let shut: fn(&Gate) = |gate| assert!(gate.set(false));
+    let moved: fn(&Gate) = |gate| gate.move_to("127.0.0.1:9".parse().unwrap());
+    let kinds = [(call(), shut), (call(), moved), (NodeMsg::Probe, shut), (NodeMsg::Probe, moved)];
+    for (work, news) in kinds {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (context, told) = context(1);
+        let (gate, (own, inbox)) = (Gate::default(), channel());
+        gate.set(true);
+        gate.move_to(addr);
+        let mut node = Node::new(ServerId(1), gate.clone(), context, own);
+        node.take(NodeMsg::Address(addr));
+        node.take(work);
+        let Ok(NodeMsg::Up(id, stream, writer)) = inbox.recv() else { panic!("the connection is not up") };
+        let (between, handed) = channel();
+        node.take(NodeMsg::Up(id, stream.clone(), between));
+        let frame = handed.recv().unwrap();
+        news(&gate);
+        writer.send(frame).unwrap();
+        let mut written = false;
+        while !written {
+            let word = inbox.recv().unwrap();
+            written = matches!(word, NodeMsg::Link(Input::Written(_)));
+            node.take(word);
+        }
+        match told.try_recv() {
+            Ok(Msg::Ended(AttemptId(0), Outcome::StaleSend, None) | Msg::Probed(_, Outcome::StaleSend)) => {}
+            _ => panic!("it did not end as not sent"),
+        }
+        stream.shut();
+        let mut come = Vec::new();
+        std::io::Read::read_to_end(&mut listener.accept().unwrap().0, &mut come).unwrap();
+        assert!(come.is_empty(), "{come:?}");
+    }
+}
