An answer from a data node's new address ends nothing at its earlier one

An answer shows that a data node is alive, so that what is out on its silent connections is lost (link.rs, `overtake`). Since a data node may now have connections to two addresses, an answer from the new one said the same of parts at the earlier one, which another process may hold, and which may end there.

Seen without the change: `an_answer_from_the_new_address_ends_nothing_at_the_earlier_one` got `Shut(LinkId(0)), End(AttemptId(1), Spoilt, None)` beside the answer.

Only connections to the same address are judged by an answer.

--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -619,12 +619,13 @@
     }
 
     /// A part written at `written` is answered: the data node is alive, so what is out on connections that
-    /// have been silent since before then is lost.
+    /// have been silent since before then is lost. Of another of its addresses that says nothing.
     fn overtake(&mut self, by: LinkId, written: Nanos) {
         let (now, least) = (self.now, self.limits.silence);
+        let address = self.links.get(&by).map(|l| l.address);
         let dead = |l: &Link| {
             let older = l.out.iter().any(|o| o.2 < written);
-            l.state == State::Up && older && l.silent(now, least)
+            l.state == State::Up && Some(l.address) == address && older && l.silent(now, least)
         };
         let dead: Vec<LinkId> =
             self.links.iter().filter(|(&id, l)| id != by && dead(l)).map(|(&id, _)| id).collect();
--- a/src/net/link/tests.rs
+++ b/src/net/link/tests.rs
@@ -576,3 +576,16 @@
     let ended = links.step(2, Input::NoSocket(LinkId(1)));
     assert_eq!(ended, [Output::End(AttemptId(2), Outcome::StaleSend, None)]);
 }
+
+/// Guards what is out at an earlier address against answers from the new one: they do not show that it is lost.
+#[test]
+fn an_answer_from_the_new_address_ends_nothing_at_the_earlier_one() {
+    let mut links = used(2);
+    links.step(2, Input::AddressChanged);
+    let now = 2 + SILENCE;
+    links.step(now, Input::Call(vec![part(2, now + WAIT)]));
+    links.step(now, Input::Up(LinkId(1)));
+    links.step(now, Input::Written(LinkId(1)));
+    let ended = links.step(now, Input::Frame(LinkId(1), answer(2)));
+    assert!(matches!(ended[..], [Output::End(AttemptId(2), Outcome::Pass, _)]), "{ended:?}");
+}
