A start told after a step of the wall clock counts from when it is heard

Root cause: `Fleet::update` took only a later Unix time for another start (`started_at > s.started_at`), and `take_list` counted the cold span from that time (`started_at.min(now)`). Our clock runs on steadily from its base; after the wall clocks of all machines were stepped back, a restarted data node has a time that is old by our clock: it looked warm at once, and a second start with an earlier time than the first was no start at all.

Change: another time that is not 0 is another start; `starts::cold_since` believes it only where it lies between the last confirmation of the list and now. The first list of a process is believed as before: servers that started long ago are warm. For steps smaller than the time between two confirmations the process looks at its wall clock with each list (`Clock::wall_stepped`): once it was stepped, no told time is believed. Colder is the safe side.

Excluded: steps forward (the time lies ahead and counts as now, as before); a step before this process began is not visible to it and stays open.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -568,6 +568,11 @@
         }
     }
 
+    /// The wall clock was stepped: what the list tells of starts from now on counts from when it is heard.
+    pub fn wall_clock_stepped(&mut self) {
+        self.policy.wall_clock_stepped();
+    }
+
     /// The list of data nodes, or a change to it. Names that leave a full list are gone. Returns the shards of
     /// which a holder is new or has started anew: what it has may be older than what was seen.
     pub fn list(&mut self, kind: ListKind, members: &[Member]) -> Vec<ShardId> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod policy;
 pub mod settings;
+mod starts;
 mod state;
 mod window;
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -6,6 +6,7 @@
 use crate::api::{
     ClassId, Layout, ListEntry, ListKind, Nanos, PartId, Phase, QueryId, ServerId, ShardId, ZoneId,
 };
+use crate::starts::{cold_since, Evidence};
 use crate::window::{Decaying, SlidingCount, Tally};
 
 /// Why an attempt was sent.
@@ -370,6 +371,16 @@
     pub(crate) servers: BTreeMap<ServerId, Server>,
     pub(crate) listed: usize,
     cells: Vec<Vec<ServerId>>,
+    /// When the list was last confirmed, once it has been since the start of the process.
+    confirmed_at: Option<Nanos>,
+    wall_stepped: bool,
+}
+
+/// A server that has started anew, and since when it counts as cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Start {
+    pub(crate) server: ServerId,
+    pub(crate) cold_since: Nanos,
 }
 
 /// More cells than this are not kept: no server can be in them.
@@ -378,16 +389,35 @@
 impl Fleet {
     pub(crate) fn new(cells: u32) -> Self {
         let cells = vec![Vec::new(); cells.min(MOST_CELLS) as usize];
-        Self { servers: BTreeMap::new(), listed: 0, cells }
+        Self { servers: BTreeMap::new(), listed: 0, cells, confirmed_at: None, wall_stepped: false }
+    }
+
+    /// The wall clock was stepped: from now on no claimed time of a start is believed.
+    pub(crate) fn wall_stepped(&mut self) {
+        self.wall_stepped = true;
     }
 
-    /// Follows the list; returns the servers that have started anew.
+    /// What is known of starts that a list tells now.
+    fn evidence(&self) -> Evidence {
+        match self.confirmed_at {
+            _ if self.wall_stepped => Evidence::WallClockStepped,
+            Some(before) => Evidence::ConfirmedWithout(before),
+            None => Evidence::FirstList,
+        }
+    }
+
+    /// Follows the list as it comes at `now`; returns the servers that have started anew.
     pub(crate) fn update(
         &mut self,
+        now: Nanos,
         kind: ListKind,
         entries: Vec<ListEntry>,
         mut fresh: impl FnMut() -> Server,
-    ) -> Vec<ServerId> {
+    ) -> Vec<Start> {
+        let evidence = self.evidence();
+        if kind != ListKind::Known {
+            self.confirmed_at = Some(now);
+        }
         if kind.is_full() {
             self.servers.values_mut().for_each(|s| (s.listed, s.gone) = (false, true));
         }
@@ -397,9 +427,11 @@
             s.cell = entry.cell;
             s.zone = entry.zone;
             (s.listed, s.gone) = (entry.phase == Phase::In, entry.phase == Phase::Out);
-            if entry.started_at > s.started_at {
+            // Another time is another start, also an earlier one: the wall clock may have been stepped back.
+            if entry.started_at != 0 && entry.started_at != s.started_at {
                 s.started_at = entry.started_at;
-                started.push(entry.server);
+                let cold_since = cold_since(entry.started_at, now, evidence);
+                started.push(Start { server: entry.server, cold_since });
             }
         }
         // A server that is replaced never comes back under its id.
--- /dev/null
+++ b/crates/core/tests/wall_clock.rs
@@ -0,0 +1,172 @@
+//! Wall clocks may be stepped, forward or back, while a coordinator runs: a data node that has started is cold for its span
+//! of real time, whatever Unix time the list gives for its start.
+
+mod common;
+
+use common::*;
+use curlewdeck_core::api::*;
+
+const HOUR: Nanos = 3_600_000 * MS;
+const SECOND: Nanos = 1_000 * MS;
+const COLD: ServerId = ServerId(1);
+
+/// How often a server is sent to in `span`, of two that hold the one shard, beside queries one after the other.
+fn sent_to_the_cold_one(bed: &mut Bed, span: Nanos) -> usize {
+    let (end, mut sent) = (bed.now + span, 0);
+    while bed.now < end {
+        let (_, _, actions) = bed.query(0, 1);
+        bed.now += 50 * MS;
+        let done: Vec<Event> = sends(&actions).iter().map(|s| bed.ended(s, 0, Outcome::Pass)).collect();
+        sent += sends(&actions).iter().filter(|s| s.server == COLD).count();
+        bed.round(done);
+    }
+    sent
+}
+
+/// The list's service is heard of every second, without news, for so long.
+fn quiet(bed: &mut Bed, span: Nanos) {
+    let end = bed.now + span;
+    while bed.now < end {
+        bed.pass(SECOND);
+        bed.round(vec![Event::List { kind: ListKind::Diff, entries: Vec::new() }]);
+    }
+}
+
+fn told(bed: &mut Bed, kind: ListKind, started_at: Nanos) {
+    let started = ListEntry { started_at, ..entry(1, Phase::In) };
+    bed.round(vec![Event::List { kind, entries: vec![entry(0, Phase::In), started] }]);
+}
+
+/// What a cold server is sent within the rule's span when its start is told as it is.
+fn honest() -> usize {
+    let mut bed = Bed::new(settings(), 2);
+    bed.warm_up(40);
+    quiet(&mut bed, 10 * SECOND);
+    let now = bed.now;
+    told(&mut bed, ListKind::Diff, now);
+    sent_to_the_cold_one(&mut bed, settings().cold.fall)
+}
+
+/// What a warm one is sent in that time.
+fn warm() -> usize {
+    let mut bed = Bed::new(settings(), 2);
+    bed.warm_up(40);
+    sent_to_the_cold_one(&mut bed, settings().cold.fall)
+}
+
+fn is_cold(bed: &mut Bed, case: &str) {
+    let (honest, sent) = (honest(), sent_to_the_cold_one(bed, settings().cold.fall));
+    assert!(sent <= honest + 2, "{case}: {sent} parts, where {honest} go when the start is told as it is");
+}
+
+/// Both must tell apart what is counted below.
+#[test]
+fn a_cold_server_gets_far_less_than_a_warm_one() {
+    assert!(honest() + 4 < warm(), "{} and {}", honest(), warm());
+}
+
+/// A server restarts after the wall clocks of all machines were stepped back: its start lies before what was heard since.
+#[test]
+fn a_start_told_after_the_wall_clock_went_back_is_a_start_of_now() {
+    for back in [2 * SECOND, 5 * SECOND, 20 * SECOND, HOUR] {
+        for kind in [ListKind::Diff, ListKind::Full] {
+            let mut bed = Bed::new(settings(), 2);
+            bed.now += 2 * HOUR;
+            bed.warm_up(40);
+            quiet(&mut bed, 30 * SECOND);
+            let now = bed.now;
+            told(&mut bed, kind, now - back);
+            is_cold(&mut bed, &format!("stepped back by {} s, {kind:?}", back / SECOND));
+        }
+    }
+}
+
+/// The wall clock went forward: the start lies ahead, and the span begins when it is told of, and ends.
+#[test]
+fn a_start_told_after_the_wall_clock_went_forward_is_a_start_of_now_and_ends() {
+    let mut bed = Bed::new(settings(), 2);
+    bed.warm_up(40);
+    quiet(&mut bed, 10 * SECOND);
+    let now = bed.now;
+    told(&mut bed, ListKind::Diff, now + HOUR);
+    is_cold(&mut bed, "stepped forward");
+    quiet(&mut bed, settings().cold.warm_after);
+    let sent = sent_to_the_cold_one(&mut bed, settings().cold.fall);
+    assert!(sent + 4 >= warm(), "{sent} parts once it is warm, where {} go to a warm one", warm());
+}
+
+/// A server that has started once starts again after the wall clock was stepped back by an hour: the second start has an
+/// earlier time than the first.
+#[test]
+fn a_second_start_with_an_earlier_time_is_a_start() {
+    let mut bed = Bed::new(settings(), 2);
+    bed.now += 2 * HOUR;
+    bed.warm_up(40);
+    let now = bed.now;
+    told(&mut bed, ListKind::Diff, now);
+    quiet(&mut bed, settings().cold.warm_after + SECOND);
+    bed.warm_up(40);
+    let now = bed.now;
+    told(&mut bed, ListKind::Diff, now - HOUR);
+    is_cold(&mut bed, "the second start");
+}
+
+/// The same start told again is no news: a whole list after a broken watch makes nobody cold, and neither does one without
+/// the time.
+#[test]
+fn a_start_that_is_known_is_not_told_anew() {
+    let mut bed = Bed::new(settings(), 2);
+    let start = bed.now;
+    told(&mut bed, ListKind::Diff, start);
+    quiet(&mut bed, settings().cold.warm_after + SECOND);
+    bed.warm_up(40);
+    for time in [start, 0, start] {
+        told(&mut bed, ListKind::Full, time);
+        let sent = sent_to_the_cold_one(&mut bed, settings().cold.fall);
+        assert!(sent + 4 >= warm(), "{sent} parts, where {} go to a warm one", warm());
+    }
+}
+
+/// A coordinator that has just started believes the first list: servers that started long ago are warm. Whether the wall
+/// clock was stepped before it began cannot be seen by it.
+#[test]
+fn servers_of_the_first_list_that_started_long_ago_are_warm() {
+    for kind in [ListKind::Full, ListKind::Known] {
+        let mut bed = Bed::new(settings(), 2);
+        bed.policy = curlewdeck_core::Policy::new(settings(), 7).unwrap();
+        bed.now += 2 * HOUR;
+        let long_ago = bed.now - HOUR;
+        told(&mut bed, kind, long_ago);
+        told(&mut bed, ListKind::Full, long_ago);
+        bed.warm_up(40);
+        let sent = sent_to_the_cold_one(&mut bed, settings().cold.fall);
+        assert!(sent + 4 >= warm(), "{kind:?}: {sent} parts, where {} go to a warm one", warm());
+    }
+}
+
+/// The list was not heard of for a minute, and in that time the wall clock was stepped back, as the process has seen: what
+/// restarted meanwhile cannot be told by its time.
+#[test]
+fn a_start_after_an_outage_with_a_step_is_a_start_of_now() {
+    let mut bed = Bed::new(settings(), 2);
+    bed.warm_up(40);
+    quiet(&mut bed, 10 * SECOND);
+    bed.pass(60 * SECOND);
+    bed.policy.wall_clock_stepped();
+    let now = bed.now;
+    told(&mut bed, ListKind::Full, now - 30 * SECOND);
+    is_cold(&mut bed, "an outage and a step");
+}
+
+/// Without a step, a start in an outage is believed: the server is as warm as it says.
+#[test]
+fn a_start_in_an_outage_is_believed() {
+    let mut bed = Bed::new(settings(), 2);
+    bed.warm_up(40);
+    quiet(&mut bed, 10 * SECOND);
+    bed.pass(60 * SECOND);
+    let now = bed.now;
+    told(&mut bed, ListKind::Full, now - 30 * SECOND);
+    let sent = sent_to_the_cold_one(&mut bed, settings().cold.fall);
+    assert!(sent + 4 >= warm(), "{sent} parts, where {} go to a warm one", warm());
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -443,6 +443,9 @@
             });
             node.follow(member.phase, *addr);
         }
+        if self.core.clock.wall_stepped() {
+            self.engine.wall_clock_stepped();
+        }
         let anew = self.engine.list(news.kind, &members);
         if let Some(started) = &self.started {
             started(&anew);
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -21,14 +21,27 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { base: nanos(unix), start: Instant::now() }
+        Self { base: unix_now(), start: Instant::now() }
     }
 
     /// The time.
     pub fn now(&self) -> Nanos {
         self.base + nanos(self.start.elapsed())
     }
+
+    /// Whether the wall clock was stepped since the start: it stands further off this clock than the look at it took.
+    pub fn wall_stepped(&self) -> bool {
+        let (before, wall, after) = (self.now(), unix_now(), self.now());
+        wall.saturating_add(WALL_STEP) < before || wall > after.saturating_add(WALL_STEP)
+    }
+}
+
+/// The wall clock is set right by less than this without a step.
+const WALL_STEP: Nanos = 50_000_000;
+
+/// Unix time in nanoseconds, by the wall clock.
+fn unix_now() -> Nanos {
+    nanos(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
 
 /// A span in nanoseconds.
--- a/src/net/io/tests.rs
+++ b/src/net/io/tests.rs
@@ -53,6 +53,17 @@
     assert!(heard.try_recv().is_err());
 }
 
+/// Guards the sight of a step of the wall clock, either way, and against seeing one where there was none.
+#[test]
+fn a_step_of_the_wall_clock_is_seen_either_way() {
+    let clock = Clock::start();
+    assert!(!clock.wall_stepped());
+    for step in [200_000_000, 3_600_000_000_000] {
+        assert!(Clock { base: clock.base + step, ..clock }.wall_stepped(), "back by {step} ns");
+        assert!(Clock { base: clock.base - step, ..clock }.wall_stepped(), "forward by {step} ns");
+    }
+}
+
 /// Guards against a list kept for every length of time-out that ever was: there are few lengths.
 #[test]
 fn socket_timeouts_have_few_lengths() {
