A newcomer waits for a place whose connection has just ended

Root cause: a connection leaves the list with its reader (`Listed`), and gives its place back later, with its writer. In between `Service::evict` found nobody to evict and took that for "all connections have open requests" (`free.is_empty()`), so that `admit` turned the newcomer away at once instead of waiting for the place.

The new unit test fails without the mend: None where Soon is right.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -192,7 +192,8 @@
         if free.iter().any(|&(kind, rested, connection)| old(kind, rested) && connection.evict(now)) {
             return Eviction::Soon;
         }
-        if free.is_empty() {
+        // A place that no connection of the list holds belongs to one that has just ended.
+        if free.is_empty() && open.len() >= limits.clients {
             Eviction::None
         } else {
             Eviction::Soon
--- a/src/front/server/tests.rs
+++ b/src/front/server/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use curlewdeck_lifecycle::Spans;
 use std::io::Write;
 
 fn connection() -> (ClientConnection, std::net::TcpStream) {
@@ -61,3 +62,24 @@
     }
     assert!(!connection.here());
 }
+
+/// Guards newcomers while connections end: the place of one that is no longer listed is about to be free, and they wait for
+/// it; only where each place has an open request they are turned away.
+#[test]
+fn a_place_that_is_about_to_be_free_is_waited_for() {
+    let service = Service::new(
+        Clock::start(),
+        Lifecycle::new(Spans { drain_notice: 0, drain_rest: 0, shared_listener: false }),
+    );
+    let limits = Limits { clients: 2, ..Limits::default() };
+    let list = |n: u64| {
+        let (connection, client) = connection();
+        assert!(connection.held().request());
+        service.connections().insert(n, Arc::new(connection));
+        client
+    };
+    let _one = list(1);
+    assert_eq!(service.evict(&limits), Eviction::Soon, "the other place is neither free nor busy");
+    let _two = list(2);
+    assert_eq!(service.evict(&limits), Eviction::None);
+}
