Errors of accept are told once in a while, and one lost connection holds up no other

Root cause: both listeners of the front and the second address's (`server::listen`, `listen_inherited`, `control::start`) logged each error and waited 10 ms whatever it was. While no descriptor is left, accept fails at once each time.

After ECONNABORTED or EINTR the next connection waited 10 ms for nothing.

Change: `front::accept` says how soon to try again, by a table that a test goes through, and bounds the line to one in 10 s.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,12 +8,13 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use crate::front::accept::AcceptErrors;
 use crate::front::server::Reply;
 use crate::limits::Limits;
 use crate::net::http::{self, Request, RequestReader};
-use crate::net::io::{lock, thread, SMALL_STACK};
+use crate::net::io::{lock, nanos, thread, Clock, SMALL_STACK};
 
 /// What the calls come to.
 pub trait Operated: Send + Sync + 'static {
@@ -105,8 +106,6 @@
     }
 }
 
-/// After a failed accept or start, so that there is never a busy loop.
-const PAUSE: Duration = Duration::from_millis(10);
 const READ: usize = 1024;
 
 /// Listens, and starts to answer, so many callers at once at most.
@@ -122,6 +121,8 @@
     let listener = TcpListener::bind(addr)?;
     let local = listener.local_addr()?;
     let callers = Callers { open: Arc::default(), most };
+    let (clock, mut errors) =
+        (Clock::start(), AcceptErrors::new("second address", nanos(limits.no_socket_log)));
     let accept = move || loop {
         let taken = listener.accept().and_then(|(stream, _)| {
             let stream = Arc::new(stream);
@@ -134,8 +135,7 @@
             })
         });
         if let Err(e) = taken {
-            log::warn!("second address: {e}");
-            std::thread::sleep(PAUSE);
+            std::thread::sleep(errors.met(clock.now(), &e));
         }
     };
     thread("control", SMALL_STACK, accept)?;
--- /dev/null
+++ b/src/front/accept/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+const SECOND: Nanos = 1_000_000_000;
+/// As Linux numbers them.
+const INTERRUPTED: i32 = 4;
+const NO_MEMORY: i32 = 12;
+const TABLE_FULL: i32 = 23;
+const TOO_MANY_OPEN: i32 = 24;
+const PROTOCOL: i32 = 71;
+const NETWORK_DOWN: i32 = 100;
+const NETWORK_UNREACHABLE: i32 = 101;
+const ABORTED: i32 = 103;
+const NO_BUFFERS: i32 = 105;
+const TIMED_OUT: i32 = 110;
+const HOST_UNREACHABLE: i32 = 113;
+
+/// Guards the next connections: what was lost with one does not hold them up.
+#[test]
+fn what_concerns_one_connection_does_not_hold_up_the_next() {
+    for number in [INTERRUPTED, ABORTED] {
+        assert_eq!(pause(&Error::from_raw_os_error(number)), Duration::ZERO, "{number}");
+    }
+}
+
+/// Guards against a loop that is busy while something is lacking, and against one that is late once it is there again.
+#[test]
+fn what_lasts_is_tried_again_after_a_short_pause() {
+    for number in [
+        NO_MEMORY,
+        TABLE_FULL,
+        TOO_MANY_OPEN,
+        PROTOCOL,
+        NETWORK_DOWN,
+        NETWORK_UNREACHABLE,
+        NO_BUFFERS,
+        TIMED_OUT,
+        HOST_UNREACHABLE,
+    ] {
+        let pause = pause(&Error::from_raw_os_error(number));
+        assert!(pause > Duration::ZERO && pause <= Duration::from_millis(20), "{number}: {pause:?}");
+    }
+}
+
+/// Guards the log against a line with each try.
+#[test]
+fn errors_are_told_once_in_a_while() {
+    let mut errors = AcceptErrors::new("front", 10 * SECOND);
+    let lack = Error::from_raw_os_error(TOO_MANY_OPEN);
+    let lines = (0..1000).filter(|&n| {
+        let due = errors.log.occurred(n * SECOND / 100).is_some();
+        assert_eq!(pause(&lack), LACK_PAUSE);
+        due
+    });
+    assert_eq!(lines.count(), 1);
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: each maps its requests to queries of the core, and the core's answers back.
 
+pub mod accept;
 pub mod desk;
 pub mod ogc;
 pub mod pages;
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -18,6 +18,7 @@
 use crate::api::{Nanos, QueryId};
 use crate::counters::Counters;
 use crate::engine;
+use crate::front::accept::AcceptErrors;
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::http::{self, BadMessage, Request, RequestReader};
@@ -354,19 +355,19 @@
 pub fn listen(addr: SocketAddr, front: Arc<dyn Front>, shared: Shared) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(addr)?;
     let local = listener.local_addr()?;
+    let mut errors = AcceptErrors::new("front", nanos(shared.limits.no_socket_log));
     spawn("accept", shared.limits.stack_words, move || loop {
         match listener.accept() {
-            Ok((stream, _)) => {
-                accept(stream, &front, &shared);
-                // Under a flood of connections, those that are open are read all the same.
-                may::coroutine::yield_now();
-            }
+            Ok((stream, _)) => accept(stream, &front, &shared),
             Err(e) => {
-                // Never a busy loop, whatever the cause.
-                log::warn!("accept: {e}");
-                may::coroutine::sleep(Duration::from_millis(10));
+                let pause = errors.met(shared.service.now(), &e);
+                if !pause.is_zero() {
+                    may::coroutine::sleep(pause);
+                }
             }
         }
+        // Under a flood of connections, those that are open are read all the same.
+        may::coroutine::yield_now();
     });
     Ok(local)
 }
@@ -382,7 +383,7 @@
     shared: Shared,
 ) -> io::Result<SocketAddr> {
     let local = inherited.local_addr()?;
-    let service = shared.service.clone();
+    let (service, limits) = (shared.service.clone(), shared.limits.clone());
     let (streams, accepted) = channel::<may::net::TcpStream>();
     let (done, next) = std::sync::mpsc::channel();
     spawn("accept", shared.limits.stack_words, move || {
@@ -393,6 +394,7 @@
             }
         }
     });
+    let mut errors = AcceptErrors::new("front", nanos(limits.no_socket_log));
     let wait = move || loop {
         let accepted = match inherited.waits(ACCEPT_LOOK) {
             Ok(_) if service.lifecycle().finishing() => return,
@@ -407,10 +409,7 @@
                 }
             }
             Ok(None) => {}
-            Err(e) => {
-                log::warn!("accept: {e}");
-                std::thread::sleep(ACCEPT_PAUSE);
-            }
+            Err(e) => std::thread::sleep(errors.met(service.now(), &e)),
         }
     };
     thread("accept", SMALL_STACK, wait)?;
@@ -419,8 +418,6 @@
 
 /// How soon the thread that accepts sees that the process finishes.
 const ACCEPT_LOOK: Duration = Duration::from_millis(20);
-/// Never a busy loop, whatever the cause.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// A place for a new connection, for which one at rest may have to go.
 fn admit(shared: &Shared) -> Option<Permit> {
