What this process lacks for a connection is not held against the data node

Root cause: `node::connection` told every error of `Stream::dial` as a dial that failed (`Input::DialFailed`, no route). Only a lack of permits was told apart; socket and connect that fail for a moment with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL made the data node doubted, and its parts failed as not connected.

Change: `dial_error::is_own_lack`; such a dial ends as without a permit (`Input::NoSocket`). A missing route (ENETUNREACH, EHOSTUNREACH) stays the way to that data node: it may be missing for good, and the part has to go to another one.

--- /dev/null
+++ b/src/net/dial_error/tests.rs
@@ -0,0 +1,15 @@
+use super::*;
+use std::io::ErrorKind;
+
+/// Guards data nodes against blame for what this process lacks, and against none for what they do.
+#[test]
+fn what_is_lacking_here_is_told_from_what_is_wrong_there() {
+    for number in [12, 23, 24, 99, 105] {
+        assert!(is_own_lack(&Error::from_raw_os_error(number)), "{number}");
+    }
+    // ENETUNREACH, ECONNRESET, ETIMEDOUT, ECONNREFUSED, EHOSTUNREACH.
+    for number in [101, 104, 110, 111, 113] {
+        assert!(!is_own_lack(&Error::from_raw_os_error(number)), "{number}");
+    }
+    assert!(!is_own_lack(&ErrorKind::TimedOut.into()));
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! a connection are pure, beside them.
 
 pub mod core;
+pub mod dial_error;
 pub mod discovery;
 pub mod feature_node;
 pub mod features;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -14,6 +14,7 @@
 use crate::api::{Nanos, ServerId};
 use crate::counters::Counters;
 use crate::limits::Limits;
+use crate::net::dial_error::is_own_lack;
 use crate::net::frame::{self, Current, Frame, FrameLimits};
 use crate::net::io::{lock, nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream, Unwritten};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
@@ -225,7 +226,9 @@
         Err(e) => {
             log::debug!("dial {addr}: {e}");
             Counters::add(&context.counters.dials_failed);
-            return tell(node, Input::DialFailed(id));
+            // What is lacking here says nothing of the data node.
+            let lack = is_own_lack(&e);
+            return tell(node, if lack { Input::NoSocket(id) } else { Input::DialFailed(id) });
         }
     };
     let (frames, to_write) = channel::<Frame>();
