An interrupted wait breaks off no call of the second address and no member's connection

Root cause: a blocking read with a time-out fails with EINTR where its process is stopped and goes on, whatever handlers say. `control::read_until` and `peers::read` handed that on, and the call ended without an answer; the reader of clients would have taken it for a client that has left, though the call under it does not block.

Seen without the mend (`interrupted_waits_go_on`, five stops with a call half read): the end of the connection in place of an answer. Half a request, a part that is out and the watch went on as they do now.

--- a/src/control.rs
+++ b/src/control.rs
@@ -176,12 +176,17 @@
     Ok(())
 }
 
-/// Reads what comes until then.
+/// Reads what comes until then. A wait with a time-out is interrupted where the process is stopped and goes on.
 fn read_until(stream: &TcpStream, buf: &mut [u8], end: Instant) -> io::Result<usize> {
-    let left = end.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return Err(io::ErrorKind::TimedOut.into());
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        stream.set_read_timeout(Some(left))?;
+        match (&mut &*stream).read(buf) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
     }
-    stream.set_read_timeout(Some(left))?;
-    (&mut &*stream).read(buf)
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -606,7 +606,7 @@
                     requests.push(&buf[..n]);
                     full = pending && requests.held() >= limits.read_ahead;
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
                 Err(e) if e.kind() == io::ErrorKind::TimedOut => {
                     let rests = !pending && begun.is_none();
                     if rests && self.connection.end(self.shared.service.now()) {
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -156,10 +156,13 @@
     stream.set_read_timeout(Some(SILENT))?;
     let (mut frames, mut buf) = (wire::Reader::new(FRAME), vec![0; READ]);
     loop {
-        let n = stream.read(&mut buf)?;
-        if n == 0 {
-            return Ok(());
-        }
+        let n = match stream.read(&mut buf) {
+            Ok(0) => return Ok(()),
+            Ok(n) => n,
+            // A wait with a time-out is interrupted where the process is stopped and goes on.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            Err(e) => return Err(e),
+        };
         let come = frames.feed(&buf[..n]).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
         for frame in come {
             // Waits where the log's thread is behind: the sender's socket fills, and it drops what is too much.
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -179,6 +179,15 @@
 
     /// The same, with a listener that it inherits as descriptor 3.
     pub fn start_with(config: &str, listener: Option<&TcpListener>) -> Self {
+        Self::launch(config, listener, "")
+    }
+
+    /// The same in a process that can hold so many descriptors only, whatever its configuration says.
+    pub fn start_short_of_descriptors(config: &str, descriptors: u32) -> Self {
+        Self::launch(config, None, &format!("ulimit -n {descriptors}; "))
+    }
+
+    fn launch(config: &str, listener: Option<&TcpListener>, before: &str) -> Self {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let dir = std::env::temp_dir().join(format!("curlewdeck-{}-{number}", std::process::id()));
@@ -190,9 +199,9 @@
             Some(listener) => {
                 let listener = listener.try_clone().unwrap();
                 command.stdin(Stdio::from(OwnedFd::from(listener))).env("LB_LISTEN_FD", "3");
-                command.args(["-c", r#"exec 3<&0 </dev/null; exec "$0" "$@""#, program]);
+                command.args(["-c", &format!(r#"{before}exec 3<&0 </dev/null; exec "$0" "$@""#), program]);
             }
-            None => drop(command.args(["-c", r#"exec "$0" "$@""#, program])),
+            None => drop(command.args(["-c", &format!(r#"{before}exec "$0" "$@""#), program])),
         }
         command.args(["serve", "--config", "config.json"]).current_dir(&dir);
         command.env_remove("LB_DISCOVERY").stderr(Stdio::piped());
@@ -223,6 +232,22 @@
         signal(&self.child, name);
     }
 
+    /// Stops it for a moment, and lets it go on: waits that it was in are interrupted.
+    pub fn interrupt(&self) {
+        self.signal("STOP");
+        until("the stop", || self.state() == 'T');
+        self.signal("CONT");
+        until("its going on", || self.state() != 'T');
+    }
+
+    /// The processor time that it has taken, in ticks of the system's clock (hundredths of a second).
+    pub fn processor_ticks(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = status.rsplit(") ").next().unwrap().split(' ').collect();
+        // Of the whole line these are the 14th and the 15th, in user mode and in the kernel.
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+
     /// The letter of its state: `T` once it is stopped.
     pub fn state(&self) -> char {
         let status = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
