A request sent ahead counts its client's time from its own last byte

Root cause: `Platform::ask` and `problem::valid_until` took the time at which a request's turn came for the time at which it was asked. What a client sends ahead of an open answer waits in `Client::read`, and its client's time runs meanwhile.

Change: `front::arrivals` (pure) notes when bytes came, `Answer::asked_at` carries the time of the request's last byte to the fronts. One whose time is over at its turn is refused with 503, as any that comes too late.

--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -15,7 +15,11 @@
 
 /// Accepts connections, each in a thread of its own.
 fn accept(listen: &str, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind(listen).expect("a loopback address to listen at");
+    accept_at(TcpListener::bind(listen).expect("a loopback address to listen at"), serve)
+}
+
+/// The same at a listener that is there.
+fn accept_at(listener: TcpListener, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let addr = listener.local_addr().expect("a listener has an address");
     let serve = Arc::new(serve);
     thread::spawn(move || {
@@ -210,11 +214,20 @@
 #[derive(Debug, Default)]
 pub struct Seen {
     pub parts: Vec<Part>,
+    /// When the first byte of the frame of each of them came.
+    pub begun: Vec<Instant>,
     /// Parts given up by a word, or unanswered with their connection.
     pub given_up: Vec<String>,
     pub connections: usize,
 }
 
+impl Seen {
+    fn take(&mut self, part: Part, begun: Instant) {
+        self.parts.push(part);
+        self.begun.push(begun);
+    }
+}
+
 pub struct DataNode {
     pub addr: SocketAddr,
     pub seen: Arc<Mutex<Seen>>,
@@ -228,13 +241,22 @@
     bytes
 }
 
-fn read_frame(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+/// A frame as it came, and when its first byte did.
+struct ReadFrame {
+    letter: u8,
+    rest: Vec<u8>,
+    begun: Instant,
+}
+
+fn read_frame(stream: &mut TcpStream) -> Option<ReadFrame> {
     let mut head = [0; 4];
-    stream.read_exact(&mut head).ok()?;
+    stream.read_exact(&mut head[..1]).ok()?;
+    let begun = Instant::now();
+    stream.read_exact(&mut head[1..]).ok()?;
     let mut body = vec![0; u32::from_le_bytes(head) as usize];
     stream.read_exact(&mut body).ok()?;
     let letter = *body.first()?;
-    Some((letter, body.split_off(1)))
+    Some(ReadFrame { letter, rest: body.split_off(1), begun })
 }
 
 /// The parts of a call.
@@ -254,16 +276,21 @@
 
 impl DataNode {
     pub fn start(reply: impl Fn(&Part) -> NodeReply + Send + Sync + 'static) -> Self {
+        Self::at(TcpListener::bind("127.0.0.1:0").expect("a loopback address to listen at"), reply)
+    }
+
+    /// One that begins to accept at this listener now.
+    pub fn at(listener: TcpListener, reply: impl Fn(&Part) -> NodeReply + Send + Sync + 'static) -> Self {
         let seen = Arc::new(Mutex::new(Seen::default()));
         let (noted, reply) = (seen.clone(), Arc::new(reply));
-        let addr = accept("127.0.0.1:0", move |mut stream| {
+        let addr = accept_at(listener, move |mut stream| {
             lock(&noted).connections += 1;
             let held = Arc::new(Mutex::new(Vec::<String>::new()));
-            while let Some((letter, rest)) = read_frame(&mut stream) {
+            while let Some(ReadFrame { letter, rest, begun }) = read_frame(&mut stream) {
                 match letter {
                     b'D' => {
                         for part in read_parts(&rest) {
-                            lock(&noted).parts.push(part.clone());
+                            lock(&noted).take(part.clone(), begun);
                             lock(&held).push(part.id.clone());
                             let waiting = held.clone();
                             let Ok(mut out) = stream.try_clone() else { return };
@@ -305,6 +332,12 @@
         lock(&self.seen).parts.clone()
     }
 
+    /// Its parts, and when the first byte of the frame of each came.
+    pub fn begun(&self) -> Vec<(Part, Instant)> {
+        let seen = lock(&self.seen);
+        seen.parts.iter().cloned().zip(seen.begun.iter().copied()).collect()
+    }
+
     pub fn given_up(&self) -> Vec<String> {
         lock(&self.seen).given_up.clone()
     }
--- a/src/front/desk.rs
+++ b/src/front/desk.rs
@@ -345,7 +345,7 @@
             name: format!("d{:016x}", self.next.fetch_add(1, Ordering::Relaxed)),
             class,
             repeated: false,
-            valid_until: valid_until(&self.core, &self.limits, class, wait),
+            valid_until: valid_until(&self.core, &self.limits, class, wait, out.asked_at()),
             parts: (0..ranges).map(|r| (ShardId(r), share)).collect(),
             text: "".into(),
             texts,
--- a/src/front/ogc.rs
+++ b/src/front/ogc.rs
@@ -17,7 +17,7 @@
 use serde_json::value::RawValue;
 use serde_json::{json, Value as Json};
 
-use crate::api::{ClassId, ShardId};
+use crate::api::{ClassId, Nanos, ShardId};
 use crate::config::cursor_keys;
 use crate::counters::Counters;
 use crate::engine::{Accept, Ask, Client, Final, Rejected, Row};
@@ -387,7 +387,7 @@
     }
 
     /// Hands a feature query to the core: a part for each of these ranges.
-    fn ask(&self, at: usize, parts: Parts, client: Client, reply: crate::net::mail::Reply) -> Served {
+    fn ask(&self, at: usize, parts: Parts, asker: Asker, reply: crate::net::mail::Reply) -> Served {
         let class = self.core.info().now(self.collections[at].1);
         let ranges: Vec<u32> = (parts.from.0..self.ranges).collect();
         let share = 1.0 / ranges.len() as f64;
@@ -396,12 +396,12 @@
             name: format!("{number:016x}"),
             class,
             repeated: false,
-            valid_until: valid_until(&self.core, &self.limits, class, self.limits.ogc_wait),
+            valid_until: valid_until(&self.core, &self.limits, class, self.limits.ogc_wait, asker.asked_at),
             parts: ranges.into_iter().map(|r| (ShardId(r), share)).collect(),
             text: parts.text.into(),
             texts: parts.texts,
             accept: parts.accept,
-            client,
+            client: asker.client,
         };
         Served::Later(self.core.ask(ask, reply))
     }
@@ -418,14 +418,14 @@
         };
         let (hold_off, ranges) = (self.core.full_hold_off(), self.ranges);
         let seal = self.by_id.clone().map(|sealed| Seal { sealed, digest: filter.digest(id) });
-        let client = out.client();
+        let asker = Asker::of(&out);
         let reply = Box::new(move |ended| {
             out.send(match unserved(&ended, hold_off) {
                 Some(reply) => reply,
                 None => page(&base, &path, &filter, ranges, seal.as_ref(), ended),
             });
         });
-        self.ask(at, parts, client, reply)
+        self.ask(at, parts, asker, reply)
     }
 
     fn item(&self, base: String, at: usize, fid: &str, out: Answer) -> Served {
@@ -433,14 +433,26 @@
         let collection = format!("/collections/{}", self.collections[at].0.id);
         let text = path.clone();
         let hold_off = self.core.full_hold_off();
-        let client = out.client();
+        let asker = Asker::of(&out);
         let reply = Box::new(move |ended| {
             out.send(match unserved(&ended, hold_off) {
                 Some(reply) => reply,
                 None => one(&base, &path, &collection, ended),
             });
         });
-        self.ask(at, Parts::new(text), client, reply)
+        self.ask(at, Parts::new(text), asker, reply)
+    }
+}
+
+/// Who asks, and since when.
+struct Asker {
+    client: Client,
+    asked_at: Nanos,
+}
+
+impl Asker {
+    fn of(out: &Answer) -> Self {
+        Self { client: out.client(), asked_at: out.asked_at() }
     }
 }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -91,7 +91,7 @@
 }
 
 impl Platform {
-    fn ask(&self, request: &Request) -> Result<Ask, Reply> {
+    fn ask(&self, request: &Request, asked_at: Nanos) -> Result<Ask, Reply> {
         let class = request.path.split('/').nth(1).unwrap_or("");
         let info = self.core.info();
         let class = info.class(class).ok_or_else(|| Reply::text(404, "unknown class"))?;
@@ -115,7 +115,7 @@
             name: name.to_string(),
             class,
             repeated: request.headers.get("x-retried") == Some("1"),
-            valid_until: self.core.clock.now().saturating_add(wait),
+            valid_until: asked_at.saturating_add(wait),
             parts: body.parts.iter().map(|p| (ShardId(p.id), p.w)).collect(),
             text: body.expr.into(),
             texts: Vec::new(),
@@ -141,7 +141,7 @@
             out.send(self.health(&request.method));
             return Served::Now;
         }
-        match self.ask(&request) {
+        match self.ask(&request, out.asked_at()) {
             Ok(ask) => {
                 let ask = Ask { client: out.client(), ..ask };
                 let hold_off = self.core.full_hold_off();
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -47,10 +47,10 @@
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_secs())
 }
 
-/// Until when a query may take: the class's deadline, or less if its client or the limits say so, less the way of
-/// the answer.
-pub fn valid_until(core: &Core, limits: &Limits, class: ClassId, wait: Duration) -> Nanos {
+/// Until when a query asked at `asked_at` may take: the class's deadline, or less if its client or the limits say so, less
+/// the way of the answer.
+pub fn valid_until(core: &Core, limits: &Limits, class: ClassId, wait: Duration, asked_at: Nanos) -> Nanos {
     let deadline = core.info().settings.classes[class.0].deadline;
     let wait = deadline.min(nanos(wait)).saturating_sub(nanos(limits.answer_margin));
-    core.clock.now().saturating_add(wait)
+    asked_at.saturating_add(wait)
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -19,6 +19,7 @@
 use crate::counters::Counters;
 use crate::engine;
 use crate::front::accept::AcceptErrors;
+use crate::front::arrivals::Arrivals;
 use crate::limits::Limits;
 use crate::net::core::Core;
 use crate::net::http::{self, BadMessage, Request, RequestReader};
@@ -254,12 +255,21 @@
 /// Where the answer to one request goes.
 pub struct Answer {
     writer: Sender<Out>,
+    asked_at: Nanos,
     keep_alive: bool,
     head: bool,
     chunks: bool,
     busy: Busy,
 }
 
+/// The form that a request's answer takes; without a request, the connection's last one.
+#[derive(Debug, Clone, Copy, Default)]
+struct Form {
+    keep_alive: bool,
+    head: bool,
+    chunks: bool,
+}
+
 /// A long body, made piece by piece as its client takes it.
 pub type Pieces = Box<dyn Iterator<Item = Vec<u8>> + Send>;
 
@@ -284,6 +294,11 @@
         engine::Client::seen(move || connection.upgrade().is_some_and(|c| c.here()))
     }
 
+    /// When the last byte of its request came: its client's time runs from then on, however late its turn comes.
+    pub fn asked_at(&self) -> Nanos {
+        self.asked_at
+    }
+
     /// Sends it.
     pub fn send(self, reply: Reply) {
         let Self { writer, keep_alive, head, busy, .. } = self;
@@ -294,7 +309,7 @@
     /// Sends an answer whose body follows in pieces, one after the other as its client takes them. A client that
     /// cannot take chunks gets them as one.
     pub fn stream(self, mut reply: Reply, pieces: Pieces) {
-        let Self { writer, keep_alive, head, chunks, busy } = self;
+        let Self { writer, keep_alive, head, chunks, busy, .. } = self;
         let pieces = if chunks {
             Some(pieces)
         } else {
@@ -540,7 +555,7 @@
     /// still be sending. `answered` tells of answers written, and whether the connection stays open.
     fn read(&self, buf: &mut [u8], writer: &Sender<Out>, answered: &Receiver<bool>) -> bool {
         let limits = &self.shared.limits;
-        let mut requests = RequestReader::default();
+        let (mut requests, mut arrivals) = (RequestReader::default(), Arrivals::default());
         let mut query: Option<QueryId> = None;
         let (mut pending, mut full, mut more) = (false, false, false);
         // When the request that is being read began; the first one begins with the connection.
@@ -570,7 +585,8 @@
                             return true;
                         }
                         begun = requests.begun().then(Instant::now);
-                        (pending, query) = (true, self.serve(request, writer));
+                        let asked_at = arrivals.taken(requests.held(), self.shared.service.now());
+                        (pending, query) = (true, self.serve(request, asked_at, writer));
                         continue;
                     }
                     Ok(None) if full => return true,
@@ -604,6 +620,7 @@
                 Ok(n) => {
                     begun = begun.or_else(|| Some(Instant::now()));
                     requests.push(&buf[..n]);
+                    arrivals.came(n, self.shared.service.now());
                     full = pending && requests.held() >= limits.read_ahead;
                 }
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
@@ -628,18 +645,21 @@
     fn turn_away(&self, bad: BadMessage, writer: &Sender<Out>, answered: &Receiver<bool>) -> bool {
         if self.connection.held().request() {
             Counters::add(&self.shared.core.counters.bad_requests);
-            self.answer(writer, false, false, false).send(self.front.refuse(bad));
+            let now = self.shared.service.now();
+            self.answer(writer, now, Form::default()).send(self.front.refuse(bad));
             // The writer tells of each answer before it ends.
             let _ = answered.recv();
         }
         true
     }
 
-    fn answer(&self, writer: &Sender<Out>, keep_alive: bool, head: bool, chunks: bool) -> Answer {
+    fn answer(&self, writer: &Sender<Out>, asked_at: Nanos, form: Form) -> Answer {
         let service = self.shared.service.clone();
         service.busy.fetch_add(1, Ordering::AcqRel);
+        let Form { keep_alive, head, chunks } = form;
         Answer {
             writer: writer.clone(),
+            asked_at,
             keep_alive,
             head,
             chunks,
@@ -647,8 +667,10 @@
         }
     }
 
-    fn serve(&self, request: Request, writer: &Sender<Out>) -> Option<QueryId> {
-        let answer = self.answer(writer, request.keep_alive, request.method == "HEAD", request.chunks);
+    fn serve(&self, request: Request, asked_at: Nanos, writer: &Sender<Out>) -> Option<QueryId> {
+        let head = request.method == "HEAD";
+        let form = Form { keep_alive: request.keep_alive, head, chunks: request.chunks };
+        let answer = self.answer(writer, asked_at, form);
         match self.front.serve(request, answer) {
             Served::Now => None,
             Served::Later(id) => {
