A member's folder that cannot be read now is not set aside

Root cause: `driver::open` set the folder aside for any error of `Disk::open`, a read that fails for a moment (EIO), a lack of room or a second process at the same folder included; and `Disk::load` took any error of opening a table for an empty folder. The member then came back as a new one, without what it had promised.

Change: `DiskError` tells what is unsound from what failed. What failed is tried again, 10 times 0.2 s apart, and then ends the start with a line that names it. Only what is torn, changed or none of the store's is set aside, as before.

Excluded: a write that fails while the member runs; it stops, as before (docs/design/stricter-terms.md, open).

--- a/src/group/disk.rs
+++ b/src/group/disk.rs
@@ -4,32 +4,50 @@
 //! redb's own checksums; anything not believed sets the whole folder aside, and the member comes back as a new one.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 use curlewdeck_group::codec::Unsound;
 use curlewdeck_group::store::{from_disk, to_disk};
 use curlewdeck_group::{Persist, Store};
 use raft::eraftpb::{Entry, HardState, Snapshot};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, TableError, WriteTransaction};
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const FILE: &str = "group.redb";
 
-/// Why the disk failed or what is on it is not believed.
+/// Why a member's folder is of no use now.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DiskError(pub String);
+pub enum DiskError {
+    /// What is on the disk is torn or changed, and is not believed.
+    Unsound(String),
+    /// It could not be read or written now, or another process uses it; what is on it may be sound.
+    Failed(String),
+}
 
 impl fmt::Display for DiskError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the group's disk: {}", self.0)
+        let (Self::Unsound(why) | Self::Failed(why)) = self;
+        write!(f, "the group's disk: {why}")
     }
 }
 
 impl std::error::Error for DiskError {}
 
 fn fault(what: &str, e: impl Into<redb::Error>) -> DiskError {
-    DiskError(format!("{what}: {}", e.into()))
+    let error = e.into();
+    let why = format!("{what}: {error}");
+    match error {
+        // A file that ends too soon, or is none of the store's.
+        redb::Error::Io(e) if matches!(e.kind(), ErrorKind::UnexpectedEof | ErrorKind::InvalidData) => {
+            DiskError::Unsound(why)
+        }
+        redb::Error::Io(_) | redb::Error::PreviousIo | redb::Error::DatabaseAlreadyOpen => {
+            DiskError::Failed(why)
+        }
+        _ => DiskError::Unsound(why),
+    }
 }
 
 fn read_fault(e: impl Into<redb::Error>) -> DiskError {
@@ -69,7 +87,7 @@
     /// [`set_aside`] and opens it again.
     pub fn open(folder: &Path) -> Result<(Self, Found), DiskError> {
         std::fs::create_dir_all(folder)
-            .map_err(|e| DiskError(format!("cannot make {}: {e}", folder.display())))?;
+            .map_err(|e| DiskError::Failed(format!("cannot make {}: {e}", folder.display())))?;
         let db = Database::create(folder.join(FILE)).map_err(|e| fault("cannot open the file", e))?;
         let disk = Self { db, folder: folder.to_owned() };
         let found = disk.load()?;
@@ -78,14 +96,19 @@
 
     fn load(&self) -> Result<Found, DiskError> {
         let tx = self.db.begin_read().map_err(read_fault)?;
-        let Ok(meta) = tx.open_table(META) else { return Ok(Found::Nothing) };
+        let meta = match tx.open_table(META) {
+            Ok(meta) => meta,
+            Err(TableError::TableDoesNotExist(_)) => return Ok(Found::Nothing),
+            Err(e) => return Err(read_fault(e)),
+        };
         let get = |key: &str| -> Result<Option<Vec<u8>>, DiskError> {
             Ok(meta.get(key).map_err(read_fault)?.map(|v| v.value().to_vec()))
         };
         let Some(id) = get("id")? else { return Ok(Found::Nothing) };
-        let id: [u8; 8] = id.try_into().map_err(|_| DiskError("the member's id is torn".into()))?;
-        let unsound =
-            |what: &'static str| move |why: Unsound| DiskError(format!("the {what} is not believed: {why}"));
+        let id: [u8; 8] = id.try_into().map_err(|_| DiskError::Unsound("the member's id is torn".into()))?;
+        let unsound = |what: &'static str| {
+            move |why: Unsound| DiskError::Unsound(format!("the {what} is not believed: {why}"))
+        };
         let image: Snapshot = match get("image")? {
             Some(bytes) => from_disk(&bytes).map_err(unsound("snapshot"))?,
             None => Snapshot::default(),
@@ -95,13 +118,18 @@
             None => HardState::default(),
         };
         let mut entries = Vec::new();
-        if let Ok(table) = tx.open_table(ENTRIES) {
+        let table = match tx.open_table(ENTRIES) {
+            Ok(table) => Some(table),
+            Err(TableError::TableDoesNotExist(_)) => None,
+            Err(e) => return Err(read_fault(e)),
+        };
+        if let Some(table) = table {
             let rows = table.iter().map_err(read_fault)?;
             for (want, row) in (image.get_metadata().index + 1..).zip(rows) {
                 let (index, bytes) = row.map_err(read_fault)?;
                 let entry: Entry = from_disk(bytes.value()).map_err(unsound("log"))?;
                 if index.value() != want || entry.index != want {
-                    return Err(DiskError(format!("the log has a gap at {want}")));
+                    return Err(DiskError::Unsound(format!("the log has a gap at {want}")));
                 }
                 entries.push(entry);
             }
@@ -139,7 +167,7 @@
         let boot = {
             let mut meta = tx.open_table(META).map_err(write_fault)?;
             let before = meta.get("boot").map_err(read_fault)?.map_or(Ok([0; 4]), |v| v.value().try_into());
-            let before = before.map_err(|_| DiskError("the count of starts is torn".into()))?;
+            let before = before.map_err(|_| DiskError::Unsound("the count of starts is torn".into()))?;
             let boot = u32::from_le_bytes(before).saturating_add(1);
             meta.insert("boot", boot.to_le_bytes().as_slice()).map_err(write_fault)?;
             boot
@@ -198,11 +226,11 @@
         let aside = PathBuf::from(format!("{}.aside-{n}", folder.display()));
         if !aside.exists() {
             std::fs::rename(folder, &aside)
-                .map_err(|e| DiskError(format!("cannot set {} aside: {e}", folder.display())))?;
+                .map_err(|e| DiskError::Failed(format!("cannot set {} aside: {e}", folder.display())))?;
             return Ok(aside);
         }
     }
-    Err(DiskError(format!("{} has been set aside 999 times", folder.display())))
+    Err(DiskError::Failed(format!("{} has been set aside 999 times", folder.display())))
 }
 
 #[cfg(test)]
@@ -244,7 +272,9 @@
         // A byte of the last entry flipped on disk: found, and the folder goes aside whole.
         flip(&dir.join(FILE), &to_disk(&store.log()[2]));
         let err = Disk::open(&dir).expect_err("a changed entry was believed");
-        assert!(["not believed", "read", "cannot open"].iter().any(|w| err.0.contains(w)), "{err}");
+        let said = err.to_string();
+        assert!(["not believed", "read", "cannot open"].iter().any(|w| said.contains(w)), "{err}");
+        assert!(matches!(err, DiskError::Unsound(_)), "{err:?}");
         let aside = set_aside(&dir).unwrap();
         let (_, found) = Disk::open(&dir).unwrap();
         assert!(matches!(found, Found::Nothing));
@@ -281,7 +311,8 @@
         std::fs::create_dir_all(&killed).unwrap();
         std::fs::copy(dir.join(FILE), killed.join(FILE)).unwrap();
         flip(&killed.join(FILE), b"the entry at 4");
-        assert!(Disk::open(&killed).is_err(), "it came back without its last entry");
+        let opened = Disk::open(&killed);
+        assert!(matches!(opened, Err(DiskError::Unsound(_))), "it came back without its last entry");
         let _ = std::fs::remove_dir_all(&dir);
         let _ = std::fs::remove_dir_all(killed);
     }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -100,6 +100,24 @@
     disk.write(&out.persist).and_then(|()| disk.claim(id)).map_err(|e| format!("{folder}: {e}"))
 }
 
+/// A disk that cannot be read or written at the start is tried again so often, with such a pause.
+const OPEN_TRIES: usize = 10;
+const OPEN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Tries again what a disk that fails for a while may not give at once.
+fn patiently<T>(mut open: impl FnMut() -> Result<T, DiskError>) -> Result<T, DiskError> {
+    for _ in 1..OPEN_TRIES {
+        match open() {
+            Err(DiskError::Failed(why)) => {
+                log::warn!(target: "group", "the folder cannot be used now: {why}")
+            }
+            done => return done,
+        }
+        std::thread::sleep(OPEN_PAUSE);
+    }
+    open()
+}
+
 /// A member's folder as it is found: with its log, or new. What is not believed is set aside, and the member comes back
 /// as a new one: under its old id it might take back what it has voted or promised.
 fn open(config: &GroupConfig, bounds: &Bounds) -> Result<(Disk, Member), DiskError> {
@@ -107,11 +125,13 @@
         Found::Nothing => Ok((disk, None)),
         Found::Member(id, store) => match Member::recover(id, *store, bounds.clone()) {
             Ok(member) => Ok((disk, Some(member))),
-            Err(why) => Err(DiskError(why.to_string())),
+            Err(why) => Err(DiskError::Unsound(why.to_string())),
         },
     };
-    let (disk, member) = match Disk::open(&config.folder).and_then(recovered) {
+    let (disk, member) = match patiently(|| Disk::open(&config.folder).and_then(recovered)) {
         Ok(opened) => opened,
+        // It may be sound: a member that is taken for a new one no longer holds what it has promised.
+        Err(why @ DiskError::Failed(_)) => return Err(why),
         Err(why) => {
             let aside = disk::set_aside(&config.folder)?;
             log::error!(target: "group", "{why}: the folder is set aside as {}", aside.display());
@@ -126,7 +146,7 @@
             let id = fastrand::u64(1 << 32..1 << 53);
             disk.claim(id)?;
             log::info!(target: "group", "member {id} is new and waits to be added: curlewdeck group add");
-            Member::join(id, bounds.clone()).map_err(|e| DiskError(e.to_string()))?
+            Member::join(id, bounds.clone()).map_err(|e| DiskError::Unsound(e.to_string()))?
         }
     };
     Ok((disk, member.with_boot(boot)))
@@ -421,3 +441,6 @@
         self.standings.publish(now);
     }
 }
+
+#[cfg(test)]
+mod tests;
