Starts: the decision module calls one function, the rest stands beside it

The cold span is set where the start is found (`Fleet::update`), and `Policy::wall_clock_stepped` stands in `starts`.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -7,8 +7,7 @@
 
 use crate::api::*;
 use crate::state::{
-    Attempt, Counts, Credit, Fate, Fleet, Kind, Part, Pending, Planned, Query, Seen, Server, Stage, Start,
-    Timers,
+    Attempt, Counts, Credit, Fate, Fleet, Kind, Part, Pending, Planned, Query, Seen, Server, Stage, Timers,
 };
 use crate::window::{RecentSamples, SlidingCount, Tally};
 
@@ -116,7 +115,7 @@
     set: Settings,
     rng: fastrand::Rng,
     now: Nanos,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     queries: BTreeMap<QueryId, Query>,
     parts: BTreeMap<PartId, Part>,
     latencies: RecentSamples,
@@ -191,11 +190,6 @@
         self.set = set;
     }
 
-    /// The wall clock was stepped: what the list tells of starts from now on counts from when it is heard.
-    pub fn wall_clock_stepped(&mut self) {
-        self.fleet.wall_stepped();
-    }
-
     /// How many servers it remembers.
     pub fn servers(&self) -> usize {
         self.fleet.servers.len()
@@ -1002,12 +996,12 @@
         let (mut rng, classes) = (self.rng.fork(), self.set.classes.len());
         let start = self.set.bursts().max(LIMIT_START);
         let fresh = || Server::new(rng.u64(1..64), start, classes);
-        for Start { server, cold_since } in self.fleet.update(self.now, kind, entries, fresh) {
+        for id in self.fleet.update(self.now, kind, entries, fresh) {
             // Coordinators begin with different credit, or all would send to a cold server at once.
             let credit = Credit { parts: self.rng.f64(), at: self.now, passes: self.seen.passes };
-            if let Some(s) = self.fleet.servers.get_mut(&server) {
+            if let Some(s) = self.fleet.servers.get_mut(&id) {
                 s.restarted(start);
-                (s.cold_since, s.credit) = (Some(cold_since), credit);
+                s.credit = credit;
             }
         }
     }
--- a/crates/core/src/starts.rs
+++ b/crates/core/src/starts.rs
@@ -5,6 +5,7 @@
 //! a while; one taken for warmer than it is falls.
 
 use crate::api::Nanos;
+use crate::Policy;
 
 /// What speaks for a claimed time of a start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,3 +26,10 @@
         Evidence::ConfirmedWithout(_) | Evidence::WallClockStepped => now,
     }
 }
+
+impl Policy {
+    /// The wall clock was stepped: what the list tells of starts from now on counts from when it is heard.
+    pub fn wall_clock_stepped(&mut self) {
+        self.fleet.wall_stepped();
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -376,13 +376,6 @@
     wall_stepped: bool,
 }
 
-/// A server that has started anew, and since when it counts as cold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Start {
-    pub(crate) server: ServerId,
-    pub(crate) cold_since: Nanos,
-}
-
 /// More cells than this are not kept: no server can be in them.
 const MOST_CELLS: u32 = 1 << 20;
 
@@ -413,7 +406,7 @@
         kind: ListKind,
         entries: Vec<ListEntry>,
         mut fresh: impl FnMut() -> Server,
-    ) -> Vec<Start> {
+    ) -> Vec<ServerId> {
         let evidence = self.evidence();
         if kind != ListKind::Known {
             self.confirmed_at = Some(now);
@@ -430,8 +423,8 @@
             // Another time is another start, also an earlier one: the wall clock may have been stepped back.
             if entry.started_at != 0 && entry.started_at != s.started_at {
                 s.started_at = entry.started_at;
-                let cold_since = cold_since(entry.started_at, now, evidence);
-                started.push(Start { server: entry.server, cold_since });
+                s.cold_since = Some(cold_since(entry.started_at, now, evidence));
+                started.push(entry.server);
             }
         }
         // A server that is replaced never comes back under its id.
