A test of a state folder to which nothing can be written for a while

Every write goes to `books.new` first; a folder of that name fails all of them. Passes on the code as it is: what was there stays whole, and what was counted is written once the obstacle is gone.

--- a/tests/books.rs
+++ b/tests/books.rs
@@ -148,3 +148,37 @@
     }
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Guards the state against a folder to which nothing can be written for a while: what was there stays whole meanwhile, and
+/// what was counted is written once it goes on.
+#[test]
+fn what_could_not_be_written_for_a_while_is_written_later() {
+    let folder = std::env::temp_dir().join(format!("curlewdeck-books-fails-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let node = DataNode::start(|_| NodeReply::Answer(200, 1, "v".to_string()));
+    let discovery =
+        Discovery::start("127.0.0.1:0", vec![member("a", 0, node.addr), member("b", 1, node.addr)]);
+    let edge = format!("[state]\nfolder = {folder:?}\nevery_s = 1\n");
+    let coordinator = Bed::default().start(discovery.addr, &edge);
+    ready(&coordinator);
+    let total = || {
+        let bytes = std::fs::read(folder.join("books")).unwrap();
+        let kind = curlewdeck_keep::record::Kind { what: 1, form: 1 };
+        let kept = curlewdeck_keep::record::open::<curlewdeck::keep::Kept>(kind, &bytes).unwrap();
+        kept.books.classes.iter().flat_map(|c| c.ended).sum::<u64>()
+    };
+    // Every write goes to this name first, and a folder of it fails all of them.
+    let obstacle = folder.join("books.new");
+    std::fs::create_dir(&obstacle).unwrap();
+    for _ in 0..5 {
+        assert_eq!(query(coordinator.listen, "tag-lookup", &[0, 1]).unwrap().status, 200);
+    }
+    let start = std::time::Instant::now();
+    while start.elapsed() < std::time::Duration::from_millis(2500) {
+        assert_eq!(total(), 0, "what was there is changed");
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    std::fs::remove_dir(&obstacle).unwrap();
+    until("what was counted", || total() == 5);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
