A peer that sends without end no longer keeps the worker from news of the list

Need: news of a drain must reach the gate well within its grace, whatever comes beside it. Root cause: `Stream::read` (src/net/io.rs) reads on without ever leaving the one worker while its socket has bytes, and the runtime looks for events only once nothing is runnable; a link's reader (`read_frames`, src/net/node.rs) hands on without a bound, so that the data node's actor never comes to the end of its mailbox either, and neither does anybody else to a turn. One data node whose sound frames never end was enough: the watch stayed unread for as long as it sent.

Change: after 8 reads in a row that found something at once, a reader pauses for 1 ms; a link has 4 places in its actor's mailbox, and is read no faster than these are taken.

Excluded: the core's mailbox.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -610,9 +610,10 @@
             };
             more = read.is_ok();
             if ahead && more {
-                // Others run between the reads of a client that sends without end.
+                // Others run between the reads of a client that sends ahead.
                 may::coroutine::yield_now();
             }
+            self.connection.stream.leave_room();
             match read {
                 Ok(0) => break,
                 // More than may be sent ahead is dropped: the connection ends with the answers to what is held.
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -130,11 +130,11 @@
     COARSE * u32::try_from(steps).unwrap_or(u32::MAX)
 }
 
-/// A bound of sockets of one kind.
+/// A bound of sockets of one kind, or of messages.
 #[derive(Debug, Clone)]
 pub struct Permits(Arc<(AtomicUsize, usize)>);
 
-/// The right to hold one socket; given back when dropped.
+/// The right to hold one of them; given back when dropped.
 #[derive(Debug)]
 pub struct Permit(Permits);
 
@@ -163,6 +163,8 @@
 #[derive(Debug)]
 pub struct Stream {
     inner: TcpStream,
+    /// Reads in a row that found something at once.
+    reads: AtomicU32,
     _permit: Option<Permit>,
 }
 
@@ -178,6 +180,12 @@
 /// Between two tries at a socket that takes no more.
 const WRITE_PAUSE: Duration = Duration::from_millis(1);
 
+/// After so many reads in a row that found something at once, a reader leaves the worker to others...
+const READS_IN_A_ROW: u32 = 8;
+/// ...for so long. The worker looks for events only once nothing is runnable, so that a mere yield would keep all
+/// other sockets unread.
+const READ_PAUSE: Duration = Duration::from_millis(1);
+
 impl Stream {
     /// Wraps an accepted connection.
     ///
@@ -185,7 +193,7 @@
     /// The socket's options cannot be set.
     pub fn new(inner: TcpStream, permit: Option<Permit>) -> io::Result<Self> {
         inner.set_nodelay(true)?;
-        Ok(Self { inner, _permit: permit })
+        Ok(Self { inner, reads: AtomicU32::new(0), _permit: permit })
     }
 
     /// Opens a connection.
@@ -204,11 +212,23 @@
         loop {
             match self.read_now(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.wait(within)?,
-                done => return done,
+                done => {
+                    self.leave_room();
+                    return done;
+                }
             }
         }
     }
 
+    /// Lets others run, and their sockets be looked at, where this one has been read often without a wait: a peer that
+    /// sends without end would have the worker to itself otherwise.
+    pub fn leave_room(&self) {
+        if self.reads.load(Ordering::Relaxed) >= READS_IN_A_ROW {
+            self.reads.store(0, Ordering::Relaxed);
+            may::coroutine::sleep(READ_PAUSE);
+        }
+    }
+
     /// Reads what is there, without waiting.
     ///
     /// # Errors
@@ -217,7 +237,14 @@
         loop {
             match (&mut self.inner.inner()).read(buf) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                done => return done,
+                Ok(n) => {
+                    self.reads.fetch_add(1, Ordering::Relaxed);
+                    return Ok(n);
+                }
+                Err(e) => {
+                    self.reads.store(0, Ordering::Relaxed);
+                    return Err(e);
+                }
             }
         }
     }
--- a/src/net/io/tests.rs
+++ b/src/net/io/tests.rs
@@ -73,3 +73,25 @@
     assert_eq!(coarse(Duration::from_millis(250)), Duration::from_millis(250));
     assert_eq!(coarse(Duration::ZERO), COARSE);
 }
+
+/// Guards all other sockets against a peer that sends without end: its reader leaves the worker, and does not count reads
+/// that were waited for.
+#[test]
+fn a_reader_that_never_waits_leaves_room() {
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = Stream::new(listener.accept().unwrap().0, None).unwrap();
+    peer.write_all(&[0; 64]).unwrap();
+    stream.wait(Duration::from_secs(60)).unwrap();
+    let mut byte = [0];
+    for reads in 1..READS_IN_A_ROW {
+        stream.read(&mut byte, Duration::from_secs(60)).unwrap();
+        assert_eq!(stream.reads.load(Ordering::Relaxed), reads);
+    }
+    let begun = Instant::now();
+    stream.read(&mut byte, Duration::from_secs(60)).unwrap();
+    assert_eq!(stream.reads.load(Ordering::Relaxed), 0);
+    assert!(begun.elapsed() >= READ_PAUSE);
+    while stream.read_now(&mut byte).is_ok() {}
+    assert_eq!(stream.reads.load(Ordering::Relaxed), 0);
+}
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -13,7 +13,7 @@
 use crate::api::{Nanos, Outcome, QueryId, ServerId};
 use crate::engine::{Ask, AttemptId, Dispatch, Final, Rejected, Value};
 use crate::net::frame::{self, Frame};
-use crate::net::io::{lock, Stream};
+use crate::net::io::{lock, Permit, Stream};
 use crate::net::link::{Input, LinkId};
 use crate::net::members::{ListNews, MembershipUpdate};
 use crate::settings::Info;
@@ -147,8 +147,8 @@
     CloseIdle,
     /// News of a connection.
     Link(Input),
-    /// What came on a connection in one piece.
-    Read(LinkId, Come),
+    /// What came on a connection in one piece, and the place in the mailbox that its reader had for it.
+    Read(LinkId, Come, Permit),
     /// A connection is up: its stream, and the mailbox of its writer.
     Up(LinkId, Arc<Stream>, Sender<Frame>),
     /// It has left the list, and nothing of it is out: the actor ends.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -47,6 +47,10 @@
 const LOOK: Duration = Duration::from_millis(500);
 const LOOK_PROBING: Duration = Duration::from_millis(50);
 const READ: usize = 4096;
+/// Pieces of one connection that may wait in the actor's mailbox...
+const READS_AHEAD: usize = 4;
+/// ...and how often its reader looks for a place for the next.
+const PLACE_PAUSE: Duration = Duration::from_millis(1);
 
 /// Starts the actor; returns its mailbox.
 pub fn start(id: ServerId, gate: Gate, context: NodeContext) -> Sender<NodeMsg> {
@@ -124,7 +128,7 @@
                 }
                 self.step(input);
             }
-            NodeMsg::Read(id, come) => {
+            NodeMsg::Read(id, come, _place) => {
                 for reply in come.frames {
                     log::debug!(target: REQUEST, "link {} of node {}: {reply} read", id.0, self.id.0);
                     self.step(Input::Frame(id, reply));
@@ -266,14 +270,26 @@
     if node.send(NodeMsg::Up(id, stream.clone(), frames)).is_err() {
         return; // The actor has ended, and nobody else would close this.
     }
+    let places = Permits::new(READS_AHEAD);
     read_frames(&stream, context, |come| {
         // Nobody is left to be told once the actor has ended.
-        let _ = node.send(NodeMsg::Read(id, come));
+        let _ = node.send(NodeMsg::Read(id, come, place(&places)));
     });
     stream.shut();
     tell(node, Input::ReadEnded(id));
 }
 
+/// Waits until the actor has room for one more piece of a connection: a data node that sends without end is read no
+/// faster than the actor takes it, which would otherwise not come to the end of its mailbox, and nobody else to a turn.
+fn place(places: &Permits) -> Permit {
+    loop {
+        if let Some(place) = places.take() {
+            return place;
+        }
+        may::coroutine::sleep(PLACE_PAUSE);
+    }
+}
+
 fn read_frames(stream: &Stream, context: &NodeContext, tell: impl Fn(Come)) {
     let limits = &context.limits;
     let whole = limits.frame_read.max(limits.silence(context.shortest_aim));
