A coroutine that cannot start, or panics, is told to whoever waits for it

Need: no actor stops for good. Root cause: `spawn` (src/net/io.rs) logged what it could not start and returned nothing, so that a watch that never began left discovery waiting for its end (`Discovery::begin`), and a panic in it did the same. In fact the runtime panics in its caller where there is no memory for a stack, which took the calling actor down: for the core, a data node's actor or discovery, the process.

Change: `spawn` catches that and returns a typed error. A link without a coroutine counts as one without a socket, a link without a writer as a failed dial; a fetch ends as not sent, a probe as one without a route; a listener or an agent fails to start; a client without a coroutine is closed, and its entry goes. A vital actor that cannot start ends the process as one that panics does.

Seen without it: `spawn` with a stack that no machine has panics ("failed to alloc sys stack"). With it both tests of starts and ends pass (src/net/io/tests.rs).

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -383,7 +383,7 @@
         }
         // Under a flood of connections, those that are open are read all the same.
         may::coroutine::yield_now();
-    });
+    })?;
     Ok(local)
 }
 
@@ -408,7 +408,7 @@
                 return;
             }
         }
-    });
+    })?;
     let mut errors = AcceptErrors::new("front", nanos(limits.no_socket_log));
     let wait = move || loop {
         let accepted = match inherited.waits(ACCEPT_LOOK) {
@@ -464,8 +464,9 @@
     let connection = Arc::new(ClientConnection::new(stream, shared.service.clock.now()));
     let key = shared.service.next.fetch_add(1, Ordering::Relaxed);
     shared.service.connections().insert(key, connection.clone());
-    spawn("client", shared.limits.stack_words, move || {
-        let listed = Listed(shared.service.clone(), key);
+    let (listed, words) = (Listed(shared.service.clone(), key), shared.limits.stack_words);
+    // A connection for which there is no coroutine is closed as it is dropped.
+    let _ = spawn("client", words, move || {
         Client { key, connection, front, shared }.run();
         drop(listed);
     });
@@ -483,7 +484,9 @@
     stream.end_writing();
     if told && stays {
         let limits = shared.limits.clone();
-        spawn("turned away", limits.stack_words, move || linger(&stream, &mut vec![0; READ], &limits));
+        let words = limits.stack_words;
+        // Without a coroutine it is closed at once.
+        let _ = spawn("turned away", words, move || linger(&stream, &mut vec![0; READ], &limits));
     }
 }
 
@@ -527,7 +530,7 @@
         let (done, answered) = channel::<bool>();
         let (connection, within) = (self.connection.clone(), self.shared.limits.client_write);
         let (service, key) = (self.shared.service.clone(), self.key);
-        spawn("client writer", self.shared.limits.stack_words, move || {
+        let started = spawn("client writer", self.shared.limits.stack_words, move || {
             for mut out in outbox.iter() {
                 let open = out.keep_alive && service.closing() == Closing::None;
                 let written = out.write(&connection.stream, open, within);
@@ -544,7 +547,7 @@
             }
         });
         let mut buf = vec![0; READ];
-        if self.read(&mut buf, &writer, &answered) {
+        if started.is_ok() && self.read(&mut buf, &writer, &answered) {
             self.connection.stream.end_writing();
             linger(&self.connection.stream, &mut buf, &self.shared.limits);
         }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use curlewdeck_membership::{
-    Abandoned, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, State, Subscription, Update,
+    Abandoned, CallEnd, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, State, Subscription, Update,
 };
 use may::sync::mpsc::{channel, Receiver, Sender};
 
@@ -194,7 +194,12 @@
         Counters::add(&self.context.counters.list_calls);
         let (address, actor, limits) = (self.address, self.own.clone(), self.context.limits.clone());
         let call = Call { id, request, address, actor, limits };
-        spawn("discovery call", self.context.limits.core_stack_words, move || call.run());
+        let words = self.context.limits.core_stack_words;
+        if let Err(e) = spawn("discovery call", words, move || call.run()) {
+            let error = CallError { end: CallEnd::LocalFailure, why: e.to_string() };
+            // The actor outlives its own messages.
+            let _ = self.own.send(DiscoveryMsg::Ended(id, error));
+        }
     }
 
     fn now(&self) -> Nanos {
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -149,13 +149,17 @@
             asked: false,
         };
         let (own, rested) = (self.own.clone(), self.rested());
-        spawn("feature fetch", self.context.limits.core_stack_words, move || {
+        let started = spawn("feature fetch", self.context.limits.core_stack_words, move || {
             let core = fetch.context.core.clone();
             let (outcome, value, stream) = fetch.run(&dispatch, rested);
             core.send(Msg::Ended(attempt, outcome, value));
             // Nobody is left to be told once the actor has ended.
             let _ = own.send(NodeMsg::Rested(attempt, stream));
         });
+        if started.is_err() {
+            self.jobs.remove(&attempt);
+            self.context.core.send(Msg::Ended(attempt, Outcome::StaleSend, None));
+        }
     }
 
     /// A feature server is sound when its landing page can be had.
@@ -167,7 +171,7 @@
         let (id, context, addr) = (self.id, self.context.clone(), self.addr);
         let until = context.clock.now() + nanos(context.limits.probe);
         let (names, gate) = (self.names.clone(), self.gate.clone());
-        spawn("feature probe", context.limits.core_stack_words, move || {
+        let started = spawn("feature probe", context.limits.core_stack_words, move || {
             let core = context.core.clone();
             let probe = |addr| {
                 let mut fetch = Fetch {
@@ -188,6 +192,9 @@
             };
             core.send(Msg::Probed(id, addr.map_or(Outcome::NoRoute, probe)));
         });
+        if started.is_err() {
+            self.context.core.send(Msg::Probed(id, Outcome::NoRoute));
+        }
     }
 }
 
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -354,14 +355,41 @@
     }
 }
 
-/// Starts an actor that others cannot do without: should it panic, the process ends, so that the platform
-/// starts it anew instead of keeping one that answers nobody.
+/// A coroutine that could not be started: there is no memory for its stack. What it was to do has been dropped.
+#[derive(Debug)]
+pub struct NotStarted {
+    /// Its name.
+    pub name: &'static str,
+    /// The cause.
+    pub why: String,
+}
+
+impl std::fmt::Display for NotStarted {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "cannot start {}: {}", self.name, self.why)
+    }
+}
+
+impl std::error::Error for NotStarted {}
+
+impl From<NotStarted> for io::Error {
+    fn from(e: NotStarted) -> Self {
+        Self::new(io::ErrorKind::OutOfMemory, e)
+    }
+}
+
+/// Starts an actor that others cannot do without: should it panic, or not start, the process ends, so that the
+/// platform starts it anew instead of keeping one that answers nobody.
 pub fn spawn_vital(name: &'static str, stack_words: usize, f: impl FnOnce() + Send + 'static) {
-    spawn(name, stack_words, move || {
+    let started = spawn(name, stack_words, move || {
         let guard = EndOnPanic(name);
         f();
         drop(guard);
     });
+    if started.is_err() {
+        log::error!("the process ends: it cannot do without the actor '{name}'");
+        std::process::exit(FAULT);
+    }
 }
 
 struct EndOnPanic(&'static str);
@@ -378,12 +406,50 @@
     }
 }
 
-/// Starts a coroutine with a stack of so many words. One that cannot be started is logged: there is no
-/// memory for it, and its actor's mailbox is then closed.
-pub fn spawn(name: &'static str, stack_words: usize, f: impl FnOnce() + Send + 'static) {
+/// Starts a coroutine with a stack of so many words. What is dropped with one that panics is dropped as it unwinds.
+///
+/// # Errors
+/// There is no memory for its stack, which is logged, too: `may` reports that by a panic in its caller.
+pub fn spawn(
+    name: &'static str,
+    stack_words: usize,
+    f: impl FnOnce() + Send + 'static,
+) -> Result<(), NotStarted> {
     let builder = may::coroutine::Builder::new().name(name.into()).stack_size(stack_words);
-    if let Err(e) = may::go!(builder, f) {
-        log::error!("cannot start {name}: {e}");
+    let begin = || may::go!(builder, f).map(drop);
+    let why = match catch_unwind(AssertUnwindSafe(begin)) {
+        Ok(Ok(())) => return Ok(()),
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => "no memory for its stack".to_string(),
+    };
+    let failed = NotStarted { name, why };
+    log::error!("{failed}");
+    Err(failed)
+}
+
+/// Starts a coroutine, and tells how it ended: by its result, or by nothing where it panicked or was never started.
+pub fn spawn_told<T: Send + 'static>(
+    name: &'static str,
+    stack_words: usize,
+    f: impl FnOnce() -> T + Send + 'static,
+    ended: impl FnOnce(Option<T>) + Send + 'static,
+) {
+    let told = Told(Some(ended), None);
+    // Where it does not start, it is told as this is dropped.
+    let _ = spawn(name, stack_words, move || {
+        let mut told = told;
+        told.1 = Some(f());
+    });
+}
+
+/// Tells the result, if there is one by then, as it is dropped.
+struct Told<T, F: FnOnce(Option<T>)>(Option<F>, Option<T>);
+
+impl<T, F: FnOnce(Option<T>)> Drop for Told<T, F> {
+    fn drop(&mut self) {
+        if let Some(ended) = self.0.take() {
+            ended(self.1.take());
+        }
     }
 }
 
--- a/src/net/io/tests.rs
+++ b/src/net/io/tests.rs
@@ -74,6 +74,32 @@
     assert_eq!(coarse(Duration::ZERO), COARSE);
 }
 
+/// More than any machine has, in words.
+const NO_STACK: usize = 1 << 56;
+
+/// Guards whoever starts a coroutine against one that does not start: it is told, and not taken down by a panic.
+#[test]
+fn a_coroutine_that_cannot_start_is_told() {
+    let failed = spawn("too large", NO_STACK, || unreachable!("it has no stack"));
+    assert_eq!(failed.unwrap_err().name, "too large");
+}
+
+/// Guards whoever waits for the end of a coroutine: it is told once, of its result, its panic and its missing start.
+#[test]
+fn the_end_of_a_coroutine_is_told_however_it_ends() {
+    let (ends, heard) = std::sync::mpsc::channel();
+    let told = |name: &'static str, stack_words, run: fn() -> u8| {
+        let ends = ends.clone();
+        spawn_told(name, stack_words, run, move |end| ends.send(end).unwrap());
+        heard.recv_timeout(Duration::from_secs(60)).unwrap()
+    };
+    let stack_words = crate::limits::Limits::default().core_stack_words;
+    assert_eq!(told("result", stack_words, || 7), Some(7));
+    assert_eq!(told("panic", stack_words, || panic!("as the test wants it")), None);
+    assert_eq!(told("too large", NO_STACK, || 7), None);
+    assert!(heard.try_recv().is_err());
+}
+
 /// Guards all other sockets against a peer that sends without end: its reader leaves the worker, and does not count reads
 /// that were waited for.
 #[test]
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -192,8 +192,7 @@
         Counters::add(&self.context.counters.dials);
         let (context, own) = (self.context.clone(), self.own.clone());
         let (gate, addr) = (self.gate.clone(), (addr, permit));
-        spawn("link", context.limits.stack_words, move || connection(id, addr, gate, &context, &own));
-        true
+        spawn("link", context.limits.stack_words, move || connection(id, addr, gate, &context, &own)).is_ok()
     }
 
     /// Says that no socket was left, as often as the limit finds a line due.
@@ -238,7 +237,7 @@
     let (frames, to_write) = channel::<Frame>();
     let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
     let (counters, clock) = (context.counters.clone(), context.clock);
-    spawn("link writer", context.limits.stack_words, move || {
+    let writer = spawn("link writer", context.limits.stack_words, move || {
         for frame in to_write.iter() {
             // Nothing yields between the last look and the first byte, however long the socket was full before.
             let now = RefCell::new(Current::default());
@@ -267,6 +266,9 @@
             tell(&writer_node, news);
         }
     });
+    if writer.is_err() {
+        return tell(node, Input::DialFailed(id));
+    }
     if node.send(NodeMsg::Up(id, stream.clone(), frames)).is_err() {
         return; // The actor has ended, and nobody else would close this.
     }
--- a/src/snmp.rs
+++ b/src/snmp.rs
@@ -247,6 +247,7 @@
                 }
             }
         }
-    });
+    })
+    .map_err(|e| e.to_string())?;
     Ok(local)
 }
