A wait that is interrupted goes on, and a dial that fails for a moment is tried again

Need: waits may return EINTR and connect may fail for a moment; all rules hold. Root cause: `Stream::wait` (src/net/io.rs) passed EINTR on, which ended a watch, a link or a client's connection; `Stream::dial` took EADDRNOTAVAIL, ENETUNREACH, EMFILE, ENFILE, ENOBUFS, ENOMEM and EAGAIN for an answer of the peer, so that a data node was blamed and a call of discovery lost for what this process lacked for a moment.

Change: an interrupted wait goes on for what is left of its time. A dial is begun three times in all, 5 ms apart and within its time, where one of these errors ends it; a refusal stays final.

Measured: the tests over scripted errors pass (src/net/io/tests.rs). Excluded: the runtime's own loop, whose `epoll_wait` returns EINTR after each stop and signal, and simply waits again.

--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -187,6 +187,55 @@
 /// other sockets unread.
 const READ_PAUSE: Duration = Duration::from_millis(1);
 
+/// A dial that fails for a moment is begun so often in all...
+const DIALS: u32 = 3;
+/// ...with this pause between.
+const DIAL_PAUSE: Duration = Duration::from_millis(5);
+
+/// Linux' numbers of errors that `ErrorKind` does not tell apart: no descriptor left in the system or in the process, and
+/// no buffer.
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+const ENOBUFS: i32 = 105;
+
+/// Whether a dial failed for want of something that may be there a moment later: it says nothing of the peer.
+fn momentary(error: &io::Error) -> bool {
+    use io::ErrorKind::{AddrNotAvailable, Interrupted, NetworkUnreachable, OutOfMemory, WouldBlock};
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+        || matches!(
+            error.kind(),
+            AddrNotAvailable | Interrupted | NetworkUnreachable | OutOfMemory | WouldBlock
+        )
+}
+
+/// Waits again, for what is left of this time, where a wait was interrupted.
+fn not_interrupted(within: Duration, mut wait: impl FnMut(Duration) -> io::Result<()>) -> io::Result<()> {
+    let start = Instant::now();
+    loop {
+        let left = within.saturating_sub(start.elapsed());
+        match wait(left) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
+/// Connects within this time, and again where that fails for a moment only.
+fn tried_again<T>(
+    within: Duration,
+    mut connect: impl FnMut(Duration) -> io::Result<T>,
+    pause: impl Fn(),
+) -> io::Result<T> {
+    let start = Instant::now();
+    for _ in 1..DIALS {
+        match connect(within.saturating_sub(start.elapsed())) {
+            Err(e) if momentary(&e) && start.elapsed() < within => pause(),
+            done => return done,
+        }
+    }
+    connect(within.saturating_sub(start.elapsed()))
+}
+
 impl Stream {
     /// Wraps an accepted connection.
     ///
@@ -197,12 +246,13 @@
         Ok(Self { inner, reads: AtomicU32::new(0), _permit: permit })
     }
 
-    /// Opens a connection.
+    /// Opens a connection. What fails for a moment only is tried again.
     ///
     /// # Errors
     /// It is refused or not up in time.
     pub fn dial(addr: &SocketAddr, within: Duration, permit: Option<Permit>) -> io::Result<Self> {
-        Self::new(TcpStream::connect_timeout(addr, coarse(within))?, permit)
+        let connect = |left| TcpStream::connect_timeout(addr, coarse(left));
+        Self::new(tried_again(within, connect, || may::coroutine::sleep(DIAL_PAUSE))?, permit)
     }
 
     /// Waits until there is something to read, for so long at most. Only one coroutine may wait.
@@ -255,8 +305,10 @@
     /// # Errors
     /// `TimedOut`, or the connection has failed.
     pub fn wait(&self, within: Duration) -> io::Result<()> {
-        self.inner.set_read_timeout(Some(coarse(within)))?;
-        self.inner.peek(&mut [0]).map(drop)
+        not_interrupted(within, |left| {
+            self.inner.set_read_timeout(Some(coarse(left)))?;
+            self.inner.peek(&mut [0]).map(drop)
+        })
     }
 
     /// Whether bytes wait to be read or the peer has closed, without waiting.
--- a/src/net/io/tests.rs
+++ b/src/net/io/tests.rs
@@ -74,6 +74,53 @@
     assert_eq!(coarse(Duration::ZERO), COARSE);
 }
 
+/// Guards a wait against a signal: an interrupted one goes on for what is left of its time, and no longer.
+#[test]
+fn an_interrupted_wait_goes_on_for_what_is_left() {
+    let mut lefts = Vec::new();
+    let waited = not_interrupted(Duration::from_secs(60), |left| {
+        lefts.push(left);
+        match lefts.len() {
+            3 => Ok(()),
+            _ => Err(io::ErrorKind::Interrupted.into()),
+        }
+    });
+    waited.unwrap();
+    assert!(lefts.len() == 3 && lefts.is_sorted_by(|a, b| a >= b), "{lefts:?}");
+    let failed = not_interrupted(Duration::ZERO, |_| Err(io::ErrorKind::TimedOut.into()));
+    assert_eq!(failed.unwrap_err().kind(), io::ErrorKind::TimedOut);
+}
+
+/// Guards a dial against errors that last for a moment, by their numbers as Linux documents them; a refusal is final, and
+/// no error is tried for ever.
+#[test]
+fn a_dial_is_tried_again_after_an_error_of_a_moment() {
+    const ECONNREFUSED: i32 = 111;
+    const EAGAIN: i32 = 11;
+    const EADDRNOTAVAIL: i32 = 99;
+    const ENETUNREACH: i32 = 101;
+    let dial = |error: i32, fails: u32| {
+        let tries = std::cell::Cell::new(0);
+        let connect = |_| {
+            tries.set(tries.get() + 1);
+            if tries.get() > fails {
+                Ok(())
+            } else {
+                Err(io::Error::from_raw_os_error(error))
+            }
+        };
+        let done = tried_again(Duration::from_secs(60), connect, || ());
+        (done.is_ok(), tries.get())
+    };
+    for error in [EADDRNOTAVAIL, ENETUNREACH, ENFILE, EMFILE, ENOBUFS, EAGAIN] {
+        assert_eq!(dial(error, DIALS - 1), (true, DIALS), "{error}");
+        assert_eq!(dial(error, u32::MAX), (false, DIALS), "{error}");
+    }
+    assert_eq!(dial(ECONNREFUSED, 1), (false, 1));
+    let late = tried_again(Duration::ZERO, |_| Err::<(), _>(io::Error::from_raw_os_error(ENFILE)), || ());
+    assert!(late.is_err());
+}
+
 /// More than any machine has, in words.
 const NO_STACK: usize = 1 << 56;
 
