One list of what this machine lacks for a dial, and a call's coroutine that fails is told at once

Cause: three readings of the same errors came together (dial_error, io, discovery), and a call to discovery whose coroutine panics was noticed with its lifetime only. Change: dial_error is the one list; calls are started by spawn_told.

--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -25,7 +25,7 @@
     End { pick: usize, outcome: Outcome },
     Change { lines: Vec<(u32, Phase)> },
     Whole { lines: Vec<(u32, Phase)> },
-    NoList,
+    NoChange,
     Leave { pick: usize },
 }
 
@@ -59,7 +59,7 @@
         8 => (any::<usize>(), outcome()).prop_map(|(pick, outcome)| Step::End { pick, outcome }),
         2 => lines(4).prop_map(|lines| Step::Change { lines }),
         1 => lines(8).prop_map(|lines| Step::Whole { lines }),
-        1 => Just(Step::NoList),
+        1 => Just(Step::NoChange),
         1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
     ]
 }
@@ -172,7 +172,7 @@
             Step::End { .. } => self.probed().into_iter().collect(),
             Step::Change { lines } => vec![self.list(ListKind::Diff, lines)],
             Step::Whole { lines } => vec![self.list(ListKind::Full, lines)],
-            Step::NoList => vec![Event::List { kind: ListKind::Error, entries: Vec::new() }],
+            Step::NoChange => vec![Event::List { kind: ListKind::Diff, entries: Vec::new() }],
             Step::Leave { pick } => {
                 let id = self.queries.keys().nth(pick % self.queries.len().max(1)).copied();
                 id.map(|id| (self.queries.remove(&id), Event::Gone(id)).1).into_iter().collect()
@@ -243,7 +243,7 @@
                 let at = self.now + after;
                 self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
             }
-            Action::Close { .. } | Action::Watch => {}
+            Action::Close { .. } => {}
         }
         Vec::new()
     }
--- a/src/net/discovery/call.rs
+++ b/src/net/discovery/call.rs
@@ -2,7 +2,6 @@
 //!
 //! A call keeps no time of its own but for its dial: the actor shuts its connection when it is given up.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 use may::sync::mpsc::Sender;
 
 use crate::limits::Limits;
+use crate::net::dial_error::is_own_lack;
 use crate::net::http::{self, Chunks};
 use crate::net::io::Stream;
 use crate::net::mail::{CallError, DiscoveryMsg};
@@ -24,11 +24,6 @@
 const STATUS_OK: u16 = 200;
 const STATUS_BUSY: u16 = 503;
 
-/// Errors of a dial that tell of this machine and not of the service, beside those that have a kind of their own.
-const TOO_MANY_FILES_IN_SYSTEM: i32 = 23;
-const TOO_MANY_FILES: i32 = 24;
-const NO_BUFFERS: i32 = 105;
-
 /// A call that is to be made.
 pub(super) struct Call {
     pub(super) id: CallId,
@@ -39,13 +34,9 @@
 }
 
 impl Call {
-    /// Makes the call; it ends with [`DiscoveryMsg::Ended`].
-    pub(super) fn run(self) {
-        let error = match self.talk() {
-            Ok(()) => broken("the watch was ended"),
-            Err(error) => error,
-        };
-        self.tell(DiscoveryMsg::Ended(self.id, error));
+    /// Makes the call; returns how it has ended.
+    pub(super) fn run(self) -> CallError {
+        self.talk().err().unwrap_or_else(|| broken("the watch was ended"))
     }
 
     fn tell(&self, message: DiscoveryMsg) {
@@ -71,7 +62,7 @@
     fn dial(&self) -> Result<Connection, CallError> {
         let stream =
             Stream::dial(&self.address, self.limits.discovery_call, None).map_err(|e| CallError {
-                end: if is_local(&e) { CallEnd::LocalFailure } else { CallEnd::Unreachable },
+                end: if is_own_lack(&e) { CallEnd::LocalFailure } else { CallEnd::Unreachable },
                 why: format!("no connection: {e}"),
             })?;
         let connection = Connection(Arc::new(stream));
@@ -214,14 +205,3 @@
 fn unreadable(error: LineError) -> CallError {
     CallError { end: CallEnd::Unreadable, why: format!("the list is not as expected: {error}") }
 }
-
-/// Whether a dial failed for want of something on this machine.
-fn is_local(error: &io::Error) -> bool {
-    let by_kind = matches!(
-        error.kind(),
-        io::ErrorKind::AddrNotAvailable | io::ErrorKind::OutOfMemory | io::ErrorKind::Interrupted
-    );
-    let by_number =
-        matches!(error.raw_os_error(), Some(TOO_MANY_FILES_IN_SYSTEM | TOO_MANY_FILES | NO_BUFFERS));
-    by_kind || by_number
-}
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -11,14 +11,15 @@
 use std::sync::Arc;
 
 use curlewdeck_membership::{
-    Abandoned, CallEnd, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, State, Subscription, Update,
+    Abandoned, CallEnd, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, State, Subscription,
+    Update,
 };
 use may::sync::mpsc::{channel, Receiver, Sender};
 
 use crate::api::{self, ListKind, Nanos, Phase};
 use crate::counters::Counters;
 use crate::limits::Limits;
-use crate::net::io::{nanos, spawn, spawn_vital, Alarm, Clock, Stream};
+use crate::net::io::{nanos, spawn_told, spawn_vital, Alarm, Clock, Stream};
 use crate::net::log_limit::LogLimit;
 use crate::net::mail::{CallError, CoreMail, DiscoveryMsg, Msg};
 use crate::net::members::{ListNews, ListedMember, MembershipUpdate};
@@ -194,12 +195,16 @@
         Counters::add(&self.context.counters.list_calls);
         let (address, actor, limits) = (self.address, self.own.clone(), self.context.limits.clone());
         let call = Call { id, request, address, actor, limits };
-        let words = self.context.limits.core_stack_words;
-        if let Err(e) = spawn("discovery call", words, move || call.run()) {
-            let error = CallError { end: CallEnd::LocalFailure, why: e.to_string() };
-            // The actor outlives its own messages.
-            let _ = self.own.send(DiscoveryMsg::Ended(id, error));
-        }
+        let own = self.own.clone();
+        let ended = move |error: Option<CallError>| {
+            let failed = || CallError {
+                end: CallEnd::LocalFailure,
+                why: "its coroutine has failed, or could not be started".to_string(),
+            };
+            // The actor outlives its calls.
+            let _ = own.send(DiscoveryMsg::Ended(id, error.unwrap_or_else(failed)));
+        };
+        spawn_told("discovery call", self.context.limits.core_stack_words, move || call.run(), ended);
     }
 
     fn now(&self) -> Nanos {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -11,6 +11,7 @@
 use may::net::TcpStream;
 
 use crate::api::Nanos;
+use crate::net::dial_error::is_own_lack;
 
 /// The engine's clock: Unix time in nanoseconds at the start, steady from there on.
 #[derive(Debug, Clone, Copy)]
@@ -192,20 +193,10 @@
 /// ...with this pause between.
 const DIAL_PAUSE: Duration = Duration::from_millis(5);
 
-/// Linux' numbers of errors that `ErrorKind` does not tell apart: no descriptor left in the system or in the process, and
-/// no buffer.
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const ENOBUFS: i32 = 105;
-
 /// Whether a dial failed for want of something that may be there a moment later: it says nothing of the peer.
 fn momentary(error: &io::Error) -> bool {
-    use io::ErrorKind::{AddrNotAvailable, Interrupted, NetworkUnreachable, OutOfMemory, WouldBlock};
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
-        || matches!(
-            error.kind(),
-            AddrNotAvailable | Interrupted | NetworkUnreachable | OutOfMemory | WouldBlock
-        )
+    use io::ErrorKind::{Interrupted, NetworkUnreachable, WouldBlock};
+    is_own_lack(error) || matches!(error.kind(), Interrupted | NetworkUnreachable | WouldBlock)
 }
 
 /// Waits again, for what is left of this time, where a wait was interrupted.
--- a/src/net/io/tests.rs
+++ b/src/net/io/tests.rs
@@ -97,6 +97,9 @@
 fn a_dial_is_tried_again_after_an_error_of_a_moment() {
     const ECONNREFUSED: i32 = 111;
     const EAGAIN: i32 = 11;
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
     const EADDRNOTAVAIL: i32 = 99;
     const ENETUNREACH: i32 = 101;
     let dial = |error: i32, fails: u32| {
