Typed errors of the configuration, and its code in short functions

`Config::read`, `load` and `follows` gave a string for any fault (src/config.rs, `read`, `load`), so that nobody could tell a file that could not be read, or that was half written, from one that is whole and bad. `ConfigError` names the three: `Unreadable`, `Incomplete`, `Invalid`. The text is parsed as a JSON value first, since a text that is cut short may show a wrong type before its end; messages are as before.

For readers: `said` is `document`, `named_discovery` is `discovery_in_file`, `lacks` is `missing_key`, and `File` is `ConfigFile`. `main::run` has a function for each group of commands, `Edge::check` one for each section.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,7 @@
 //! The configuration: what the platform tells a coordinator, and the file of the edge under `deploy/`.
 
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -17,8 +19,41 @@
 use crate::settings::{self, Info};
 use crate::snmp::SnmpConfig;
 
+/// Why a configuration cannot be used.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// The file could not be read.
+    Unreadable(io::Error),
+    /// It is no whole JSON value: empty, cut short, or read while it was being written.
+    Incomplete(String),
+    /// It is whole, and something in it is missing or out of place.
+    Invalid(String),
+}
+
+impl ConfigError {
+    /// Whether the same file may turn out good when it is read again a moment later.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            Self::Unreadable(_) | Self::Incomplete(_) => true,
+            Self::Invalid(_) => false,
+        }
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(error) => error.fmt(f),
+            Self::Incomplete(why) | Self::Invalid(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The configuration file's JSON object.
 #[derive(Deserialize)]
-struct File<'a> {
+struct ConfigFile<'a> {
     #[serde(default)]
     name: String,
     listen: SocketAddr,
@@ -26,25 +61,26 @@
     #[serde(default)]
     seed: String,
     control: Option<SocketAddr>,
-    limits: FileLimits,
+    limits: PlatformLimits,
     known: Option<MembershipUpdate>,
     #[serde(borrow)]
     settings: &'a RawValue,
 }
 
+/// The object `limits` of the file.
 #[derive(Deserialize)]
-struct FileLimits {
-    #[serde(default = "most_sockets")]
+struct PlatformLimits {
+    #[serde(default = "default_sockets")]
     sockets: usize,
-    #[serde(default = "most_memory")]
+    #[serde(default = "default_memory_mb")]
     memory_mb: usize,
 }
 
-fn most_sockets() -> usize {
+fn default_sockets() -> usize {
     1024
 }
 
-fn most_memory() -> usize {
+fn default_memory_mb() -> usize {
     192
 }
 
@@ -58,7 +94,7 @@
     /// The list's service.
     pub discovery: SocketAddr,
     /// The same as the file names it, whatever the environment says.
-    pub named_discovery: SocketAddr,
+    pub discovery_in_file: SocketAddr,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that all its processes may hold together.
@@ -69,8 +105,8 @@
     pub control: Option<SocketAddr>,
     /// The number of the inherited descriptor that listens for clients.
     pub listen_fd: Option<String>,
-    /// All that the file says, but for the list: a later one may lack nothing of it.
-    pub said: Value,
+    /// The whole file but for the list: a later one may lack no key of it.
+    pub document: Value,
     /// The list as it was last held.
     pub known: Option<MembershipUpdate>,
     /// The settings.
@@ -82,32 +118,38 @@
     ///
     /// # Errors
     /// Says in one line what is missing or out of place.
-    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let file: File = serde_json::from_str(text).map_err(|e| format!("not as expected: {e}"))?;
-        let mut said: Value = serde_json::from_str(text).map_err(|e| format!("not as expected: {e}"))?;
-        if let Some(said) = said.as_object_mut() {
-            said.remove("known");
+    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        // All of it first: a text that is cut short is no whole value, whatever else may be out of place in it.
+        let document = serde_json::from_str(text).map_err(|e| ConfigError::Incomplete(unexpected(&e)))?;
+        Self::from_document(text, document, variable).map_err(ConfigError::Invalid)
+    }
+
+    fn from_document(
+        text: &str,
+        mut document: Value,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, String> {
+        let file: ConfigFile = serde_json::from_str(text).map_err(|e| unexpected(&e))?;
+        if let Some(object) = document.as_object_mut() {
+            object.remove("known");
         }
         let info = settings::read(file.settings.get())?;
         info.settings.check().map_err(|e| e.to_string())?;
-        let address = |name: &str, told: SocketAddr| match variable(name) {
-            Some(text) => text.parse().map_err(|_| format!("{name}: '{text}' is no address")),
-            None => Ok(told),
+        let address = |name: &str, in_file: Option<SocketAddr>| match variable(name) {
+            Some(text) => text.parse().map(Some).map_err(|_| format!("{name}: '{text}' is no address")),
+            None => Ok(in_file),
         };
         Ok(Self {
-            listen: address("LB_LISTEN", file.listen)?,
-            discovery: address("LB_DISCOVERY", file.discovery)?,
-            named_discovery: file.discovery,
+            listen: address("LB_LISTEN", Some(file.listen))?.unwrap_or(file.listen),
+            discovery: address("LB_DISCOVERY", Some(file.discovery))?.unwrap_or(file.discovery),
+            discovery_in_file: file.discovery,
             name: variable("LB_NAME").unwrap_or(file.name),
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
-            control: match variable("LB_CONTROL") {
-                Some(text) => Some(text.parse().map_err(|_| format!("LB_CONTROL: '{text}' is no address"))?),
-                None => file.control,
-            },
+            control: address("LB_CONTROL", file.control)?,
             listen_fd: variable("LB_LISTEN_FD"),
-            said,
+            document,
             known: file.known,
             info,
         })
@@ -123,49 +165,59 @@
     ///
     /// # Errors
     /// Names the first key that it lacks.
-    pub fn follows(&self, before: &Self) -> Result<(), String> {
-        lacks(&before.said, &self.said).map_or(Ok(()), |key| Err(format!("the key '{key}' is missing")))
+    pub fn follows(&self, before: &Self) -> Result<(), ConfigError> {
+        match missing_key(&before.document, &self.document) {
+            None => Ok(()),
+            Some(key) => Err(ConfigError::Invalid(format!("the key '{key}' is missing"))),
+        }
     }
 
-    /// Reads the file that `LB_CONFIG` names.
+    /// Reads a file, with the variables of this process's environment.
     ///
     /// # Errors
-    /// Says in one line what is missing or out of place.
-    pub fn load(path: &Path) -> Result<Self, String> {
-        let name = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        Self::read(&text, variable).map_err(|e| format!("{name}: {e}"))
+    /// Says in one line what is missing or out of place; the caller knows the file's name.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let bytes = std::fs::read(path).map_err(ConfigError::Unreadable)?;
+        let text = String::from_utf8(bytes).map_err(|e| ConfigError::Incomplete(e.to_string()))?;
+        Self::read(&text, |name| std::env::var(name).ok().filter(|v| !v.is_empty()))
     }
 }
 
-/// The first key that was there and is not any more. Of a list of objects, which may be others by now, it counts what
-/// all of them had.
-fn lacks(before: &Value, now: &Value) -> Option<String> {
-    let within = |key: &str, inner: String| format!("{key}.{inner}");
+fn unexpected(error: &serde_json::Error) -> String {
+    format!("not as expected: {error}")
+}
+
+/// The path of the first key of `before` that is missing in `now`. The objects of an array may be others by now: of
+/// these, only keys that all objects of the array had before are required.
+fn missing_key(before: &Value, now: &Value) -> Option<String> {
     match (before, now) {
         (Value::Object(before), Value::Object(now)) => {
             before.iter().find_map(|(key, before)| match now.get(key) {
                 None => Some(key.clone()),
-                Some(now) => lacks(before, now).map(|inner| within(key, inner)),
+                Some(now) => missing_key(before, now).map(|inner| format!("{key}.{inner}")),
             })
         }
         (Value::Array(before), Value::Array(now)) => {
-            let mut all: Vec<&Map<String, Value>> = before.iter().filter_map(Value::as_object).collect();
-            let first = all.pop()?;
-            let common = first.keys().filter(|key| all.iter().all(|b| b.contains_key(*key)));
-            let mut objects = now.iter().filter_map(Value::as_object).enumerate();
-            let keys: Vec<&String> = common.collect();
-            objects.find_map(|(i, now)| {
-                keys.iter()
-                    .find(|key| !now.contains_key(**key))
-                    .map(|key| within(&i.to_string(), key.to_string()))
+            let required = common_keys(before);
+            objects(now).enumerate().find_map(|(i, object)| {
+                let missing = required.iter().find(|key| !object.contains_key(**key))?;
+                Some(format!("{i}.{missing}"))
             })
         }
         _ => None,
     }
 }
 
+fn objects(array: &[Value]) -> impl Iterator<Item = &Map<String, Value>> {
+    array.iter().filter_map(Value::as_object)
+}
+
+/// The keys that all objects of the array have.
+fn common_keys(array: &[Value]) -> Vec<&String> {
+    let Some(first) = objects(array).next() else { return Vec::new() };
+    first.keys().filter(|key| objects(array).all(|object| object.contains_key(*key))).collect()
+}
+
 /// Reads a file of secrets, which nobody but its owner may read.
 ///
 /// # Errors
@@ -258,41 +310,31 @@
 }
 
 impl Edge {
-    /// Whether all of it can be used with these settings.
+    /// Whether its fronts can be used with these settings. Reads no file: at a reload, what the fronts read at the start
+    /// still holds.
     ///
     /// # Errors
     /// Names the section and the fault.
-    pub fn check(&self, info: &Info) -> Result<(), String> {
+    pub fn check_settings(&self, info: &Info) -> Result<(), String> {
         if let Some(ogc) = &self.ogc {
             ogc.check(info)?;
-            if ogc.by_id {
-                if self.nodes.protocol == NodeProtocol::Features && self.nodes.after_parameter.is_none() {
-                    return Err(
-                        "ogc: by_id needs nodes.after_parameter, by which servers go on behind an id".into(),
-                    );
-                }
-                cursor_keys(ogc.cursor_keys.as_deref())?;
-            }
         }
         if let Some(desk) = &self.desk {
-            if self.nodes.protocol == NodeProtocol::Features {
-                return Err("desk: its values come in frames, and the data nodes are feature servers".into());
-            }
             desk.check(info)?;
-            desk.keys()?;
-        }
-        if let Some(state) = &self.state {
-            if !state.folder.is_dir() || state.every_s == 0 {
-                return Err(format!(
-                    "state: {}: a folder that is there, and every_s above 0",
-                    state.folder.display()
-                ));
-            }
         }
+        Ok(())
+    }
+
+    /// Whether all of it can be used with these settings, the files that it names included.
+    ///
+    /// # Errors
+    /// Names the section and the fault.
+    pub fn check(&self, info: &Info) -> Result<(), String> {
+        self.check_settings(info)?;
+        self.check_fronts()?;
+        self.check_state()?;
         if let Some(group) = &self.group {
             group.check()?;
-        } else if self.state.as_ref().is_some_and(|s| s.copied) {
-            return Err("state.copied: there is no group to copy it to".into());
         }
         if let Some(snmp) = &self.snmp {
             snmp.agent(&Limits::default(), None)?;
@@ -300,6 +342,37 @@
         Ok(())
     }
 
+    fn check_fronts(&self) -> Result<(), String> {
+        let features = self.nodes.protocol == NodeProtocol::Features;
+        if let Some(ogc) = self.ogc.as_ref().filter(|ogc| ogc.by_id) {
+            if features && self.nodes.after_parameter.is_none() {
+                return Err(
+                    "ogc: by_id needs nodes.after_parameter, by which servers go on behind an id".into()
+                );
+            }
+            cursor_keys(ogc.cursor_keys.as_deref())?;
+        }
+        if let Some(desk) = &self.desk {
+            if features {
+                return Err("desk: its values come in frames, and the data nodes are feature servers".into());
+            }
+            desk.keys()?;
+        }
+        Ok(())
+    }
+
+    fn check_state(&self) -> Result<(), String> {
+        let Some(state) = &self.state else { return Ok(()) };
+        if !state.folder.is_dir() || state.every_s == 0 {
+            let folder = state.folder.display();
+            return Err(format!("state: {folder}: a folder that is there, and every_s above 0"));
+        }
+        if state.copied && self.group.is_none() {
+            return Err("state.copied: there is no group to copy it to".into());
+        }
+        Ok(())
+    }
+
     /// Reads the file's text.
     ///
     /// # Errors
--- a/src/main.rs
+++ b/src/main.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Returns the exit status.
+/// Runs the subcommand; returns the exit status.
 fn run() -> Result<u8, String> {
     let mut args = pico_args::Arguments::from_env();
     let command = args.subcommand().map_err(|e| e.to_string())?;
@@ -55,52 +55,48 @@
         println!("{}", help());
         return Ok(0);
     }
-    if command.as_deref() == Some("query") {
-        let query = Command::read(&mut args)?;
-        no_more(args)?;
-        return Ok(query.run());
-    }
-    if command.as_deref() == Some("snmp") {
-        let words = args.clone().finish();
-        if words.iter().any(|w| w == "listen") {
-            // The word itself; then its own options.
-            args.free_from_str::<String>().map_err(|e| e.to_string())?;
-            let listen = snmp_tool::listen(&mut args)?;
+    match command.as_deref() {
+        Some("query") => {
+            let query = Command::read(&mut args)?;
             no_more(args)?;
-            return listen().map(|()| 0);
+            return Ok(query.run());
         }
-        let manager = snmp_tool::Command::read(&mut args)?;
-        no_more(args)?;
-        return manager.run().map(|()| 0);
+        Some("snmp") => run_snmp(args),
+        Some("group") => {
+            let command = tool::Command::read(&mut args)?;
+            no_more(args)?;
+            command.run(load_edge)
+        }
+        other => run_coordinator(other, args),
     }
-    if command.as_deref() == Some("group") {
-        let command = tool::Command::read(&mut args)?;
+    .map(|()| 0)
+}
+
+/// The commands of a manager: those that ask an agent, and the one that listens for notifications.
+fn run_snmp(mut args: pico_args::Arguments) -> Result<(), String> {
+    if args.clone().finish().iter().any(|word| word == "listen") {
+        // The word itself; then its own options.
+        args.free_from_str::<String>().map_err(|e| e.to_string())?;
+        let listen = snmp_tool::listen(&mut args)?;
         no_more(args)?;
-        return command.run(load_edge).map(|()| 0);
+        return listen();
     }
+    let manager = snmp_tool::Command::read(&mut args)?;
+    no_more(args)?;
+    manager.run()
+}
+
+/// The commands that take the coordinator's own files.
+fn run_coordinator(command: Option<&str>, mut args: pico_args::Arguments) -> Result<(), String> {
     let config: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| e.to_string())?;
     let edge: Option<PathBuf> = args.opt_value_from_str("--edge").map_err(|e| e.to_string())?;
     no_more(args)?;
-    let done: Result<(), String> = match command.as_deref() {
+    match command {
         Some("serve") => {
             let file = config_file(config)?;
-            serve(&file, Config::load(&file)?, load_edge(edge)?)
-        }
-        Some("check") => {
-            let config = Config::load(&config_file(config)?)?;
-            let edge = load_edge(edge)?;
-            edge.check(&config.info)?;
-            Limits::within(config.platform(0))?;
-            let state = |on| if on { "on" } else { "off" };
-            println!(
-                "the configuration can be used: {} classes, feature front {}, desk front {}, management agent {}",
-                config.info.classes.len(),
-                state(edge.ogc.is_some()),
-                state(edge.desk.is_some()),
-                state(edge.snmp.is_some())
-            );
-            Ok(())
+            serve(&file, load_config(&file)?, load_edge(edge)?)
         }
+        Some("check") => check(&load_config(&config_file(config)?)?, &load_edge(edge)?),
         Some("mib") => {
             print!("{}", curlewdeck::mib::module().text());
             Ok(())
@@ -114,8 +110,22 @@
             Ok(())
         }
         Some(other) => Err(format!("'{other}' is not known, see 'curlewdeck help'")),
-    };
-    done.map(|()| 0)
+    }
+}
+
+/// Says whether the files can be used.
+fn check(config: &Config, edge: &Edge) -> Result<(), String> {
+    edge.check(&config.info)?;
+    Limits::within(config.platform(0))?;
+    let state = |on| if on { "on" } else { "off" };
+    println!(
+        "the configuration can be used: {} classes, feature front {}, desk front {}, management agent {}",
+        config.info.classes.len(),
+        state(edge.ogc.is_some()),
+        state(edge.desk.is_some()),
+        state(edge.snmp.is_some())
+    );
+    Ok(())
 }
 
 fn help() -> String {
@@ -134,6 +144,10 @@
     path.ok_or_else(|| "no configuration: give --config FILE or set LB_CONFIG".to_string())
 }
 
+fn load_config(file: &Path) -> Result<Config, String> {
+    Config::load(file).map_err(|e| format!("{}: {e}", file.display()))
+}
+
 fn load_edge(edge: Option<PathBuf>) -> Result<Edge, String> {
     match edge {
         Some(path) => Edge::load(&path),
@@ -161,6 +175,7 @@
 /// The file is parsed on it.
 const RELOAD_STACK: usize = 512 * 1024;
 
+/// Serves until SIGTERM.
 fn serve(file: &Path, config: Config, edge: Edge) -> Result<(), String> {
     // Each signal interrupts the poller, and may logs that as an error of its own each time.
     env_logger::Builder::from_env(
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -324,17 +324,17 @@
     }
 
     fn take(&self, file: &Path) -> Result<(), String> {
-        let config = Config::load(file)?;
-        let mut taken = lock(&self.taken);
         let named = |why: String| format!("{}: {why}", file.display());
-        config.follows(&taken).map_err(named)?;
+        let config = Config::load(file).map_err(|e| named(e.to_string()))?;
+        let mut taken = lock(&self.taken);
+        config.follows(&taken).map_err(|e| named(e.to_string()))?;
         self.edge.check(&config.info).map_err(named)?;
-        if taken.named_discovery != config.named_discovery
-            && self.discovery.send(DiscoveryMsg::Moved(config.named_discovery)).is_err()
+        if taken.discovery_in_file != config.discovery_in_file
+            && self.discovery.send(DiscoveryMsg::Moved(config.discovery_in_file)).is_err()
         {
             log::error!("the actor of discovery has ended");
         }
-        if taken.said["settings"] != config.said["settings"] {
+        if taken.document["settings"] != config.document["settings"] {
             self.core.reset(config.info.clone().beside(self.others));
         }
         *taken = config;
