When a configuration is read again is decided by a pure state machine

After SIGHUP a file is read once (src/serve.rs, `take`; src/main.rs, `reloading`), whatever that read failed for. What is needed instead (repeats within a window, a newer signal that waits for neither a pause nor a read that hangs, counts of one for one file) is decided in `lifecycle::reload`, without I/O or clock. Nothing uses it yet.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -5,6 +5,7 @@
 //! only grows. A process that finishes never serves again.
 
 pub mod connection;
+pub mod reload;
 
 /// A moment, or a span between two, in the embedder's unit.
 pub type Time = u64;
