A configuration that cannot be read for a moment is read again within 4 s of SIGHUP

Root cause: `Coordinator::take` (src/serve.rs, first line: `Config::load(file)?`) turned a file down for good whatever the read failed for: a file that is missing or half written for a moment, a failed system call. The move of discovery in it was lost with it; nothing tried again, the old address closes 1.5 s later, and the coordinator never heard of a drain any more. And `reloading` (src/main.rs) read on one thread, so that a read that does not end (a pipe without a writer, a file system that hangs) kept every newer file from being read.

Change: src/reload.rs carries out what `lifecycle::reload` decides. A read that fails, or finds no whole JSON value, is turned down, counted and logged at once as before, and repeated after 50 ms, with pauses that double up to 800 ms, until 4 s after the signal. A newer signal begins anew at once; a read under way is given up for it after 1.5 s, which leaves a call of discovery (2.2 s) its time. A file that is whole and bad stays turned down, its discovery included: "the whole file must be turned down". Counts: one failed for each file turned down, so repeats that fail count nothing; a file that a repeat takes counts as taken then, and not again by the signal that announces it.

Rejected: to follow `discovery` alone out of a bad file; to watch the file. Not forced: ENFILE, EMFILE and EIO themselves; they take the same way as the errors that are.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod net;
 pub mod notices;
 pub mod query;
+pub mod reload;
 pub mod serve;
 pub mod snmp;
 pub mod snmp_tool;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,16 +2,15 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
 use std::thread;
 
 use curlewdeck::config::{Config, Edge};
 use curlewdeck::group::tool;
 use curlewdeck::limits::Limits;
-use curlewdeck::net::io;
 use curlewdeck::query::{self, Command};
-use curlewdeck::serve::{self, Coordinator};
+use curlewdeck::reload::Reloader;
+use curlewdeck::serve;
 use curlewdeck::snmp_tool;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
@@ -156,25 +155,6 @@
     }
 }
 
-/// A thread of its own reads the file at each word, since that may take as long as it likes: signals are heard, and
-/// the process ends, all the same.
-fn reloading(coordinator: Arc<Coordinator>, file: PathBuf) -> Result<SyncSender<()>, String> {
-    let (reload, words) = sync_channel(1);
-    let take = move || {
-        for () in words {
-            if let Err(why) = coordinator.reload(&file) {
-                log::error!("the configuration stays as it was: {why}");
-            }
-        }
-    };
-    io::thread("reload", RELOAD_STACK, take)
-        .map(|()| reload)
-        .map_err(|e| format!("no thread to read the configuration: {e}"))
-}
-
-/// The file is parsed on it.
-const RELOAD_STACK: usize = 512 * 1024;
-
 /// Serves until SIGTERM.
 fn serve(file: &Path, config: Config, edge: Edge) -> Result<(), String> {
     // Each signal interrupts the poller, and may logs that as an error of its own each time.
@@ -188,7 +168,8 @@
         Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     serve::set_up_workers(&Limits::within(config.platform(0))?);
     let coordinator = Arc::new(serve::start(config, edge)?);
-    let reload = reloading(coordinator.clone(), file.to_path_buf())?;
+    let reloader = Reloader::start(coordinator.clone(), file.to_path_buf())
+        .map_err(|e| format!("no thread to read the configuration: {e}"))?;
     let (coordinator, handle) = (&coordinator, signals.handle());
     // Signals are heard to the end: the list's service may move while the last queries are finished.
     thread::scope(|scope| {
@@ -196,8 +177,7 @@
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => log::info!("counters:\n{}", coordinator.report()),
-                // Where one waits already, it will read the file as it is by then.
-                SIGHUP => drop(reload.try_send(())),
+                SIGHUP => reloader.signal(),
                 _ if ending => {}
                 _ => {
                     ending = true;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -12,7 +11,7 @@
 use curlewdeck_listener::Inherited;
 use may::sync::mpsc::Sender;
 
-use crate::config::{Config, Edge, NodeProtocol};
+use crate::config::{Config, ConfigError, Edge, NodeProtocol};
 use crate::control::{self, Operated, Operations};
 use crate::counters::Counters;
 use crate::engine::Engine;
@@ -64,6 +63,15 @@
     others: u32,
 }
 
+/// A configuration that was taken while the process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It differs from the one before.
+    Changed,
+    /// It says the same.
+    Unchanged,
+}
+
 /// Sets the coroutines' workers up; once in a process, before anything else.
 pub fn set_up_workers(limits: &Limits) {
     may::config().set_workers(limits.workers).set_stack_size(limits.stack_words).set_worker_pin(false);
@@ -311,24 +319,15 @@
 }
 
 impl Coordinator {
-    /// After SIGHUP: takes over what the file now says of the list's service and of the settings, or nothing of it.
-    /// All else that it says holds from the next start on. Not called from a coroutine, since reading a file blocks.
+    /// After SIGHUP: takes over what a new configuration says of discovery and of the settings, or nothing of it. All else
+    /// that it says holds from the next start on. Not called from a coroutine, since it waits for a lock.
     ///
     /// # Errors
     /// Says in one line what is missing or out of place.
-    pub fn reload(&self, file: &Path) -> Result<(), String> {
-        let done = self.take(file);
-        let counters = &self.core.counters;
-        Counters::add(if done.is_ok() { &counters.reloads_ok } else { &counters.reloads_failed });
-        done
-    }
-
-    fn take(&self, file: &Path) -> Result<(), String> {
-        let named = |why: String| format!("{}: {why}", file.display());
-        let config = Config::load(file).map_err(|e| named(e.to_string()))?;
+    pub fn take(&self, config: Config) -> Result<Taken, ConfigError> {
         let mut taken = lock(&self.taken);
-        config.follows(&taken).map_err(|e| named(e.to_string()))?;
-        self.edge.check(&config.info).map_err(named)?;
+        config.follows(&taken)?;
+        self.edge.check(&config.info).map_err(ConfigError::Invalid)?;
         if taken.discovery_in_file != config.discovery_in_file
             && self.discovery.send(DiscoveryMsg::Moved(config.discovery_in_file)).is_err()
         {
@@ -337,9 +336,10 @@
         if taken.document["settings"] != config.document["settings"] {
             self.core.reset(config.info.clone().beside(self.others));
         }
+        let changed = if taken.document == config.document { Taken::Unchanged } else { Taken::Changed };
         *taken = config;
         log::info!("the configuration is taken: {} classes", taken.info.classes.len());
-        Ok(())
+        Ok(changed)
     }
 
     /// All figures of one moment; none if the core does not come to it in time. Not called from a coroutine.
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -179,20 +179,31 @@
 
     /// The same, with a listener that it inherits as descriptor 3.
     pub fn start_with(config: &str, listener: Option<&TcpListener>) -> Self {
-        Self::launch(config, listener, "")
+        Self::launch(config, listener, "", |_| ())
+    }
+
+    /// The same, with further files that are put in its folder before.
+    pub fn start_prepared(config: &str, listener: Option<&TcpListener>, prepare: impl FnOnce(&Path)) -> Self {
+        Self::launch(config, listener, "", prepare)
     }
 
     /// The same in a process that can hold so many descriptors only, whatever its configuration says.
     pub fn start_short_of_descriptors(config: &str, descriptors: u32) -> Self {
-        Self::launch(config, None, &format!("ulimit -n {descriptors}; "))
+        Self::launch(config, None, &format!("ulimit -n {descriptors}; "), |_| ())
     }
 
-    fn launch(config: &str, listener: Option<&TcpListener>, before: &str) -> Self {
+    fn launch(
+        config: &str,
+        listener: Option<&TcpListener>,
+        before: &str,
+        prepare: impl FnOnce(&Path),
+    ) -> Self {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let dir = std::env::temp_dir().join(format!("curlewdeck-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         std::fs::write(dir.join("config.json"), config).unwrap();
+        prepare(&dir);
         let program = env!("CARGO_BIN_EXE_curlewdeck");
         let mut command = Command::new("sh");
         match listener {
@@ -278,6 +289,11 @@
         config
     }
 
+    /// Its folder, in which its configuration is `config.json`.
+    pub fn folder(&self) -> &Path {
+        &self.dir
+    }
+
     /// Waits for something that is bound to happen before the program ends, and no longer than until then.
     pub fn until(&mut self, what: &str, mut happened: impl FnMut() -> bool) {
         until(what, || {
