A reload reads no file of the fronts: only what depends on the settings is checked

Root cause: `Coordinator::take` called `Edge::check` (src/serve.rs), which reads the files of the fronts' cursor keys and looks for the state folder (src/config.rs). What a reload needs of it is whether the fronts' classes are still there; the keys were read at the start. So a key file that could not be read for a moment turned the whole configuration down, and with it a move of discovery, as a fault that is not tried again.

Change: `Edge::check_settings` is the part that reads no file, and all that a reload asks. The start and `check` ask for all of it as before.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -327,7 +327,7 @@
     pub fn take(&self, config: Config) -> Result<Taken, ConfigError> {
         let mut taken = lock(&self.taken);
         config.follows(&taken)?;
-        self.edge.check(&config.info).map_err(ConfigError::Invalid)?;
+        self.edge.check_settings(&config.info).map_err(ConfigError::Invalid)?;
         if taken.discovery_in_file != config.discovery_in_file
             && self.discovery.send(DiscoveryMsg::Moved(config.discovery_in_file)).is_err()
         {
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -6,7 +6,7 @@
 
 use std::fs::File;
 use std::io::Write;
-use std::os::unix::fs::symlink;
+use std::os::unix::fs::{symlink, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::thread::sleep;
@@ -283,3 +283,32 @@
         assert!(log.contains(" ends; counters:"), "{log}");
     }
 }
+
+/// Guards a reload against files that only the start needs: the keys of a front, which cannot be read for a moment.
+#[test]
+fn a_reload_reads_no_file_but_its_own() {
+    let edge = r#"
+        [desk]
+        listen = "127.0.0.1:0"
+        cursor_keys = "keys"
+        [[desk.sets]]
+        id = "accounts"
+        title = "Accounts"
+        class = "tag-lookup"
+        measures = [{ name = "balance" }]
+    "#;
+    let Moving { program, old, new, nodes } = Moving::start();
+    drop(program);
+    let program = Program::start_prepared(&naming(&old), None, |folder| {
+        std::fs::create_dir(folder.join("deploy")).unwrap();
+        std::fs::write(folder.join("deploy/edge.toml"), edge).unwrap();
+        std::fs::write(folder.join("keys"), "5f".repeat(32)).unwrap();
+        std::fs::set_permissions(folder.join("keys"), PermissionsExt::from_mode(0o600)).unwrap();
+    });
+    let moving = Moving { program, old, new, nodes };
+    std::fs::remove_file(moving.program.folder().join("keys")).unwrap();
+    moving.program.put(&naming(&moving.new));
+    let signalled = moving.hang_up();
+    moving.follows(signalled);
+    assert_eq!(moving.reloads(), (1, 0));
+}
