No part begins while news of the list waits, however long the process was held up

Root cause: the gate knows only what the core has taken, and the worker runs all that is runnable before it looks for events again; after a stop, or a hold-up of 0.15 s, writers that were ready write while a drain stands unread in the watch's socket (`connection` in src/net/node.rs, `write_current` in src/net/io.rs).

Change: `net::freshness`: a frame with parts begins only within 40 ms of a look that found no unread byte on any connection to discovery and no news on its way to the core; otherwise those get their turn first, for 0.2 s at most.

Excluded: a stall timer, which does not see a stall that begins behind it; yields, which keep the worker from its events.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -240,7 +240,7 @@
         figures_at: 0,
     };
     spawn_vital("core", parts.stack_words, move || {
-        actor.take(Msg::List(known));
+        actor.take(Msg::List(known, None));
         actor.run(&inbox);
     });
     Ok(core)
@@ -359,7 +359,10 @@
                     self.engine.gone(id);
                 }
             }
-            Msg::List(news) => self.take_list(news),
+            Msg::List(news, on_the_way) => {
+                self.take_list(news);
+                drop(on_the_way);
+            }
             Msg::Ended(id, outcome, value) => {
                 log::debug!(target: REQUEST, "attempt {} ended: {outcome:?}", id.0);
                 let counted = self.engine.ended(now, id, outcome, value);
--- a/src/net/discovery/call.rs
+++ b/src/net/discovery/call.rs
@@ -11,6 +11,7 @@
 
 use crate::limits::Limits;
 use crate::net::dial_error::is_own_lack;
+use crate::net::freshness::{Followed, Freshness};
 use crate::net::http::{self, Chunks};
 use crate::net::io::Stream;
 use crate::net::mail::{CallError, DiscoveryMsg};
@@ -31,6 +32,7 @@
     pub(super) address: SocketAddr,
     pub(super) actor: Sender<DiscoveryMsg>,
     pub(super) limits: Arc<Limits>,
+    pub(super) freshness: Freshness,
 }
 
 impl Call {
@@ -65,9 +67,10 @@
                 end: if is_own_lack(&e) { CallEnd::LocalFailure } else { CallEnd::Unreachable },
                 why: format!("no connection: {e}"),
             })?;
-        let connection = Connection(Arc::new(stream));
-        self.tell(DiscoveryMsg::Up(self.id, connection.0.clone()));
-        Ok(connection)
+        let stream = Arc::new(stream);
+        self.tell(DiscoveryMsg::Up(self.id, stream.clone()));
+        let followed = self.freshness.follow(stream.clone());
+        Ok(Connection { stream, followed })
     }
 
     /// Reads the whole list; returns its version, and whether the connection can be asked again.
@@ -77,7 +80,7 @@
         let read = MembershipUpdate::read(&body).map_err(unreadable)?;
         let update = MembershipUpdate { complete: true, ..read };
         let version = update.version;
-        self.tell(DiscoveryMsg::Update(self.id, update));
+        self.tell(DiscoveryMsg::Update(self.id, update, self.freshness.news()));
         Ok((version, !ended && head.keep_alive()))
     }
 
@@ -97,7 +100,7 @@
     /// Sends a request; returns the answer's head, if it is a yes, and what has come of its body.
     fn ask(&self, connection: &Connection, target: &str) -> Result<(http::Head, Vec<u8>), CallError> {
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        let asked = connection.0.write_all(request.as_bytes(), self.limits.node_write);
+        let asked = connection.stream.write_all(request.as_bytes(), self.limits.node_write);
         asked.map_err(|e| unreachable(format!("cannot ask: {e}")))?;
         let mut held = Vec::new();
         let head = loop {
@@ -164,8 +167,10 @@
         let mut lost = Ok(());
         while let Some(event) = objects.next(self.limits.discovery_object).map_err(unreadable)? {
             match event {
-                WatchEvent::Update(update) => self.tell(DiscoveryMsg::Update(self.id, update)),
-                WatchEvent::Heartbeat => self.tell(DiscoveryMsg::Heartbeat(self.id)),
+                WatchEvent::Update(update) => {
+                    self.tell(DiscoveryMsg::Update(self.id, update, self.freshness.news()));
+                }
+                WatchEvent::Heartbeat => self.tell(DiscoveryMsg::Heartbeat(self.id, self.freshness.news())),
                 WatchEvent::Unreadable(error) => lost = lost.and(Err(unreadable(error))),
             }
         }
@@ -173,14 +178,17 @@
     }
 }
 
-/// A connection that is shut with its last use.
-struct Connection(Arc<Stream>);
+/// A connection that is shut with its last use, and looked at for unread news up to then.
+struct Connection {
+    stream: Arc<Stream>,
+    followed: Arc<Followed>,
+}
 
 impl Connection {
     /// Reads on; returns whether anything came, or the peer has ended the connection. A reset is an error.
     fn fill(&self, held: &mut Vec<u8>) -> Result<bool, String> {
         let mut buffer = [0; READ];
-        let count = self.0.read(&mut buffer, READ_WITHIN).map_err(|e| format!("nothing came: {e}"))?;
+        let count = self.followed.read(&mut buffer, READ_WITHIN).map_err(|e| format!("nothing came: {e}"))?;
         held.extend_from_slice(&buffer[..count]);
         Ok(count > 0)
     }
@@ -188,7 +196,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.shut();
+        self.stream.shut();
     }
 }
 
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -19,6 +19,7 @@
 use crate::api::{self, ListKind, Nanos, Phase};
 use crate::counters::Counters;
 use crate::limits::Limits;
+use crate::net::freshness::{Freshness, OnTheWay};
 use crate::net::io::{nanos, spawn_told, spawn_vital, Alarm, Clock, Stream};
 use crate::net::log_limit::LogLimit;
 use crate::net::mail::{CallError, CoreMail, DiscoveryMsg, Msg};
@@ -36,6 +37,8 @@
     pub counters: Arc<Counters>,
     /// The clock.
     pub clock: Clock,
+    /// How fresh the list is.
+    pub freshness: Freshness,
 }
 
 /// How one coordinator subscribes to discovery.
@@ -123,22 +126,24 @@
                 self.streams.insert(call, stream);
             }
             DiscoveryMsg::Up(_, stream) => stream.shut(),
-            DiscoveryMsg::Heartbeat(call) if self.subscription.hears(call) => {
-                self.context.core.send(Msg::List(ListNews::unchanged()));
+            DiscoveryMsg::Heartbeat(call, on_the_way) if self.subscription.hears(call) => {
+                self.context.core.send(Msg::List(ListNews::unchanged(), Some(on_the_way)));
                 self.step(Event::Heartbeat(call));
             }
-            DiscoveryMsg::Update(call, update) if self.subscription.hears(call) => self.told(call, update),
+            DiscoveryMsg::Update(call, update, on_the_way) if self.subscription.hears(call) => {
+                self.told(call, update, on_the_way);
+            }
             DiscoveryMsg::Ended(call, error) if self.subscription.hears(call) => self.ended(call, &error),
             // Of a call that was given up.
-            DiscoveryMsg::Heartbeat(_) | DiscoveryMsg::Update(..) | DiscoveryMsg::Ended(..) => {}
+            DiscoveryMsg::Heartbeat(..) | DiscoveryMsg::Update(..) | DiscoveryMsg::Ended(..) => {}
         }
     }
 
-    fn told(&mut self, call: CallId, update: MembershipUpdate) {
+    fn told(&mut self, call: CallId, update: MembershipUpdate, on_the_way: OnTheWay) {
         self.log_bad_lines(&update);
         let version = update.version;
         let in_force = self.table.apply(update.into());
-        self.context.core.send(Msg::List(ListNews::in_force(in_force)));
+        self.context.core.send(Msg::List(ListNews::in_force(in_force), Some(on_the_way)));
         self.step(Event::Told(call, version));
     }
 
@@ -184,7 +189,7 @@
                 Command::Abandon(call, why) => self.abandon(call, why),
                 Command::UseUnconfirmedList => {
                     log::warn!("the list from before the start is used: discovery has not confirmed it");
-                    self.context.core.send(Msg::List(ListNews::unchanged()));
+                    self.context.core.send(Msg::List(ListNews::unchanged(), None));
                 }
             }
         }
@@ -194,7 +199,8 @@
     fn begin(&mut self, id: CallId, request: Request) {
         Counters::add(&self.context.counters.list_calls);
         let (address, actor, limits) = (self.address, self.own.clone(), self.context.limits.clone());
-        let call = Call { id, request, address, actor, limits };
+        let freshness = self.context.freshness.clone();
+        let call = Call { id, request, address, actor, limits, freshness };
         let own = self.own.clone();
         let ended = move |error: Option<CallError>| {
             let failed = || CallError {
--- a/src/net/feature_node.rs
+++ b/src/net/feature_node.rs
@@ -311,11 +311,13 @@
         let within = self.context.limits.node_write.min(self.left());
         // Looked at again at the moment at which the first byte can go out.
         let may = Cell::new(Ok(()));
+        let (clock, freshness) = (self.context.clock, &self.context.freshness);
         let current = || {
+            freshness.establish(&clock);
             may.set(self.may_ask());
             may.get().is_ok().then(|| request.clone().into_bytes())
         };
-        let written = stream.write_current(current, || true, within);
+        let written = stream.write_current(current, || freshness.holds(clock.now()), || true, within);
         let cut = |e: Unwritten| if self.asked || e.begun { Outcome::Cut } else { Outcome::NoRoute };
         written.map_err(cut)?;
         may.get()?;
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -90,6 +90,11 @@
 }
 
 impl Frame {
+    /// Whether it asks for something new: a part, and not the word that one is given up, or a probe.
+    pub fn is_call(&self) -> bool {
+        matches!(self, Self::Call(_))
+    }
+
     /// Whether these of its attempts are all wanted.
     pub fn wanted(&self, sent: &[AttemptId]) -> bool {
         match self {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -307,6 +307,16 @@
         !matches!(self.inner.inner().peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether bytes wait to be read, without waiting. The peer's end does not count.
+    pub fn holds_unread(&self) -> bool {
+        loop {
+            match self.inner.inner().peek(&mut [0]) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                peeked => return peeked.is_ok_and(|n| n > 0),
+            }
+        }
+    }
+
     /// Whether the peer has not ended it, without waiting. What is not yet read hides an end behind it.
     pub fn open(&self) -> bool {
         match self.inner.inner().peek(&mut [0]) {
@@ -340,13 +350,15 @@
 
     /// Writes what `current` gives at the moment at which the first byte can go out, or nothing where that is nothing by
     /// then: a socket may be full for long, and what is wanted changes meanwhile. Nothing is begun once the peer has
-    /// ended the connection. Once it has begun, it goes on only as long as `still` holds.
+    /// ended the connection, and only while what was given is `timely`: it is asked for anew where the process was held
+    /// up since. Once it has begun, it goes on only as long as `still` holds.
     ///
     /// # Errors
     /// As [`Stream::write_all`], or it had begun and is not to be ended: the connection is of no further use.
     pub fn write_current(
         &self,
         mut current: impl FnMut() -> Option<Vec<u8>>,
+        timely: impl Fn() -> bool,
         still: impl Fn() -> bool,
         within: Duration,
     ) -> Result<(), Unwritten> {
@@ -358,6 +370,13 @@
             if !begun && !self.open() {
                 return failed(begun, io::ErrorKind::NotConnected.into());
             }
+            if !begun && !timely() {
+                match current() {
+                    Some(now) => bytes = now,
+                    None => return Ok(()),
+                }
+                continue;
+            }
             match (&mut self.inner.inner()).write(&bytes) {
                 Ok(0) => return failed(begun, io::ErrorKind::WriteZero.into()),
                 Ok(n) => {
--- a/src/net/io/tests.rs
+++ b/src/net/io/tests.rs
@@ -22,7 +22,8 @@
             looks.fetch_add(1, Ordering::SeqCst);
             wanted.load(Ordering::SeqCst).then(|| b"frame".to_vec())
         };
-        let writer = scope.spawn(move || stream.write_current(current, || true, Duration::from_secs(10)));
+        let writer =
+            scope.spawn(move || stream.write_current(current, || true, || true, Duration::from_secs(10)));
         while looks.load(Ordering::SeqCst) == 0 {
             std::thread::yield_now();
         }
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -13,6 +13,7 @@
 use crate::api::{Nanos, Outcome, QueryId, ServerId};
 use crate::engine::{Ask, AttemptId, Dispatch, Final, Rejected, Value};
 use crate::net::frame::{self, Frame};
+use crate::net::freshness::OnTheWay;
 use crate::net::io::{lock, Permit, Stream};
 use crate::net::link::{Input, LinkId};
 use crate::net::members::{ListNews, MembershipUpdate};
@@ -27,8 +28,8 @@
     Ask(QueryId, Ask, Reply),
     /// A query's client has left.
     Gone(QueryId),
-    /// News of the list.
-    List(ListNews),
+    /// News of the list, on its way until it is taken.
+    List(ListNews, Option<OnTheWay>),
     /// An attempt has ended.
     Ended(AttemptId, Outcome, Option<Value>),
     /// A probe has ended.
@@ -114,9 +115,9 @@
     /// A call has its connection.
     Up(CallId, Arc<Stream>),
     /// A watch says that nothing has changed.
-    Heartbeat(CallId),
+    Heartbeat(CallId, OnTheWay),
     /// A call has told a snapshot or a delta.
-    Update(CallId, MembershipUpdate),
+    Update(CallId, MembershipUpdate, OnTheWay),
     /// A call has ended.
     Ended(CallId, CallError),
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod feature_node;
 pub mod features;
 pub mod frame;
+pub mod freshness;
 pub mod http;
 pub mod io;
 pub mod link;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -16,6 +16,7 @@
 use crate::limits::Limits;
 use crate::net::dial_error::is_own_lack;
 use crate::net::frame::{self, Current, Frame, FrameLimits};
+use crate::net::freshness::Freshness;
 use crate::net::io::{lock, nanos, spawn, spawn_vital, Clock, Permit, Permits, Stream, Unwritten};
 use crate::net::link::{Input, LinkId, LinkLimits, Links, Output};
 use crate::net::log_limit::LogLimit;
@@ -41,6 +42,8 @@
     pub counters: Arc<Counters>,
     /// The clock.
     pub clock: Clock,
+    /// How fresh the list is.
+    pub freshness: Freshness,
 }
 
 /// How often idle connections are looked at, and probes while one is out.
@@ -236,18 +239,23 @@
     };
     let (frames, to_write) = channel::<Frame>();
     let (writer_stream, writer_node, within) = (stream.clone(), node.clone(), context.limits.node_write);
-    let (counters, clock) = (context.counters.clone(), context.clock);
+    let (counters, clock, freshness) = (context.counters.clone(), context.clock, context.freshness.clone());
     let writer = spawn("link writer", context.limits.stack_words, move || {
         for frame in to_write.iter() {
             // Nothing yields between the last look and the first byte, however long the socket was full before.
             let now = RefCell::new(Current::default());
             let current = || {
+                if frame.is_call() {
+                    freshness.establish(&clock);
+                }
                 let mut next = frame.current(clock.now(), gate.open_at(addr));
                 let bytes = next.bytes.take();
                 now.replace(next);
                 bytes
             };
-            let written = writer_stream.write_current(current, || frame.wanted(&now.borrow().sent), within);
+            let timely = || !frame.is_call() || freshness.holds(clock.now());
+            let wanted = || frame.wanted(&now.borrow().sent);
+            let written = writer_stream.write_current(current, timely, wanted, within);
             let Current { sent, stale, probe_left_out, .. } = now.into_inner();
             log::debug!(target: REQUEST, "link {}: {frame}, {} sent, {}", id.0, sent.len(), word(&written));
             let news = match &written {
--- a/src/net/node/tests.rs
+++ b/src/net/node/tests.rs
@@ -27,6 +27,7 @@
         no_socket_log: Arc::new(Mutex::new(LogLimit::new(Nanos::MAX))),
         counters: Arc::default(),
         clock: Clock::start(),
+        freshness: Freshness::default(),
     };
     (context, told)
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::net::discovery::{self, DiscoveryContext, DiscoveryPlan};
 use crate::net::feature_node;
 use crate::net::features::Names;
+use crate::net::freshness::Freshness;
 use crate::net::io::{lock, nanos, thread, Clock, Permits, SMALL_STACK};
 use crate::net::log_limit::LogLimit;
 use crate::net::mail::{self, DiscoveryMsg};
@@ -102,11 +103,13 @@
         seed: config.seed,
         known: config.known,
     };
+    let freshness = Freshness::default();
     let context = DiscoveryContext {
         core: core_mail.clone(),
         limits: limits.clone(),
         counters: counters.clone(),
         clock,
+        freshness: freshness.clone(),
     };
     let (discovery, known) =
         discovery::start(plan, context).map_err(|e| format!("cannot start the actor of discovery: {e}"))?;
@@ -119,6 +122,7 @@
         no_socket_log: Arc::new(Mutex::new(LogLimit::new(nanos(limits.no_socket_log)))),
         counters: counters.clone(),
         clock,
+        freshness,
     };
     let nodes = edge.nodes.clone();
     let names = Arc::new(Names { range: nodes.range_parameter, after: nodes.after_parameter });
