A busy discovery is called less often, and a sound watch that has ended is opened anew at once

It handles calls in turn, 0.38 s each there, and turns down what would wait over 2 s; six coordinators that call again 0.2 to 0.8 s after each 503, and hedge calls that merely wait in turn, ask for several times its capacity, and those that lose know nothing of a drain 6 s after it ("answered 503 (calls since the last such line: 4)" each second). Backing off alone was not enough: a watch that ends instead of telling counts as told about 2 s later, and the failures before it still made the pause 3 s ("call 4 tells", 10.474 "the watch was ended", next call 13.109).

Change: pauses after 503 and other answers double again; nobody's answer, refused or reset, is followed soon by few; hedges of few come after 2.2 s, after a move 1.8 s; a watch that lasted 0.5 s resets the backoff and is opened anew within 0.15 s, by many within their spread.

--- a/crates/membership/src/pacing.rs
+++ b/crates/membership/src/pacing.rs
@@ -3,6 +3,7 @@
 use curlewdeck_core::api::{Discovery, Nanos};
 use fastrand::Rng;
 
+use crate::subscription::CallEnd;
 use crate::CALL_GAP;
 
 /// So many calls the service answers at least within the time in which each coordinator has to ask.
@@ -25,14 +26,17 @@
 /// Pauses of few coordinators, and those after a move of the service: several calls may fail before one has to be
 /// answered.
 const SHORT_PAUSE: Nanos = 600_000_000;
-/// The same of a call that is not answered.
-const HEDGE_OF_FEW: Nanos = 1_500_000_000;
-/// The same after a move, where the calls of many come at once.
-const HEDGE_AFTER_MOVE: Nanos = 2_000_000_000;
+/// The same of a call that is not answered: a service that is merely busy has answered by then.
+const HEDGE_OF_FEW: Nanos = 2_200_000_000;
+/// The same after a move, whose news is in force sooner.
+const HEDGE_AFTER_MOVE: Nanos = 1_800_000_000;
+/// A watch that was sound is opened anew within this, or within the spread of many coordinators: it may have ended
+/// instead of telling.
+const WATCH_END_PAUSE: Nanos = 150_000_000;
 /// After a failure of this machine's own, which says nothing of the service, a call begins anew within this.
 const LOCAL_PAUSE: Nanos = 200_000_000;
 /// A watch that lasted for this long was sound: the next call does not back off.
-const SOUND_WATCH: Nanos = 2_000_000_000;
+const SOUND_WATCH: Nanos = 500_000_000;
 
 /// Spans of calls that the process's limits give.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,12 +56,14 @@
     rng: Rng,
     /// Calls that failed in a row.
     failures: u32,
+    /// The watch that is open, or has just ended, was sound.
+    sound_watch: bool,
 }
 
 impl Pacing {
     /// The pace under `discovery`, beside so many coordinators.
     pub fn new(discovery: Discovery, coordinators: u32, spans: Spans, seed: u64) -> Self {
-        Self { discovery, coordinators, spans, rng: Rng::with_seed(seed), failures: 0 }
+        Self { discovery, coordinators, spans, rng: Rng::with_seed(seed), failures: 0, sound_watch: false }
     }
 
     /// The spans that the process's limits give.
@@ -84,42 +90,52 @@
 
     /// A watch or a call has been answered, and stood for `lasted` since.
     pub fn stood(&mut self, lasted: Nanos) {
-        if lasted >= SOUND_WATCH {
+        self.sound_watch = lasted >= SOUND_WATCH;
+        if self.sound_watch {
             self.failures = 0;
         }
     }
 
-    /// How long after a failed call, or the end of a watch, the next one begins. `gone` is the time since discovery was
-    /// last heard or called, `urgent` tells that an answer is wanted soon, and `unreadable` that what it said could
-    /// not be read.
-    pub fn pause(&mut self, gone: Nanos, urgent: bool, unreadable: bool) -> Nanos {
-        let failures = self.failures;
-        self.failures = self.failures.saturating_add(1);
+    /// How long after a call or a watch has ended so the next one begins. `gone` is the time since discovery was last heard
+    /// or called, and `urgent` tells that an answer is wanted soon.
+    ///
+    /// A service that was reached has worked for the call and may be worn out by more of them: pauses double. Where nobody
+    /// answered, few coordinators call again soon.
+    pub fn pause(&mut self, gone: Nanos, urgent: bool, end: CallEnd) -> Nanos {
+        if end == CallEnd::LocalFailure {
+            return self.jittered(LOCAL_PAUSE);
+        }
+        let (failures, sound_watch_ended) = (self.failures, std::mem::take(&mut self.sound_watch));
+        if !sound_watch_ended {
+            self.failures = self.failures.saturating_add(1);
+        }
         let Discovery::OnRequest { must_ask_in } = self.discovery else {
-            return self.agent_pause(failures, unreadable);
+            return if sound_watch_ended {
+                0
+            } else {
+                self.agent_pause(failures, end == CallEnd::Unreadable)
+            };
         };
         let spread = self.spread(must_ask_in);
         let first = (must_ask_in / FIRST_PAUSE).max(spread);
-        let mut most = (first << failures.min(DOUBLINGS)).min(CALL_GAP.saturating_sub(gone));
-        if urgent || self.coordinators_are_few() {
-            most = most.min(SHORT_PAUSE.max(spread));
+        let left = CALL_GAP.saturating_sub(gone);
+        let most = (first << failures.min(DOUBLINGS)).min(left);
+        match end {
+            CallEnd::Broken if sound_watch_ended => self.share_of(WATCH_END_PAUSE.max(spread).min(left)),
+            CallEnd::Unreachable if urgent || self.coordinators_are_few() => {
+                self.jittered(most.min(SHORT_PAUSE.max(spread)))
+            }
+            _ => self.jittered(most),
         }
-        self.jittered(most)
     }
 
     /// What an agent has counts at once; where it cannot be read, another call will seldom help.
     fn agent_pause(&mut self, failures: u32, unreadable: bool) -> Nanos {
-        let Some(doublings) = failures.checked_sub(1) else { return 0 };
         let most = if unreadable { UNREADABLE_DOUBLINGS } else { AGENT_DOUBLINGS };
-        let pause = AGENT_PAUSE << doublings.min(most);
+        let pause = AGENT_PAUSE << failures.min(most);
         pause - self.share_of(pause / 4)
     }
 
-    /// The same after a call that this machine could not even try.
-    pub fn pause_of_local_failure(&mut self) -> Nanos {
-        self.jittered(LOCAL_PAUSE)
-    }
-
     /// How long a call may go unanswered before another one begins; `beside` tells that one beside it is not answered
     /// either, so that a slow service is to be given time, and `moved` that the service has moved just now.
     pub fn hedge_after(&mut self, moved: bool, beside: bool) -> Nanos {
@@ -128,8 +144,8 @@
         match self.discovery {
             _ if beside => hedge,
             Discovery::Pushed => AGENT_ANSWER,
-            Discovery::OnRequest { .. } if self.coordinators_are_few() => hedge.min(HEDGE_OF_FEW),
             Discovery::OnRequest { .. } if moved => hedge.min(HEDGE_AFTER_MOVE),
+            Discovery::OnRequest { .. } if self.coordinators_are_few() => hedge.min(HEDGE_OF_FEW),
             Discovery::OnRequest { .. } => hedge,
         }
     }
--- a/crates/membership/src/subscription.rs
+++ b/crates/membership/src/subscription.rs
@@ -272,17 +272,17 @@
         if snapshot_needed {
             self.position = None;
         }
-        self.reconnects |= call.following();
+        if let Stage::Following { answered_at, .. } = call.stage {
+            self.reconnects = true;
+            self.pacing.stood(now.saturating_sub(answered_at));
+        }
         self.put_verification_off(now);
         self.next_call_at = now.saturating_add(self.pause(now, end));
     }
 
     fn pause(&mut self, now: Nanos, end: CallEnd) -> Nanos {
-        if end == CallEnd::LocalFailure {
-            return self.pacing.pause_of_local_failure();
-        }
         let gone = now.saturating_sub(self.last_contact);
-        self.pacing.pause(gone, self.urgent(now), end == CallEnd::Unreadable)
+        self.pacing.pause(gone, self.urgent(now), end)
     }
 
     /// A snapshot that was to verify a watch has failed: the watch goes on, and is verified later.
--- a/src/bin/curlewdeck-wirehost/subscriber.rs
+++ b/src/bin/curlewdeck-wirehost/subscriber.rs
@@ -1,7 +1,7 @@
 //! When an instance of the simulator asks discovery for changes: by the pace of the real coordinator, one call at a time.
 
 use curlewdeck::api::{Discovery, Nanos, Settings};
-use curlewdeck_membership::{Pacing, Spans, CALL_LIFETIME};
+use curlewdeck_membership::{CallEnd, Pacing, Spans, CALL_LIFETIME};
 
 /// The simulator tells how each call has ended, so nothing is hedged and no silence is timed.
 const SPANS: Spans = Spans { hedge: CALL_LIFETIME, silence: CALL_LIFETIME };
@@ -36,7 +36,7 @@
     /// A call has failed, or the subscription has dropped.
     pub fn failed(&mut self, now: Nanos) {
         let gone = now.saturating_sub(self.last_contact);
-        self.call_at = Some(now + self.pacing.pause(gone, false, false));
+        self.call_at = Some(now + self.pacing.pause(gone, false, CallEnd::Busy));
     }
 
     /// Whether a call begins now.
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -142,6 +142,7 @@
     fn told(&mut self, call: CallId, update: MembershipUpdate, on_the_way: OnTheWay) {
         self.log_bad_lines(&update);
         let version = update.version;
+        log::debug!("call {} to discovery tells version {version}, {} lines", call.0, update.lines.len());
         let in_force = self.table.apply(update.into());
         self.context.core.send(Msg::List(ListNews::in_force(in_force), Some(on_the_way)));
         self.step(Event::Told(call, version));
@@ -198,6 +199,7 @@
 
     fn begin(&mut self, id: CallId, request: Request) {
         Counters::add(&self.context.counters.list_calls);
+        log::debug!("call {} to discovery begins: {request:?}", id.0);
         let (address, actor, limits) = (self.address, self.own.clone(), self.context.limits.clone());
         let freshness = self.context.freshness.clone();
         let call = Call { id, request, address, actor, limits, freshness };
