A watch that ends soon after its first word is opened anew at once, too, up to three in a row

Root cause: a watch had to stand for 0.5 s before its end reset the backoff; one opened just before a change, which ended instead of telling, was followed after up to 3.6 s. Change: three short watches in a row are opened anew at once, then calls back off.

--- a/crates/membership/src/pacing.rs
+++ b/crates/membership/src/pacing.rs
@@ -37,6 +37,8 @@
 const LOCAL_PAUSE: Nanos = 200_000_000;
 /// A watch that lasted for this long was sound: the next call does not back off.
 const SOUND_WATCH: Nanos = 500_000_000;
+/// So many watches in a row may be shorter and are opened anew at once all the same.
+const SHORT_WATCHES: u32 = 3;
 
 /// Spans of calls that the process's limits give.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,14 +58,24 @@
     rng: Rng,
     /// Calls that failed in a row.
     failures: u32,
-    /// The watch that is open, or has just ended, was sound.
+    /// A sound watch has just ended.
     sound_watch: bool,
+    /// Watches in a row that were short.
+    short_watches: u32,
 }
 
 impl Pacing {
     /// The pace under `discovery`, beside so many coordinators.
     pub fn new(discovery: Discovery, coordinators: u32, spans: Spans, seed: u64) -> Self {
-        Self { discovery, coordinators, spans, rng: Rng::with_seed(seed), failures: 0, sound_watch: false }
+        Self {
+            discovery,
+            coordinators,
+            spans,
+            rng: Rng::with_seed(seed),
+            failures: 0,
+            sound_watch: false,
+            short_watches: 0,
+        }
     }
 
     /// The spans that the process's limits give.
@@ -90,7 +102,17 @@
 
     /// A watch or a call has been answered, and stood for `lasted` since.
     pub fn stood(&mut self, lasted: Nanos) {
-        self.sound_watch = lasted >= SOUND_WATCH;
+        if lasted >= SOUND_WATCH {
+            self.short_watches = 0;
+        }
+    }
+
+    /// A watch has ended that stood for `lasted`. One that was short may have ended instead of telling; several in a row
+    /// come from a service that keeps none.
+    pub fn watch_ended(&mut self, lasted: Nanos) {
+        self.stood(lasted);
+        self.sound_watch = self.short_watches < SHORT_WATCHES;
+        self.short_watches = self.short_watches.saturating_add(1);
         if self.sound_watch {
             self.failures = 0;
         }
--- a/crates/membership/src/subscription.rs
+++ b/crates/membership/src/subscription.rs
@@ -229,7 +229,7 @@
         commands.extend(self.calls.drain(..).map(|call| Command::Abandon(call.id, Abandoned::Moved)));
         self.position = None;
         self.reconnects = false;
-        self.pacing.stood(Nanos::MAX);
+        self.pacing.watch_ended(Nanos::MAX);
         self.next_call_at = now;
         self.moved_until = now.saturating_add(MOVE_IN_FORCE);
     }
@@ -274,7 +274,7 @@
         }
         if let Stage::Following { answered_at, .. } = call.stage {
             self.reconnects = true;
-            self.pacing.stood(now.saturating_sub(answered_at));
+            self.pacing.watch_ended(now.saturating_sub(answered_at));
         }
         self.put_verification_off(now);
         self.next_call_at = now.saturating_add(self.pause(now, end));
--- a/src/bin/curlewdeck-wirehost/subscriber.rs
+++ b/src/bin/curlewdeck-wirehost/subscriber.rs
@@ -29,7 +29,7 @@
 
     /// A list or a change has come.
     pub fn heard(&mut self, now: Nanos) {
-        self.pacing.stood(Nanos::MAX);
+        self.pacing.watch_ended(Nanos::MAX);
         self.last_contact = now;
     }
 
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -159,7 +159,7 @@
             stream.shut();
         }
         if why == Abandoned::Silent {
-            self.failed("nothing came in time");
+            log::debug!("call {} to discovery was silent and is given up", call.0);
         }
     }
 
@@ -198,6 +198,9 @@
     }
 
     fn begin(&mut self, id: CallId, request: Request) {
+        if !self.streams.is_empty() {
+            self.failed("nothing came in time, another one begins beside it");
+        }
         Counters::add(&self.context.counters.list_calls);
         log::debug!("call {} to discovery begins: {request:?}", id.0);
         let (address, actor, limits) = (self.address, self.own.clone(), self.context.limits.clone());
