--- a/crates/membership/src/subscription.rs
+++ b/crates/membership/src/subscription.rs
@@ -185,6 +185,11 @@
         self.confirmation.usable()
     }
 
+    /// Whether a watch has told something and is still open.
+    pub fn follows(&self) -> bool {
+        self.calls.iter().any(Call::following)
+    }
+
     /// Whether what a call tells still counts.
     pub fn hears(&self, call: CallId) -> bool {
         self.calls.iter().any(|c| c.id == call)
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -198,8 +198,8 @@
     }
 
     fn begin(&mut self, id: CallId, request: Request) {
-        if !self.streams.is_empty() {
-            self.failed("nothing came in time, another one begins beside it");
+        if self.subscription.follows() {
+            self.failed("a watch was silent for too long, another one begins beside it");
         }
         Counters::add(&self.context.counters.list_calls);
         log::debug!("call {} to discovery begins: {request:?}", id.0);
