One stand-in that times parts, one reader of frames and one lock for the tests' stand-ins

Change: TimedNode is gone, the drain trials use DataNode; HeldNode and the rig use the stand-in's pieces. No assertion differs.

--- a/examples/toy/stand_in.rs
+++ b/examples/toy/stand_in.rs
@@ -9,7 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// What a mutex guards, whoever panicked while holding it.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -242,13 +243,14 @@
 }
 
 /// A frame as it came, and when its first byte did.
-struct ReadFrame {
-    letter: u8,
-    rest: Vec<u8>,
-    begun: Instant,
+pub struct ReadFrame {
+    pub letter: u8,
+    pub rest: Vec<u8>,
+    pub begun: Instant,
 }
 
-fn read_frame(stream: &mut TcpStream) -> Option<ReadFrame> {
+/// Reads one frame.
+pub fn read_frame(stream: &mut TcpStream) -> Option<ReadFrame> {
     let mut head = [0; 4];
     stream.read_exact(&mut head[..1]).ok()?;
     let begun = Instant::now();
--- a/tests/bed/catalog.rs
+++ b/tests/bed/catalog.rs
@@ -2,20 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use super::drain_check::{Change, News, NodeState, Said};
+use super::stand_in::lock;
 
 /// The version of the first list.
 pub const FIRST_VERSION: u64 = 41;
 /// The first list is as old as this: longer than any time limit of the rules.
 const FIRST_AGE: Duration = Duration::from_secs(60);
 
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// A data node's line.
 #[derive(Debug, Clone)]
 pub struct Line {
--- a/tests/bed/discovery_connection.rs
+++ b/tests/bed/discovery_connection.rs
@@ -6,10 +6,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::catalog::{lock, Text, FIRST_VERSION};
+use super::catalog::{Text, FIRST_VERSION};
 use super::discovery_faults::{AheadAnswer, CallFault, IndexAnswer, Pieces};
 use super::drain_check::{News, Write};
 use super::faulty_discovery::{Noted, Service, Turn};
+use super::stand_in::lock;
 
 /// A heartbeat is written this often.
 const HEARTBEAT: Duration = Duration::from_secs(1);
--- a/tests/bed/drain_trial.rs
+++ b/tests/bed/drain_trial.rs
@@ -6,12 +6,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::catalog::{lock, Catalog, FIRST_VERSION};
+use super::catalog::{Catalog, FIRST_VERSION};
 use super::drain_check::{violations, Assignment, CoordinatorLog, Delivery, NodeState, PartBegun, Violation};
 use super::faulty_discovery::FaultyDiscovery;
+use super::stand_in::{lock, DataNode, Part};
 use super::steady_load::{coordinator_of, Answered, SteadyLoad};
-use super::timed_node::TimedNode;
-use super::{until, Bed, Program};
+use super::{served, until, Bed, Program};
 
 /// Clients of each coordinator.
 const CLIENTS: u64 = 2;
@@ -39,7 +39,7 @@
     pub catalog: Arc<Catalog>,
     /// The coordinators that the settings tell of.
     pub fleet: u32,
-    nodes: BTreeMap<String, TimedNode>,
+    nodes: BTreeMap<String, DataNode>,
     running: Vec<Running>,
     complaints: Vec<String>,
 }
@@ -59,8 +59,8 @@
 impl Trial {
     /// Data nodes that are all up, each with every shard.
     pub fn new(name: &str, delivery: Delivery, uids: &[&str]) -> Self {
-        let nodes: BTreeMap<String, TimedNode> =
-            uids.iter().map(|uid| (uid.to_string(), TimedNode::start())).collect();
+        let nodes: BTreeMap<String, DataNode> =
+            uids.iter().map(|uid| (uid.to_string(), DataNode::start(served))).collect();
         let lines: Vec<_> = nodes.iter().map(|(uid, node)| (uid.as_str(), node.addr)).collect();
         let catalog = Arc::new(Catalog::new(&lines));
         let name = format!("{} {name}", delivery.name());
@@ -117,7 +117,7 @@
     pub fn in_use(&self, uids: &[&str]) {
         let sent = |uid: &str, number: usize| {
             let parts = self.nodes[uid].parts();
-            parts.iter().any(|p| coordinator_of(&p.part.id) == Some(number))
+            parts.iter().any(|p| coordinator_of(&p.id) == Some(number))
         };
         let coordinators = || 0..self.running.len();
         until("parts at each node", || uids.iter().all(|uid| coordinators().all(|n| sent(uid, n))));
@@ -180,15 +180,11 @@
     }
 
     fn begun(&self) -> Vec<PartBegun> {
-        let of = |(uid, node): (&String, &TimedNode)| {
-            let begun = |p: super::timed_node::TimedPart| {
-                coordinator_of(&p.part.id).map(|coordinator| PartBegun {
-                    coordinator,
-                    uid: uid.clone(),
-                    at: p.at,
-                })
+        let of = |(uid, node): (&String, &DataNode)| {
+            let begun = |(part, at): (Part, Instant)| {
+                coordinator_of(&part.id).map(|coordinator| PartBegun { coordinator, uid: uid.clone(), at })
             };
-            node.parts().into_iter().filter_map(begun).collect::<Vec<_>>()
+            node.begun().into_iter().filter_map(begun).collect::<Vec<_>>()
         };
         self.nodes.iter().flat_map(of).collect()
     }
--- a/tests/bed/faulty_discovery.rs
+++ b/tests/bed/faulty_discovery.rs
@@ -6,10 +6,11 @@
 use std::thread;
 use std::time::Instant;
 
-use super::catalog::{lock, Catalog};
+use super::catalog::Catalog;
 use super::discovery_connection::Connection;
 use super::discovery_faults::Faults;
 use super::drain_check::{Had, Reach, ServiceLog, Silence, Write};
+use super::stand_in::lock;
 use super::until;
 
 /// What the connections of a service share.
--- a/tests/bed/held_node.rs
+++ b/tests/bed/held_node.rs
@@ -1,18 +1,14 @@
 //! A data node whose connections and reading a test holds back. It notes when the first byte of each part came, and on
 //! which connection.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::stand_in::{frame, read_parts, NodeReply, Part};
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
+use super::stand_in::{frame, lock, read_frame, read_parts, NodeReply, Part, ReadFrame};
 
 /// A part as it came.
 #[derive(Debug, Clone, PartialEq)]
@@ -167,7 +163,7 @@
         while !state.reads.load(Ordering::SeqCst) {
             thread::sleep(LOOK);
         }
-        let Some((begun, letter, rest)) = read_frame(&mut stream) else { return };
+        let Some(ReadFrame { letter, rest, begun }) = read_frame(&mut stream) else { return };
         if letter != b'D' {
             lock(&state.others).push((letter, connection));
             if letter == b'I' {
@@ -190,15 +186,3 @@
         }
     }
 }
-
-/// A frame, and when its first byte was there.
-fn read_frame(stream: &mut TcpStream) -> Option<(Instant, u8, Vec<u8>)> {
-    let mut head = [0; 4];
-    stream.read_exact(&mut head[..1]).ok()?;
-    let begun = Instant::now();
-    stream.read_exact(&mut head[1..]).ok()?;
-    let mut body = vec![0; u32::from_le_bytes(head) as usize];
-    stream.read_exact(&mut body).ok()?;
-    let letter = *body.first()?;
-    Some((begun, letter, body.split_off(1)))
-}
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -12,7 +12,6 @@
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
 pub mod steady_load;
-pub mod timed_node;
 
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
--- a/tests/bed/steady_load.rs
+++ b/tests/bed/steady_load.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::catalog::lock;
+use super::stand_in::lock;
 use super::stand_in::read_answer;
 
 /// An answer, and when it was there.
