One type for a data node's state, one peek and one read loop, and no reason that nobody reads

Change: State alone, the core's news made beside its type; Command::Abandon without a reason; Stream::peek_now and read_noting; MembershipTable::apply without the second pass. Behaviour stays, but for the words of one debug line, and an interrupted peek, which is now looked at again.

--- a/crates/membership/src/subscription.rs
+++ b/crates/membership/src/subscription.rs
@@ -77,22 +77,11 @@
     /// Begin a call: ends in [`Event::Ended`], or is never heard of.
     Begin(CallId, Request),
     /// Close a call's connection; it is not heard any more.
-    Abandon(CallId, Abandoned),
+    Abandon(CallId),
     /// The list from before the start may be used, though nothing has confirmed it.
     UseUnconfirmedList,
 }
 
-/// Why a call is given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Abandoned {
-    /// A later call has taken its place.
-    Replaced,
-    /// It was silent for too long.
-    Silent,
-    /// The service has moved.
-    Moved,
-}
-
 /// How far a call has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -130,14 +119,6 @@
         matches!(self.stage, Stage::Following { .. })
     }
 
-    /// Why it is given up for a later call that has been answered.
-    fn why(&self, now: Nanos, silence: Nanos) -> Abandoned {
-        match self.following() && now < self.heard_at().saturating_add(silence) {
-            true => Abandoned::Replaced,
-            false => Abandoned::Silent,
-        }
-    }
-
     fn lifetime_ends(&self) -> Nanos {
         self.heard_at().saturating_add(CALL_LIFETIME)
     }
@@ -231,7 +212,7 @@
 
     /// Versions of another service mean nothing here, and what it has is asked for at once.
     fn service_moved(&mut self, now: Nanos, commands: &mut Vec<Command>) {
-        commands.extend(self.calls.drain(..).map(|call| Command::Abandon(call.id, Abandoned::Moved)));
+        commands.extend(self.calls.drain(..).map(|call| Command::Abandon(call.id)));
         self.position = None;
         self.reconnects = false;
         self.pacing.watch_ended(Nanos::MAX);
@@ -242,10 +223,7 @@
     /// A call has told something: earlier ones are not needed any more.
     fn heard(&mut self, now: Nanos, id: CallId, version: Option<u64>, commands: &mut Vec<Command>) {
         let Some(at) = self.calls.iter().position(|c| c.id == id) else { return };
-        let silence = self.pacing.spans().silence;
-        commands.extend(
-            self.calls.drain(..at).map(|earlier| Command::Abandon(earlier.id, earlier.why(now, silence))),
-        );
+        commands.extend(self.calls.drain(..at).map(|earlier| Command::Abandon(earlier.id)));
         let reconnects = self.reconnects;
         let call = &mut self.calls[0];
         let by_version = matches!(call.request, Request::Watch { .. });
@@ -308,7 +286,7 @@
         let expired = |call: &Call| call.lifetime_ends() <= now;
         let given_up: Vec<CallId> = self.calls.iter().filter(|c| expired(c)).map(|c| c.id).collect();
         for id in given_up {
-            commands.push(Command::Abandon(id, Abandoned::Silent));
+            commands.push(Command::Abandon(id));
             self.ended(now, id, CallEnd::Unreachable);
         }
     }
@@ -347,7 +325,7 @@
         if due == Due::Replacement {
             // The oldest call is kept, which may be answered late; a watch that has fallen silent is not.
             let goes = if self.calls[0].following() { 0 } else { 1 };
-            commands.push(Command::Abandon(self.calls.remove(goes).id, Abandoned::Silent));
+            commands.push(Command::Abandon(self.calls.remove(goes).id));
         }
         let request = match (due, self.position) {
             (Due::Verification, _) | (_, None) => Request::Snapshot,
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -41,7 +41,7 @@
     pub version: u64,
     /// Whether it names all data nodes: what is missing has left.
     pub complete: bool,
-    /// Its lines.
+    /// Its lines. Where a data node has several, they count in their order.
     pub lines: Vec<Line<M>>,
 }
 
@@ -76,22 +76,13 @@
     /// may not change keeps the state that is in force, and one that cannot be used is left out.
     pub fn apply(&mut self, update: Update<M>) -> Update<M> {
         let Update { version, complete, lines } = update;
-        let mut named: Vec<String> = Vec::with_capacity(lines.len());
-        for line in lines {
-            named.push(line.uid.clone());
-            self.take(version, line);
-        }
+        let named: Vec<String> = lines.iter().map(|line| line.uid.clone()).collect();
+        lines.into_iter().for_each(|line| self.take(version, line));
         if complete {
             self.depart_unnamed(version, &named);
         }
-        let mut in_force = Vec::with_capacity(named.len());
-        let mut seen = HashSet::with_capacity(named.len());
-        for uid in named {
-            if seen.insert(uid.clone()) {
-                in_force.extend(self.line(uid));
-            }
-        }
-        Update { version, complete, lines: in_force }
+        let lines = named.into_iter().filter_map(|uid| self.line(uid)).collect();
+        Update { version, complete, lines }
     }
 
     /// How many data nodes it remembers, those that have left included.
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -11,12 +11,11 @@
 use std::sync::Arc;
 
 use curlewdeck_membership::{
-    Abandoned, CallEnd, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, State, Subscription,
-    Update,
+    CallEnd, CallId, Command, Event, MembershipTable, Pacing, Request, Spans, Subscription,
 };
 use may::sync::mpsc::{channel, Receiver, Sender};
 
-use crate::api::{self, ListKind, Nanos, Phase};
+use crate::api::{self, ListKind, Nanos};
 use crate::counters::Counters;
 use crate::limits::Limits;
 use crate::net::freshness::{Freshness, OnTheWay};
@@ -154,13 +153,11 @@
         self.step(Event::Ended(call, error.end));
     }
 
-    fn abandon(&mut self, call: CallId, why: Abandoned) {
+    fn abandon(&mut self, call: CallId) {
+        log::debug!("call {} to discovery is given up", call.0);
         if let Some(stream) = self.streams.remove(&call) {
             stream.shut();
         }
-        if why == Abandoned::Silent {
-            log::debug!("call {} to discovery was silent and is given up", call.0);
-        }
     }
 
     fn failed(&mut self, why: &str) {
@@ -187,7 +184,7 @@
         for command in self.subscription.step(now, event) {
             match command {
                 Command::Begin(call, request) => self.begin(call, request),
-                Command::Abandon(call, why) => self.abandon(call, why),
+                Command::Abandon(call) => self.abandon(call),
                 Command::UseUnconfirmedList => {
                     log::warn!("the list from before the start is used: discovery has not confirmed it");
                     self.context.core.send(Msg::List(ListNews::unchanged(), None));
@@ -222,25 +219,3 @@
         self.context.clock.now()
     }
 }
-
-impl ListNews {
-    /// The news that nothing has changed: the list that is held is in force.
-    fn unchanged() -> Self {
-        Self { kind: ListKind::Diff, members: Vec::new() }
-    }
-
-    /// What the core is to take over.
-    fn in_force(update: Update<ListedMember>) -> Self {
-        let kind = if update.complete { ListKind::Full } else { ListKind::Diff };
-        let member = |line: curlewdeck_membership::Line<ListedMember>| {
-            let (mut member, address) = line.member?;
-            member.phase = match line.state {
-                State::Up => Phase::In,
-                State::Draining => Phase::Draining,
-                State::Removed => Phase::Out,
-            };
-            Some((member, address))
-        };
-        Self { kind, members: update.lines.into_iter().filter_map(member).collect() }
-    }
-}
--- a/src/net/freshness.rs
+++ b/src/net/freshness.rs
@@ -112,19 +112,7 @@
     /// # Errors
     /// `TimedOut`, or the connection has failed.
     pub fn read(&self, buf: &mut [u8], within: Duration) -> io::Result<usize> {
-        loop {
-            self.reads.store(true, Ordering::SeqCst);
-            match self.stream.read_now(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.reads.store(false, Ordering::SeqCst);
-                    self.stream.wait(within)?;
-                }
-                done => {
-                    self.stream.leave_room();
-                    return done;
-                }
-            }
-        }
+        self.stream.read_noting(buf, within, |reads| self.reads.store(reads, Ordering::SeqCst))
     }
 }
 
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -251,9 +251,22 @@
     /// # Errors
     /// `TimedOut`, or the connection has failed.
     pub fn read(&self, buf: &mut [u8], within: Duration) -> io::Result<usize> {
+        self.read_noting(buf, within, |_| ())
+    }
+
+    /// The same; `note` is told before each look at the socket that bytes may be taken from it, and before each wait that
+    /// none were.
+    ///
+    /// # Errors
+    /// As [`Stream::read`].
+    pub fn read_noting(&self, buf: &mut [u8], within: Duration, note: impl Fn(bool)) -> io::Result<usize> {
         loop {
+            note(true);
             match self.read_now(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.wait(within)?,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    note(false);
+                    self.wait(within)?;
+                }
                 done => {
                     self.leave_room();
                     return done;
@@ -302,27 +315,29 @@
         })
     }
 
+    /// Looks at what is there, without waiting: nothing is there once the peer has ended its way.
+    fn peek_now(&self) -> io::Result<usize> {
+        loop {
+            match self.inner.inner().peek(&mut [0]) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                peeked => return peeked,
+            }
+        }
+    }
+
     /// Whether bytes wait to be read or the peer has closed, without waiting.
     pub fn readable(&self) -> bool {
-        !matches!(self.inner.inner().peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        !matches!(self.peek_now(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Whether bytes wait to be read, without waiting. The peer's end does not count.
     pub fn holds_unread(&self) -> bool {
-        loop {
-            match self.inner.inner().peek(&mut [0]) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                peeked => return peeked.is_ok_and(|n| n > 0),
-            }
-        }
+        self.peek_now().is_ok_and(|n| n > 0)
     }
 
     /// Whether the peer has not ended it, without waiting. What is not yet read hides an end behind it.
     pub fn open(&self) -> bool {
-        match self.inner.inner().peek(&mut [0]) {
-            Ok(n) => n > 0,
-            Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
-        }
+        self.peek_now().map_or_else(|e| e.kind() == io::ErrorKind::WouldBlock, |n| n > 0)
     }
 
     /// Writes all, or fails after so long.
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -16,7 +16,7 @@
 mod objects;
 
 pub use fault::{LineError, LineFault};
-pub use line::{MemberEntry, MemberLine, MemberState};
+pub use line::{MemberEntry, MemberLine};
 pub use objects::{Objects, WatchEvent};
 
 /// A snapshot of the membership or a delta to it, as discovery writes it. A line that cannot be read costs that line
@@ -85,26 +85,16 @@
 fn table_line(line: MemberLine) -> Option<Line<ListedMember>> {
     match line {
         MemberLine::Whole(entry) => {
-            let (uid, state, boot) = (entry.uid.clone(), entry.state.into(), entry.boot_ms);
+            let (uid, state, boot) = (entry.uid.clone(), entry.state, entry.boot_ms);
             Some(Line { uid, state, boot: Some(boot), member: Some(member(entry)) })
         }
         MemberLine::Partial { uid, state, boot_ms, .. } => {
-            Some(Line { uid, state: state.into(), boot: boot_ms, member: None })
+            Some(Line { uid, state, boot: boot_ms, member: None })
         }
         MemberLine::Unreadable(_) => None,
     }
 }
 
-impl From<MemberState> for State {
-    fn from(state: MemberState) -> Self {
-        match state {
-            MemberState::Up => Self::Up,
-            MemberState::Draining => Self::Draining,
-            MemberState::Removed => Self::Removed,
-        }
-    }
-}
-
 /// The lines of an update with each data node named once.
 ///
 /// A later line of a data node takes the place of an earlier one, but a gate that one line shuts is not opened by
@@ -142,11 +132,11 @@
 fn later(earlier: &MemberLine, line: MemberLine) -> MemberLine {
     match (earlier, line) {
         // It cannot open a gate, and says nothing else.
-        (_, MemberLine::Partial { state: MemberState::Up, .. }) => earlier.clone(),
+        (_, MemberLine::Partial { state: State::Up, .. }) => earlier.clone(),
         (MemberLine::Whole(before), MemberLine::Partial { state, .. }) => {
             MemberLine::Whole(MemberEntry { state, ..before.clone() })
         }
-        (_, MemberLine::Whole(entry)) if entry.state == MemberState::Up && !reopens(earlier, &entry) => {
+        (_, MemberLine::Whole(entry)) if entry.state == State::Up && !reopens(earlier, &entry) => {
             MemberLine::Whole(MemberEntry { state: state_of(earlier), ..entry })
         }
         (_, line) => line,
@@ -160,14 +150,14 @@
         MemberLine::Partial { boot_ms, .. } => *boot_ms,
         MemberLine::Unreadable(_) => None,
     };
-    !state_of(earlier).is_shut() || started.is_some_and(|started| entry.boot_ms > started)
+    state_of(earlier) == State::Up || started.is_some_and(|started| entry.boot_ms > started)
 }
 
-fn state_of(line: &MemberLine) -> MemberState {
+fn state_of(line: &MemberLine) -> State {
     match line {
         MemberLine::Whole(entry) => entry.state,
         MemberLine::Partial { state, .. } => *state,
-        MemberLine::Unreadable(_) => MemberState::Draining,
+        MemberLine::Unreadable(_) => State::Draining,
     }
 }
 
@@ -180,6 +170,23 @@
     pub members: Vec<ListedMember>,
 }
 
+impl ListNews {
+    /// The news that nothing has changed: the list that is held is in force.
+    pub fn unchanged() -> Self {
+        Self { kind: ListKind::Diff, members: Vec::new() }
+    }
+
+    /// What the core is to take over.
+    pub fn in_force(update: Update<ListedMember>) -> Self {
+        let kind = if update.complete { ListKind::Full } else { ListKind::Diff };
+        let listed = |line: Line<ListedMember>| {
+            let (member, address) = line.member?;
+            Some((Member { phase: phase(line.state), ..member }, address))
+        };
+        Self { kind, members: update.lines.into_iter().filter_map(listed).collect() }
+    }
+}
+
 const MILLI: u64 = 1_000_000;
 
 fn member(entry: MemberEntry) -> ListedMember {
@@ -194,11 +201,11 @@
     (member, entry.endpoint)
 }
 
-fn phase(state: MemberState) -> Phase {
+fn phase(state: State) -> Phase {
     match state {
-        MemberState::Up => Phase::In,
-        MemberState::Draining => Phase::Draining,
-        MemberState::Removed => Phase::Out,
+        State::Up => Phase::In,
+        State::Draining => Phase::Draining,
+        State::Removed => Phase::Out,
     }
 }
 
--- a/src/net/members/line.rs
+++ b/src/net/members/line.rs
@@ -4,36 +4,19 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use curlewdeck_membership::State;
 use serde::de::{MapAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 
 use super::fault::{LineError, LineFault};
 
-/// What a data node's line says of its service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MemberState {
-    /// In service.
-    Up,
-    /// It completes what it holds and gets nothing new.
-    Draining,
-    /// Gone.
-    Removed,
-}
-
-impl MemberState {
-    /// A state that is not known counts as draining: nothing new is sent there.
-    fn named(name: &str) -> Self {
-        match name {
-            "up" => Self::Up,
-            "removed" => Self::Removed,
-            _ => Self::Draining,
-        }
-    }
-
-    /// Whether nothing new may be sent there.
-    pub fn is_shut(self) -> bool {
-        self != Self::Up
+/// A state that is not known counts as draining: nothing new is sent there.
+fn state_named(name: &str) -> State {
+    match name {
+        "up" => State::Up,
+        "removed" => State::Removed,
+        _ => State::Draining,
     }
 }
 
@@ -49,7 +32,7 @@
     /// Its cell.
     pub cell: u32,
     /// Its state.
-    pub state: MemberState,
+    pub state: State,
     /// Its size for comparison: finite and not negative.
     pub capacity: f64,
     /// When it last started, as Unix time in milliseconds; 0 means long ago.
@@ -66,7 +49,7 @@
         /// The data node's name.
         uid: String,
         /// Its state; draining where that cannot be read.
-        state: MemberState,
+        state: State,
         /// When it last started, if that can be read; 0 where it is left out.
         boot_ms: Option<u64>,
         /// Why the rest cannot be used.
@@ -116,7 +99,7 @@
         match self.entry(&uid, state, boot_ms) {
             Ok(entry) => MemberLine::Whole(entry),
             Err(reason) => MemberLine::Partial {
-                state: state_read.unwrap_or(MemberState::Draining),
+                state: state_read.unwrap_or(State::Draining),
                 boot_ms: boot_read,
                 reason: reason.at(&uid),
                 uid,
@@ -127,7 +110,7 @@
     fn entry(
         &self,
         uid: &str,
-        state: Result<MemberState, LineError>,
+        state: Result<State, LineError>,
         boot_ms: Result<u64, LineError>,
     ) -> Result<MemberEntry, LineError> {
         Ok(MemberEntry {
@@ -141,8 +124,8 @@
         })
     }
 
-    fn state(&self) -> Result<MemberState, LineError> {
-        let named = |text: &str| Some(MemberState::named(&serde_json::from_str::<String>(text).ok()?));
+    fn state(&self) -> Result<State, LineError> {
+        let named = |text: &str| Some(state_named(&serde_json::from_str::<String>(text).ok()?));
         self.required(LineFault::State, "state", named)
     }
 
--- a/src/net/members/tests.rs
+++ b/src/net/members/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use curlewdeck_membership::State as MemberState;
 use proptest::prelude::*;
 
 const MOST: usize = 4096;
@@ -83,11 +84,6 @@
 
 /// Name and phase of the lines for the table, and the same of those that are known in part.
 fn phases(update: &Update<ListedMember>) -> (Named<'_>, Named<'_>) {
-    let phase = |state| match state {
-        State::Up => Phase::In,
-        State::Draining => Phase::Draining,
-        State::Removed => Phase::Out,
-    };
     let of = |whole: bool| {
         let lines = update.lines.iter().filter(move |line| line.member.is_some() == whole);
         lines.map(|line| (line.uid.as_str(), phase(line.state))).collect()
