A query leaves the admission queue with the answer of its first phase

Callers saw: a client's retry (X-Retried: 1) of a query of two phases got 504 "given up" at once where the part that is sent ahead completes the first phase alone. Shown on a socket; no client got two answers or one of the wrong phase.

Cause: complete_part puts a retried query back into the admission queue, review answers its first phase in the same round, and await_second_phase left it there. admit found nothing to send and set it from between the phases to running in the first one: the part of the second phase was never sent, and the first phase was answered a second time, which the engine made a failure. From end_unserved the same state let admit send the rest of a first phase that has its answer; the engine knows those parts no more and reports no end.

Change: await_second_phase takes the query out of the queue, and admit sends only what is still queued after shedding. Why it works: the queue holds queries whose parts wait for admission, and after its answer the first phase has none.

--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -187,7 +187,9 @@
         let shards: Vec<u32> = (0..1 + pick as u32 % 5).collect();
         let deadline = self.now + (1 + pick as Nanos % 2000) * MS;
         let class = pick % 3;
-        if engine.submit(self.now, id, request(self.classes[class], &shards, deadline)).is_ok() {
+        let is_retry = pick / 13 % 2 == 1;
+        let request = QueryRequest { is_retry, ..request(self.classes[class], &shards, deadline) };
+        if engine.submit(self.now, id, request).is_ok() {
             self.submitted.insert(id, SubmittedQuery { class, parts: shards.len(), deadline });
         }
     }
--- a/crates/core/src/policy/admission.rs
+++ b/crates/core/src/policy/admission.rs
@@ -75,8 +75,8 @@
                 |load: &&RunningLoad| load.value_per_part < queued.value_per_part / OUTRANK_FACTOR;
             let parts: usize = running.iter().filter(outranked).map(|load| load.parts_in_flight).sum();
             let limit = self.load.in_flight_limit + parts as f64;
-            let is_open = self.queries.contains_key(&queued.id);
-            if is_open && (self.load.attempts_in_flight as f64) < limit {
+            let is_queued = self.review_queue.queued.contains(&queued.id);
+            if is_queued && (self.load.attempts_in_flight as f64) < limit {
                 self.admit_query(queued.id);
             }
         }
--- a/crates/core/src/policy/answer.rs
+++ b/crates/core/src/policy/answer.rs
@@ -49,8 +49,10 @@
         }
     }
 
+    /// What is left of the first phase is neither waited for nor admitted any more.
     fn await_second_phase(&mut self, id: QueryId, first_phase_complete: bool) {
         let Some(query) = self.queries.get_mut(&id) else { return };
+        self.review_queue.queued.remove(&id);
         query.state = QueryState::BetweenPhases;
         query.first_phase_complete = first_phase_complete;
         for part in query.parts.clone() {
--- a/crates/core/tests/answer.rs
+++ b/crates/core/tests/answer.rs
@@ -124,3 +124,57 @@
     }
     assert!(rounds <= 200 / 5 + 2, "{rounds} rounds in 40 ticks");
 }
+
+/// A client's retry of a query: its id, and its canary part as it is sent ahead.
+fn retried_query(harness: &mut PolicyHarness, parts: u64) -> (QueryId, Sent) {
+    let (query, mut events) = harness.query_events(0, parts);
+    if let Event::QueryArrived { is_retry, .. } = &mut events[0] {
+        *is_retry = true;
+    }
+    let canary = sends(&harness.round(events));
+    assert_eq!(canary.len(), 1, "one part is sent ahead");
+    (query, canary[0])
+}
+
+/// Sends and serves the second phase of a query; returns how often it was answered after its first phase.
+fn answers_of_second_phase(harness: &mut PolicyHarness, query: QueryId) -> usize {
+    let part = Event::PartArrived { id: PartId(900), query, shard: ShardId(0), weight: 1.0 };
+    let mut actions = harness.round(vec![part]);
+    let second = sends(&actions);
+    assert_eq!(second.iter().map(|s| s.part).collect::<Vec<_>>(), [PartId(900)], "{actions:?}");
+    actions.extend(harness.round(vec![harness.ended(&second[0], 0, Outcome::Success)]));
+    actions.iter().filter(|a| matches!(a, Action::Answer { .. })).count()
+}
+
+/// Guards against a query that goes back to admission after its first phase: it is answered twice by that phase, and the
+/// second is never sent.
+#[test]
+fn a_retry_whose_canary_part_completes_the_first_phase_goes_on_to_the_second() {
+    let mut set = settings();
+    set.classes[0].second_phase_parts = 1;
+    let mut harness = PolicyHarness::new(set, 3);
+    let (query, canary) = retried_query(&mut harness, 1);
+    let actions = harness.round(vec![harness.ended(&canary, 0, Outcome::Success)]);
+    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Answer { .. })).count(), 1, "{actions:?}");
+    assert_eq!(answers_of_second_phase(&mut harness, query), 1);
+}
+
+/// Guards the same where the first phase is answered in part while the rest of it waits for admission: no more of that
+/// phase is sent.
+#[test]
+fn a_first_phase_that_is_answered_in_part_while_it_is_queued_goes_on_to_the_second() {
+    let mut set = settings();
+    set.classes[0].second_phase_parts = 1;
+    set.classes[0].min_coverage = 0.2;
+    let mut harness = PolicyHarness::new(set, 3);
+    let (query, canary) = retried_query(&mut harness, 4);
+    // The list expires as the canary part completes, so the rest stays queued until it is too late for it.
+    let done = harness.ended(&canary, 0, Outcome::Success);
+    let mut actions = harness.round(vec![Event::EndpointListExpired, done]);
+    harness.now += 1190 * MS;
+    let restored = Event::EndpointsUpdated { kind: EndpointUpdateKind::Delta, records: Vec::new() };
+    actions.extend(harness.round(vec![restored]));
+    assert!(actions.contains(&Action::Answer { query, complete: false }), "{actions:?}");
+    assert!(sends(&actions).is_empty(), "{actions:?}");
+    assert_eq!(answers_of_second_phase(&mut harness, query), 1);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -49,6 +49,27 @@
     assert!(second.iter().all(|p| p.list.ends_with(",from=0+1+2+3,whole=1")), "{second:?}");
 }
 
+/// Guards a client's retry of a query of two steps: its first part alone completes the first step, and the second follows.
+#[test]
+fn the_second_step_follows_the_retry_of_a_client() {
+    let (a, b, discovery) = two(served, served);
+    let coordinator = TestCluster::default().start(discovery.addr, "");
+    ready(&coordinator);
+    for shards in [&[3][..], &[0, 1, 2, 3]] {
+        let request = String::from_utf8(query_bytes("monthly-settle", shards, "60000m")).unwrap();
+        let retry = request.replacen("Host: a\r\n", "Host: a\r\nX-Retried: 1\r\n", 1);
+        let answer = exchange(coordinator.listen, retry.as_bytes()).unwrap();
+        let expected = if shards.len() == 1 {
+            r#"{"exact":true,"rows":[{"id":3,"data":"v3.fetch"}]}"#
+        } else {
+            r#"{"exact":true,"rows":[{"id":3,"data":"v3.fetch"},{"id":2,"data":"v2.fetch"}]}"#
+        };
+        assert_eq!((answer.status, &*answer.body), (200, expected));
+    }
+    let sent: Vec<Part> = a.parts().into_iter().chain(b.parts()).collect();
+    assert_eq!(sent.iter().filter(|p| p.id.ends_with(".fetch")).count(), 3, "{sent:?}");
+}
+
 /// Guards against losing a query with a connection, a bad frame or an error of one data node.
 #[test]
 fn another_replica_serves_what_one_does_not() {
