A query in its second phase is not rejected as harmless to retry

Callers saw: a query that may run once, in its second phase, whose parts there all were turned away unseen, was answered 503, "trying again is harmless", though its first phase had run: a client that follows that has it run twice. Not seen in service.

Cause: is_client_retry_harmless looked at the parts of the present phase and at the state between the phases; the parts of the first phase are forgotten when the second begins.

Change: a query whose first phase has been answered is rejected only where its class is idempotent.

--- a/crates/core/src/policy/answer.rs
+++ b/crates/core/src/policy/answer.rs
@@ -80,8 +80,9 @@
 
     fn is_client_retry_harmless(&self, query: &Query) -> bool {
         let is_idempotent = self.settings.classes[query.class.0].retry_safety == RetrySafety::Idempotent;
-        let never_ran = query.parts.iter().all(|part| self.parts[part].never_ran());
-        is_idempotent || never_ran && query.state != QueryState::BetweenPhases
+        let first_phase_ran = query.phase == QueryPhase::Second || query.state == QueryState::BetweenPhases;
+        let never_ran = !first_phase_ran && query.parts.iter().all(|part| self.parts[part].never_ran());
+        is_idempotent || never_ran
     }
 
     /// The longest time after which the client should retry: half of what is left of the latency objective,
--- a/crates/core/tests/answer.rs
+++ b/crates/core/tests/answer.rs
@@ -178,3 +178,29 @@
     assert!(sends(&actions).is_empty(), "{actions:?}");
     assert_eq!(answers_of_second_phase(&mut harness, query), 1);
 }
+
+/// Guards against telling a client that a retry is harmless where the first phase has run and the second has not.
+#[test]
+fn an_at_most_once_query_whose_second_phase_never_ran_fails() {
+    let mut set = settings();
+    set.classes[1].second_phase_parts = 1;
+    let mut harness = PolicyHarness::new(set, 3);
+    let (query, _, actions) = harness.query(1, 1);
+    harness.round(vec![harness.ended(&sends(&actions)[0], 0, Outcome::Success)]);
+    let part = Event::PartArrived { id: PartId(900), query, shard: ShardId(0), weight: 1.0 };
+    let mut second = sends(&harness.round(vec![part]));
+    let mut end = Vec::new();
+    for attempt in 0..3 {
+        assert_eq!(second.len(), 1, "attempt {attempt}");
+        end = harness.round(vec![harness.ended(&second[0], attempt, Outcome::Rejected)]);
+        while sends(&end).is_empty()
+            && !end.contains(&Action::Fail { query })
+            && harness.now < START + 4000 * MS
+        {
+            end.extend(harness.pass(5 * MS));
+        }
+        second = sends(&end);
+    }
+    assert!(end.contains(&Action::Fail { query }), "{end:?}");
+    assert!(!end.iter().any(|a| matches!(a, Action::Reject { .. })), "{end:?}");
+}
--- a/crates/core/tests/policy_invariants.rs
+++ b/crates/core/tests/policy_invariants.rs
@@ -52,14 +52,22 @@
 #[derive(Debug)]
 struct Part {
     query: QueryId,
+    phase: Phase,
     weight: f64,
     attempts: Vec<Attempt>,
     complete: bool,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    First,
+    Second,
+}
+
 #[derive(Debug)]
 struct Query {
     class: usize,
+    phase: Phase,
     deadline: Nanos,
     final_answers: u32,
     disconnected: bool,
@@ -78,6 +86,8 @@
     in_flight: Vec<(PartId, u32, ServerId, Nanos)>,
     arrivals: Vec<Nanos>,
     further_attempts: Vec<Nanos>,
+    /// Queries whose first phase was answered in this round: the parts of the second arrive in the next.
+    second_phases: Vec<QueryId>,
     log: Vec<Action>,
 }
 
@@ -96,6 +106,7 @@
             in_flight: Vec::new(),
             arrivals: Vec::new(),
             further_attempts: Vec::new(),
+            second_phases: Vec::new(),
             log: Vec::new(),
         };
         let to_record = |s| EndpointRecord { zone: Some(ZoneId(s % 3)), ..record(s, EndpointState::Active) };
@@ -110,6 +121,23 @@
             self.check(action);
         }
         self.log.extend(actions);
+        let parts_arrived: Vec<Event> = std::mem::take(&mut self.second_phases)
+            .into_iter()
+            .map(|id| self.second_phase_part(id))
+            .collect();
+        if !parts_arrived.is_empty() {
+            self.round(parts_arrived);
+        }
+    }
+
+    /// The one part of a query's second phase arrives.
+    fn second_phase_part(&mut self, query: QueryId) -> Event {
+        let id = PartId(self.next);
+        self.next += 1;
+        let part = Part { query, phase: Phase::Second, weight: 1.0, attempts: Vec::new(), complete: false };
+        self.parts.insert(id, part);
+        self.arrivals.push(self.now);
+        Event::PartArrived { id, query, shard: ShardId(0), weight: 1.0 }
     }
 
     fn check(&mut self, action: &Action) {
@@ -119,12 +147,18 @@
                 assert!((*attempt as usize) < self.parts[part].attempts.len(), "cancel of nothing sent");
             }
             Action::Answer { query, complete } => {
-                self.close(*query);
-                let class = &self.set.classes[self.queries[query].class];
-                let weight: f64 =
-                    self.parts.values().filter(|p| p.query == *query && p.complete).map(|p| p.weight).sum();
+                let Query { class, phase, .. } = self.queries[query];
+                let class = &self.set.classes[class];
+                let of_phase = |p: &&Part| p.query == *query && p.phase == phase && p.complete;
+                let weight: f64 = self.parts.values().filter(of_phase).map(|p| p.weight).sum();
                 assert!(weight >= class.min_coverage - 1e-4, "answer below the least coverage");
                 assert!(!complete || weight >= class.complete_coverage - 1e-4, "marked complete and is not");
+                if class.second_phase_parts > 0 && phase == Phase::First {
+                    self.queries.entry(*query).and_modify(|q| q.phase = Phase::Second);
+                    self.second_phases.push(*query);
+                } else {
+                    self.close(*query);
+                }
             }
             Action::Reject { query, .. } => {
                 self.close(*query);
@@ -161,6 +195,7 @@
         let p = self.parts.get_mut(&part).unwrap();
         let q = &self.queries[&p.query];
         assert!(q.final_answers == 0 && !q.disconnected, "sent after the end");
+        assert_eq!(p.phase, q.phase, "sent after the end of its phase");
         assert!(self.now + timeout <= q.deadline);
         let class = &self.set.classes[q.class];
         let may_have_run = p.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran));
@@ -230,7 +265,10 @@
         let id = QueryId(self.next);
         self.next += 1 + parts;
         let deadline = self.now + 3000 * MS;
-        self.queries.insert(id, Query { class, deadline, final_answers: 0, disconnected: false });
+        self.queries.insert(
+            id,
+            Query { class, phase: Phase::First, deadline, final_answers: 0, disconnected: false },
+        );
         self.arrivals.push(self.now);
         let mut events = vec![Event::QueryArrived {
             id,
@@ -242,7 +280,8 @@
         }];
         for p in 1..=parts {
             let (part, weight) = (PartId(id.0 + p), 1.0 / parts as f64);
-            self.parts.insert(part, Part { query: id, weight, attempts: Vec::new(), complete: false });
+            let phase = Phase::First;
+            self.parts.insert(part, Part { query: id, phase, weight, attempts: Vec::new(), complete: false });
             self.arrivals.push(self.now);
             events.push(Event::PartArrived { id: part, query: id, shard: ShardId(0), weight });
         }
@@ -306,6 +345,13 @@
     Settings { may_check_health: false, ..set }
 }
 
+/// Queries of two phases, answered in part or only when they are complete.
+fn two_phases() -> Settings {
+    let mut set = mixed();
+    set.classes.iter_mut().for_each(|c| c.second_phase_parts = 1);
+    set
+}
+
 fn assert_invariants(set: fn() -> Settings) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[42; 32]);
     let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
@@ -327,3 +373,9 @@
 fn invariants_hold_with_partial_answers_shared_calls_and_a_small_budget() {
     assert_invariants(partial);
 }
+
+/// Guards against queries that are sent on, or answered again, in a phase that has its answer.
+#[test]
+fn invariants_hold_with_two_phases() {
+    assert_invariants(two_phases);
+}
