An outage extends the list's lease only if nothing can have been missed before it

Callers saw: nothing; data nodes that drain or are gone were sent parts for as long as discovery stayed out of reach (rule drain).

Cause: Lease::discovery_unreachable took each refused call for proof that no change can have been missed, also for the time between the last word of the watch and the outage, in which the watch was silent and discovery could be reached.

Change: membership's contact module holds whether discovery has been out of reach ever since it was last heard: the watch broke within a heartbeat's interval of its last line, and calls have been refused since. Only then does a refused call extend the lease. Why it works: what a watch missed while silent counts 6 s after its last line at the earliest, and the lease ends before that.

--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -5,19 +5,18 @@
 //! renewed by every update or heartbeat. So a list that may lack a change which counts is never used, whatever kept the
 //! change away.
 //!
-//! A discovery that is unreachable can have notified nobody, and extends the lease.
+//! A discovery that is unreachable can have notified nobody, and extends the lease where it has been so ever since it was
+//! last heard.
 
 use curlewdeck_core::api::{DiscoveryMode, Nanos};
 
-use crate::{MILLISECOND, NOTIFIED_AFTER};
+use crate::contact::Contact;
+use crate::{NOTIFIED_AFTER, SAFETY_MARGIN};
 
 /// A change that a watch may have ended instead of sending counts this long after the watch's end.
 const WATCH_END_NOTIFIED_AFTER: Nanos = NOTIFIED_AFTER / 3;
 /// A change that a new service has counts this long after the signal to move there.
 pub(crate) const MOVE_NOTIFIED_AFTER: Nanos = NOTIFIED_AFTER / 3 * 2;
-/// Kept back of each span: the transit of the last update to here, and the time that a process may be stalled before it
-/// writes.
-const SAFETY_MARGIN: Nanos = 200 * MILLISECOND;
 
 /// Until when the endpoint list may be used.
 #[derive(Debug)]
@@ -25,6 +24,7 @@
     discovery: DiscoveryMode,
     /// When it ends but for the deadlines below.
     renewed_until: Nanos,
+    contact: Contact,
     /// A watch has ended, maybe instead of sending a change: that counts from then on, unreachable service or not.
     watch_end_deadline: Option<Nanos>,
     /// The service has been left for another one, which has to be heard by then.
@@ -39,6 +39,7 @@
         Self {
             discovery,
             renewed_until: 0,
+            contact: Contact::MayHaveMissed,
             watch_end_deadline: None,
             move_deadline: None,
             reload_deadline: None,
@@ -54,6 +55,7 @@
     /// The service in use has sent an update or a heartbeat.
     pub fn renew(&mut self, now: Nanos) {
         self.renewed_until = span_end(now, NOTIFIED_AFTER);
+        self.contact = Contact::Heard(now);
         self.watch_end_deadline = None;
         self.move_deadline = None;
     }
@@ -65,6 +67,7 @@
 
     /// The service has ended a watch in order, maybe instead of sending a change.
     pub fn watch_ended(&mut self, now: Nanos) {
+        self.contact.watch_ended(now);
         match self.discovery {
             DiscoveryMode::Poll { .. } => {
                 self.watch_end_deadline.get_or_insert(span_end(now, WATCH_END_NOTIFIED_AFTER));
@@ -76,6 +79,7 @@
     /// The connection of a watch has failed between two lines. A local agent may have had a change since, which counts at
     /// once.
     pub fn watch_broken(&mut self, now: Nanos) {
+        self.contact.watch_ended(now);
         if self.discovery == DiscoveryMode::Push {
             self.end_by(now);
         }
@@ -86,10 +90,18 @@
         self.end_by(now);
     }
 
+    /// A call that began at this time has reached the service, which sent no update: it may have had a change.
+    pub fn discovery_reached(&mut self, begun_at: Nanos) {
+        self.contact.reached(begun_at);
+    }
+
     /// Discovery turns out now to have been unreachable at an earlier time: spans that are not over yet begin anew with its
-    /// return. One that is over stays over until the next update, but for that of a local agent, whose watch ended when it
-    /// went down.
+    /// return, if it has been unreachable ever since it was last heard. One that is over stays over until the next update,
+    /// but for that of a local agent, whose watch ended when it went down.
     pub fn discovery_unreachable(&mut self, now: Nanos, at: Nanos) {
+        if !self.contact.refused(at) {
+            return;
+        }
         if self.discovery == DiscoveryMode::Push {
             self.agent_down(at);
         }
@@ -103,6 +115,7 @@
 
     /// A local agent was down at this time, and when its watch ended: it answers at once, and has not.
     pub fn agent_down(&mut self, at: Nanos) {
+        self.contact.refused(at);
         self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
     }
 
@@ -118,6 +131,7 @@
 
     /// The service has been left for another one.
     pub fn service_moved(&mut self, now: Nanos) {
+        self.contact.watch_ended(now);
         let deadline = self.reload_deadline.unwrap_or(span_end(now, MOVE_NOTIFIED_AFTER));
         self.move_deadline = Some(deadline);
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod call;
 mod confirmation;
+mod contact;
 mod lease;
 mod pacing;
 mod subscription;
@@ -24,6 +25,13 @@
 const MILLISECOND: Nanos = 1_000_000;
 const SECOND: Nanos = 1_000 * MILLISECOND;
 
+/// An open watch sends a heartbeat this often while nothing changes.
+pub const HEARTBEAT_INTERVAL: Nanos = 2 * SECOND;
+
+/// Kept back of each span: the transit of the last update to here, and the time that a process may be stalled before it
+/// writes.
+const SAFETY_MARGIN: Nanos = 200 * MILLISECOND;
+
 /// A coordinator counts as notified of a change at the latest this long after discovery had it and could be reached.
 pub const NOTIFIED_AFTER: Nanos = 6 * SECOND;
 
--- a/crates/membership/src/subscription/mod.rs
+++ b/crates/membership/src/subscription/mod.rs
@@ -197,15 +197,16 @@
                 self.lease.watch_broken(now);
             }
             CallEnd::Truncated => self.lease.update_lost(now),
-            CallEnd::LocalFailure
-            | CallEnd::Unanswered
+            // A local agent that does not answer is down.
+            CallEnd::Unanswered if self.pacing.discovery() == DiscoveryMode::Push => {}
+            CallEnd::Unanswered
             | CallEnd::Busy
             | CallEnd::Rejected
-            | CallEnd::Complete
             | CallEnd::WatchEnded
             | CallEnd::Broken
             // What cannot be read as an object is no update that is lost: it costs the time of a silent watch.
-            | CallEnd::Unreadable => {}
+            | CallEnd::Unreadable => self.lease.discovery_reached(call.begun_at),
+            CallEnd::LocalFailure | CallEnd::Complete => {}
         }
     }
 
--- a/crates/membership/tests/lease.rs
+++ b/crates/membership/tests/lease.rs
@@ -116,6 +116,53 @@
     assert_ends_in_time_for(&moved, START + 2900 * MS + MOVE_NOTIFIED_AFTER);
 }
 
+/// Guards against taking a refused call for proof that a watch which had fallen silent before has missed nothing.
+#[test]
+fn an_outage_that_begins_after_a_watch_has_fallen_silent_does_not_extend_the_lease() {
+    for discovery in [POLL, DiscoveryMode::Push] {
+        let mut lease = renewed(discovery);
+        lease.watch_broken(START + 3000 * MS);
+        let end = lease.ends_at();
+        for seconds in 3..12 {
+            lease.discovery_unreachable(START + seconds * 1000 * MS, START + seconds * 1000 * MS);
+        }
+        assert_eq!(lease.ends_at(), end);
+        assert!(end < START + NOTIFIED_AFTER);
+    }
+    let mut open = renewed(POLL);
+    open.discovery_unreachable(START + 3000 * MS, START + 3000 * MS);
+    assert_ends_in_time_for(&open, START + NOTIFIED_AFTER);
+    let mut moved = renewed(POLL);
+    moved.service_moved(START + 3000 * MS);
+    moved.discovery_unreachable(START + 3100 * MS, START + 3000 * MS);
+    assert_ends_in_time_for(&moved, START + NOTIFIED_AFTER);
+}
+
+/// Guards the same where discovery could be reached for a moment between two outages, and sent nothing.
+#[test]
+fn an_outage_does_not_extend_the_lease_once_discovery_was_reached_in_between() {
+    let mut lease = renewed(POLL);
+    lease.watch_broken(START);
+    lease.discovery_unreachable(START + 1000 * MS, START + 1000 * MS);
+    lease.discovery_reached(START + 2000 * MS);
+    lease.discovery_unreachable(START + 3000 * MS, START + 3000 * MS);
+    assert_ends_in_time_for(&lease, START + 1000 * MS + NOTIFIED_AFTER);
+    let mut rarely_called = renewed(POLL);
+    rarely_called.watch_broken(START);
+    rarely_called.discovery_unreachable(START + 5000 * MS, START + 5000 * MS);
+    assert_ends_in_time_for(&rarely_called, START + NOTIFIED_AFTER);
+}
+
+/// A call that waited as the outage began does not show that discovery could be reached during it.
+#[test]
+fn an_outage_extends_the_lease_though_a_call_from_before_it_ends_during_it() {
+    let mut lease = renewed(POLL);
+    lease.watch_broken(START + 1000 * MS);
+    lease.discovery_reached(START + 500 * MS);
+    lease.discovery_unreachable(START + 2000 * MS, START + 2000 * MS);
+    assert_ends_in_time_for(&lease, START + 2000 * MS + NOTIFIED_AFTER);
+}
+
 #[test]
 fn an_expired_lease_is_renewed_only_by_an_update() {
     let mut lease = renewed(POLL);
--- a/crates/membership/tests/subscription/notification_rule.rs
+++ b/crates/membership/tests/subscription/notification_rule.rs
@@ -10,6 +10,10 @@
 /// A change that a watch may have ended instead of sending counts this long after its end.
 const WATCH_END_NOTIFIED_AFTER: Nanos = 2000 * MS;
 const HEARTBEAT: Nanos = 2000 * MS;
+/// What a silent watch misses counts this long after it fell silent.
+const SILENCE_NOTIFIED_AFTER: Nanos = 6000 * MS;
+/// A watch without a line for this long is silent; before, nobody can tell it from one on which nothing changes.
+const NOTICEABLE_SILENCE: Nanos = HEARTBEAT + 250 * MS;
 /// A busy service rejects a call after this long at most.
 const REJECTED_WITHIN: Nanos = 2000 * MS;
 const NEVER: Nanos = Nanos::MAX;
@@ -43,6 +47,12 @@
     received: u64,
     /// A version that a watch ended instead of sending, and when it counts.
     unsent_by_watch: Option<(u64, Nanos)>,
+    /// When the open watch fell silent.
+    silent_since: Option<Nanos>,
+    /// Versions that a silent watch did not send, and when each counts.
+    unsent_by_silence: Vec<(u64, Nanos)>,
+    /// When the coordinator last received something.
+    heard_at: Nanos,
     /// The latest version that the coordinator counts as notified of, received or not.
     notified: u64,
     /// Since when discovery is reachable.
@@ -73,6 +83,9 @@
             changed_at: vec![START],
             received: 1,
             unsent_by_watch: None,
+            silent_since: None,
+            unsent_by_silence: Vec::new(),
+            heard_at: START,
             notified: 1,
             reachable_since: Some(0),
             unconfirmed: false,
@@ -127,12 +140,20 @@
         };
         match condition {
             _ if is_down => {
+                if self.now - self.heard_at < NOTICEABLE_SILENCE {
+                    self.unsent_by_silence.clear();
+                }
                 for call in std::mem::take(&mut self.open) {
                     let end = if call.answered { CallEnd::Broken } else { CallEnd::Unanswered };
                     self.step(Event::Ended(call.id, end));
                 }
             }
-            Condition::Hung => self.open.iter_mut().for_each(|call| call.due = NEVER),
+            Condition::Hung => {
+                if self.open.iter().any(|call| call.answered && call.due != NEVER) {
+                    self.silent_since = Some(self.now);
+                }
+                self.open.iter_mut().for_each(|call| call.due = NEVER);
+            }
             Condition::Healthy { .. } | Condition::Busy | Condition::Down => {}
         }
     }
@@ -141,6 +162,10 @@
     fn change(&mut self, ends_watch: bool) {
         self.version += 1;
         self.changed_at.push(self.now);
+        if let (Some(silent_since), true) = (self.silent_since, self.reachable_since.is_some()) {
+            let counts_at = self.now.max(silent_since + SILENCE_NOTIFIED_AFTER);
+            self.unsent_by_silence.push((self.version, counts_at));
+        }
         let watch = self.open.iter().copied().find(|call| call.answered && call.due != NEVER);
         let Some(watch) = watch else { return };
         if ends_watch {
@@ -156,6 +181,7 @@
         let changed = call.since != self.version;
         (call.since, call.answered, call.due) = (self.version, true, self.now + HEARTBEAT);
         (self.received, self.unconfirmed) = (self.version, false);
+        (self.heard_at, self.silent_since) = (self.now, None);
         let event = if changed { Event::Told(id, self.version) } else { Event::Heartbeat(id) };
         self.step(event);
     }
@@ -184,7 +210,9 @@
         let counts_by_time =
             |&at: &Nanos| self.reachable_since.is_some_and(|since| since.max(at) + NOTIFIED_AFTER <= now);
         let by_time = self.changed_at.iter().rposition(counts_by_time).map(|place| place as u64 + 1);
-        let counts = by_watch.into_iter().chain(by_time).max();
+        let by_silence =
+            self.unsent_by_silence.iter().filter(|unsent| unsent.1 <= now).map(|unsent| unsent.0);
+        let counts = by_watch.into_iter().chain(by_time).chain(by_silence).max();
         self.notified = self.notified.max(counts.unwrap_or(0));
         self.notified > self.received && !self.unconfirmed
     }
--- a/src/net/discovery/actor.rs
+++ b/src/net/discovery/actor.rs
@@ -11,8 +11,9 @@
 
 use super::call::Call;
 use super::call_log::{CallLog, FirstAnswer};
+use super::lease_log::LeaseLog;
 use super::update_log::UpdateLog;
-use super::{DiscoveryContext, DiscoveryPlan, NANOS_PER_MS};
+use super::{DiscoveryContext, DiscoveryPlan};
 use crate::api::Nanos;
 use crate::counters::Counters;
 use crate::net::endpoints::{DiscoveryUpdate, EndpointUpdate, ListedEndpoint};
@@ -28,8 +29,7 @@
     streams: HashMap<CallId, Arc<Stream>>,
     call_log: CallLog,
     update_log: UpdateLog,
-    /// When the endpoint list's lease expired, while it has not been renewed.
-    lease_expired_at: Option<Nanos>,
+    lease_log: LeaseLog,
     timer: Timer,
     own_mailbox: Sender<DiscoveryMessage>,
     context: DiscoveryContext,
@@ -58,7 +58,7 @@
                 nanos(limits.update_log_interval),
                 nanos(limits.discovery_log_interval),
             ),
-            lease_expired_at: None,
+            lease_log: LeaseLog::new(nanos(limits.discovery_log_interval)),
             timer,
             own_mailbox,
             context,
@@ -148,9 +148,16 @@
     /// Has the subscription handle an event, and carries out what it decides.
     fn step(&mut self, event: Event) {
         let now = self.now();
+        let end_before = self.subscription.usable_until();
         let commands = self.subscription.step(now, event);
-        self.context.lease.set_end(self.subscription.usable_until());
-        self.log_lease_renewal(now);
+        let end = self.subscription.usable_until();
+        self.context.lease.set_end(end);
+        if matches!(event, Event::Ended(..)) && end > end_before {
+            self.lease_log.extended(end, now);
+        }
+        if now < end {
+            self.lease_log.usable(now);
+        }
         for command in commands {
             self.execute(command, now);
         }
@@ -171,19 +178,11 @@
     }
 
     fn lease_expired(&mut self, now: Nanos) {
-        log::warn!("endpoint list lease expired");
+        self.lease_log.expired(now);
         Counters::add(&self.context.counters.endpoint_list_expired);
-        self.lease_expired_at = Some(now);
         self.context.core.send(CoreMessage::EndpointListExpired);
     }
 
-    fn log_lease_renewal(&mut self, now: Nanos) {
-        if let Some(at) = self.lease_expired_at.take_if(|_| self.subscription.usable(now)) {
-            let expired_ms = now.saturating_sub(at) / NANOS_PER_MS;
-            log::info!(expired_ms = expired_ms; "endpoint list lease renewed");
-        }
-    }
-
     fn begin_call(&mut self, id: CallId, request: Request) {
         if self.subscription.follows() {
             Counters::add(&self.context.counters.discovery_call_errors);
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 mod call;
 mod call_log;
+mod lease_log;
 mod update_log;
 
 use std::io;
--- a/tests/drain_lease.rs
+++ b/tests/drain_lease.rs
@@ -112,6 +112,32 @@
     all_pass(kinds.collect(), |(calls, fleet)| silent_watch(calls, fleet));
 }
 
+/// For so long a watch is silent before discovery goes out of reach: longer than between two heartbeats.
+const SILENT_BEFORE_OUTAGE: Duration = ms(3000);
+
+fn silent_watch_then_outage(fleet: u32, delivery: Delivery) -> Verdict {
+    let name = format!("silent watch, then out of reach, fleet of {fleet}");
+    let (trial, service, _) = following_by(delivery, &name, fleet);
+    // A call beside the silent watch is not answered.
+    service.faults(|f| f.all = Some(CallFault::Silent));
+    service.silence_watches();
+    trial.catalog.set_all(&SHUT, Duration::ZERO);
+    thread::sleep(SILENT_BEFORE_OUTAGE);
+    service.go_down();
+    thread::sleep(OUT_OF_REACH);
+    service.faults(|f| f.all = None);
+    service.come_back();
+    trial.finish_after(RECOVERY)
+}
+
+/// Guards against an outage that excuses what a silent watch missed before it: that counts 6 s after the watch fell
+/// silent, out of reach or not.
+#[test]
+fn a_list_whose_watch_was_silent_is_not_used_on_while_discovery_is_out_of_reach() {
+    let kinds = FLEETS.into_iter().flat_map(|fleet| BOTH.map(|way| (fleet, way)));
+    all_pass(kinds.collect(), |(fleet, way)| silent_watch_then_outage(fleet, way));
+}
+
 // ---- Services that have moved. ----
 
 fn moved(calls: Calls) -> Verdict {
--- a/tests/harness/drain_trial.rs
+++ b/tests/harness/drain_trial.rs
@@ -8,7 +8,10 @@
 use std::time::{Duration, Instant};
 
 use super::catalog::{Catalog, FIRST_VERSION};
-use super::drain_check::{violations, Assignment, CoordinatorLog, Delivery, NodeState, PartBegun, Violation};
+use super::drain_check::{
+    violations, Assignment, Change, CoordinatorLog, Delivery, NodeState, PartBegun, Reach, Silence,
+    Violation, WatchEnd, Write,
+};
 use super::faulty_discovery::FaultyDiscovery;
 use super::load_generator::{coordinator_of, Answered, LoadGenerator};
 use super::stand_in::{lock, DataNode, Part};
@@ -64,6 +67,8 @@
     /// The longest time without a whole answer, of any coordinator.
     longest_gap: Duration,
     logs: Vec<String>,
+    /// What the services of discovery went through, in the order of time.
+    timeline: Vec<(Instant, String)>,
 }
 
 impl Trial {
@@ -211,7 +216,9 @@
                 ));
             }
         }
-        let violations = violations(&self.catalog.changes(), &logs, &parts);
+        let changes = self.catalog.changes();
+        let violations = violations(&changes, &logs, &parts);
+        let timeline = timeline(&changes, &logs);
         let served = served.into_iter().map(|(_, answers)| answers).collect();
         Verdict {
             name: self.name,
@@ -220,6 +227,7 @@
             served,
             longest_gap,
             logs: self.logs,
+            timeline,
         }
     }
 
@@ -234,6 +242,29 @@
     }
 }
 
+/// What is known of the membership and of each coordinator's services, in the order of time.
+fn timeline(changes: &[Change], coordinators: &[CoordinatorLog]) -> Vec<(Instant, String)> {
+    let change = |c: &Change| (c.at, format!("version {}: {} is {:?}", c.version, c.uid, c.state));
+    let mut timeline: Vec<(Instant, String)> = changes.iter().map(change).collect();
+    for (coordinator, log) in coordinators.iter().enumerate() {
+        for (number, Assignment { from, service }) in log.assignments.iter().enumerate() {
+            let of = format!("coordinator {coordinator}, service {number}:");
+            timeline.push((*from, format!("{of} in use")));
+            let reach = |r: &Reach| (r.at, format!("{of} reachable: {}", r.reachable));
+            timeline.extend(service.reach.iter().map(reach));
+            let silence = |s: &Silence| (s.at, format!("{of} connection {} falls silent", s.connection));
+            timeline.extend(service.silences.iter().map(silence));
+            let end =
+                |e: &WatchEnd| (e.at, format!("{of} connection {} ends instead of telling", e.connection));
+            timeline.extend(service.ends.iter().map(end));
+            let write = |w: &Write| (w.at, format!("{of} connection {} is written to", w.connection));
+            timeline.extend(service.writes.iter().map(write));
+        }
+    }
+    timeline.sort_by_key(|event| event.0);
+    timeline
+}
+
 /// The most of these moments, in their order, that are within one second.
 fn most_in_a_second(times: &[Instant]) -> usize {
     let second = Duration::from_secs(1);
@@ -292,6 +323,7 @@
         for Violation { uid, notified_at, reason, begun_at, .. } in self.violations.iter().take(5) {
             println!("{} late at {uid}: {reason:?} at {}", of_day(*begun_at), of_day(*notified_at));
         }
+        self.timeline.iter().for_each(|(at, event)| println!("{} {event}", of_day(*at)));
         self.logs.iter().for_each(|log| println!("----\n{log}"));
     }
 
