An agent that does not answer extends no lease whose watch was silent before

Callers saw: nothing; with pushed lists, data nodes that drain or are gone were sent parts for up to 2.6 s more than the rule allows.

Cause: Lease::agent_down took a call that a local agent leaves unanswered for 0.5 s for proof that the agent was down when its watch ended, also where the watch had been silent for longer than a heartbeat's interval.

Evidence: the log of a trial at that moment: lease expired at 28.609 s, renewed at 28.612 as the third call began, with no update.

Change: agent_down goes by the same condition as a refused call. Why it works: it is the one place left that extended a lease without it.

Result: the socket test plays that moment now (3.095 s after the last line): two of its eight kinds red before, all green after; an_agent_that_does_not_answer_... of the lease red before, green after. What it costs: with pushed lists and an agent that falls silent instead of ending its watch, the list is out of use from 5.8 s on.

--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -99,13 +99,10 @@
     /// return, if it has been unreachable ever since it was last heard. One that is over stays over until the next update,
     /// but for that of a local agent, whose watch ended when it went down.
     pub fn discovery_unreachable(&mut self, now: Nanos, at: Nanos) {
-        if !self.contact.refused(at) {
-            return;
-        }
         if self.discovery == DiscoveryMode::Push {
             self.agent_down(at);
         }
-        if now >= self.ends_at() {
+        if now >= self.ends_at() || !self.contact.refused(at) {
             return;
         }
         self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
@@ -113,10 +110,12 @@
         self.move_deadline = self.move_deadline.map(|deadline| deadline.max(move_deadline));
     }
 
-    /// A local agent was down at this time, and when its watch ended: it answers at once, and has not.
+    /// A local agent was down at this time: it answers at once, and has not. That extends the lease if its watch ended as it
+    /// went down, not if the watch had fallen silent before.
     pub fn agent_down(&mut self, at: Nanos) {
-        self.contact.refused(at);
-        self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
+        if self.contact.refused(at) {
+            self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
+        }
     }
 
     /// A configuration begins to be read again after a signal.
--- a/crates/membership/tests/lease.rs
+++ b/crates/membership/tests/lease.rs
@@ -153,6 +153,15 @@
     assert_ends_in_time_for(&rarely_called, START + NOTIFIED_AFTER);
 }
 
+/// Guards the same where a call to a local agent waits beside the silent watch, and is not answered after its end either.
+#[test]
+fn an_agent_that_does_not_answer_does_not_extend_the_lease_after_a_silent_watch() {
+    let mut lease = renewed(DiscoveryMode::Push);
+    lease.watch_broken(START + 3000 * MS);
+    lease.agent_down(START + 3100 * MS);
+    assert_eq!(lease.ends_at(), START + 3000 * MS);
+}
+
 /// A call that waited as the outage began does not show that discovery could be reached during it.
 #[test]
 fn an_outage_extends_the_lease_though_a_call_from_before_it_ends_during_it() {
--- a/tests/drain_lease.rs
+++ b/tests/drain_lease.rs
@@ -11,6 +11,7 @@
 use harness::drain_check::{Delivery, NodeState};
 use harness::drain_trial::{all_pass, Trial, Verdict, BOTH};
 use harness::faulty_discovery::FaultyDiscovery;
+use harness::until;
 
 const NODES: [&str; 4] = ["drains", "removed", "stays-1", "stays-2"];
 const SHUT: [(&str, NodeState); 2] = [("drains", NodeState::Draining), ("removed", NodeState::Removed)];
@@ -112,17 +113,21 @@
     all_pass(kinds.collect(), |(calls, fleet)| silent_watch(calls, fleet));
 }
 
-/// For so long a watch is silent before discovery goes out of reach: longer than between two heartbeats.
-const SILENT_BEFORE_OUTAGE: Duration = ms(3000);
+/// So long after its last line a watch is silent as discovery goes out of reach: longer than between two heartbeats; and so
+/// that a local agent, which has not answered the call beside the silent watch, is called once more in that moment.
+const SILENT_BEFORE_OUTAGE: [Duration; 2] = [ms(3000), ms(3095)];
 
-fn silent_watch_then_outage(fleet: u32, delivery: Delivery) -> Verdict {
-    let name = format!("silent watch, then out of reach, fleet of {fleet}");
+fn silent_watch_then_outage(silent_for: Duration, fleet: u32, delivery: Delivery) -> Verdict {
+    let name = format!("silent watch, out of reach after {silent_for:?}, fleet of {fleet}");
     let (trial, service, _) = following_by(delivery, &name, fleet);
     // A call beside the silent watch is not answered.
     service.faults(|f| f.all = Some(CallFault::Silent));
+    let before = service.writes().len();
+    until("a line of the watch", || service.writes().len() > before);
+    let last_line = Instant::now();
     service.silence_watches();
     trial.catalog.set_all(&SHUT, Duration::ZERO);
-    thread::sleep(SILENT_BEFORE_OUTAGE);
+    thread::sleep(silent_for.saturating_sub(last_line.elapsed()));
     service.go_down();
     thread::sleep(OUT_OF_REACH);
     service.faults(|f| f.all = None);
@@ -134,8 +139,9 @@
 /// silent, out of reach or not.
 #[test]
 fn a_list_whose_watch_was_silent_is_not_used_on_while_discovery_is_out_of_reach() {
-    let kinds = FLEETS.into_iter().flat_map(|fleet| BOTH.map(|way| (fleet, way)));
-    all_pass(kinds.collect(), |(fleet, way)| silent_watch_then_outage(fleet, way));
+    let each = |span| FLEETS.into_iter().flat_map(move |fleet| BOTH.map(|way| (span, fleet, way)));
+    let kinds = SILENT_BEFORE_OUTAGE.into_iter().flat_map(each);
+    all_pass(kinds.collect(), |(span, fleet, way)| silent_watch_then_outage(span, fleet, way));
 }
 
 // ---- Services that have moved. ----
