A local agent that is silent learns nothing; only its end or a refusal counts by the silence

Once it refuses connections, or its watch ends, the lease goes back to what the last word of the watch gives, and nothing extends it until the next.

--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -99,10 +99,13 @@
     /// return, if it has been unreachable ever since it was last heard. One that is over stays over until the next update,
     /// but for that of a local agent, whose watch ended when it went down.
     pub fn discovery_unreachable(&mut self, now: Nanos, at: Nanos) {
+        if !self.contact.refused(at) {
+            return self.watch_was_silent();
+        }
         if self.discovery == DiscoveryMode::Push {
             self.agent_down(at);
         }
-        if now >= self.ends_at() || !self.contact.refused(at) {
+        if now >= self.ends_at() {
             return;
         }
         self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
@@ -110,12 +113,14 @@
         self.move_deadline = self.move_deadline.map(|deadline| deadline.max(move_deadline));
     }
 
-    /// A local agent was down at this time: it answers at once, and has not. That extends the lease if its watch ended as it
-    /// went down, not if the watch had fallen silent before.
+    /// A local agent was down at this time: it answers at once, and has not. Its watch ended as it went down, or is silent
+    /// with it. That extends no lease whose watch was silent and has ended since, for whatever reason.
     pub fn agent_down(&mut self, at: Nanos) {
-        if self.contact.refused(at) {
-            self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
+        if self.contact == Contact::MayHaveMissed {
+            return;
         }
+        self.contact.refused(at);
+        self.renewed_until = self.renewed_until.max(span_end(at, NOTIFIED_AFTER));
     }
 
     /// A configuration begins to be read again after a signal.
@@ -135,6 +140,15 @@
         self.move_deadline = Some(deadline);
     }
 
+    /// A watch had fallen silent before discovery went out of reach: what it missed counts by the silence, and a local agent
+    /// that answered nothing was no sign of an outage.
+    fn watch_was_silent(&mut self) {
+        if let Contact::Heard(at) = self.contact {
+            self.end_by(span_end(at, NOTIFIED_AFTER));
+            self.contact = Contact::MayHaveMissed;
+        }
+    }
+
     fn end_by(&mut self, at: Nanos) {
         self.renewed_until = self.renewed_until.min(at);
     }
--- a/crates/membership/tests/lease.rs
+++ b/crates/membership/tests/lease.rs
@@ -162,6 +162,18 @@
     assert_eq!(lease.ends_at(), START + 3000 * MS);
 }
 
+/// While discovery is down a local agent is silent and learns nothing; one that refuses connections has ended.
+#[test]
+fn a_silent_agent_extends_the_lease_until_it_refuses_connections() {
+    let mut lease = renewed(DiscoveryMode::Push);
+    lease.agent_down(START + 3100 * MS);
+    assert_ends_in_time_for(&lease, START + 3100 * MS + NOTIFIED_AFTER);
+    lease.discovery_unreachable(START + 3500 * MS, START + 3500 * MS);
+    assert_ends_in_time_for(&lease, START + NOTIFIED_AFTER);
+    lease.agent_down(START + 3600 * MS);
+    assert_ends_in_time_for(&lease, START + NOTIFIED_AFTER);
+}
+
 /// A call that waited as the outage began does not show that discovery could be reached during it.
 #[test]
 fn an_outage_extends_the_lease_though_a_call_from_before_it_ends_during_it() {
