Counts use the windows of the settings in force, not of those from the start

Callers saw: nothing yet (found by reading). After a SIGHUP with a longer window of the retry budget, data nodes got more further attempts than the settings allow; with a longer latency objective, traffic looks low until the next start, and queries of many parts may be shed.

Cause: update_settings left the sliding counts as they were made at the start; mean_send_interval divided by the new settings' window.

Change: update_settings gives each count the window of the settings in force.

--- a/crates/core/src/policy/load_stats.rs
+++ b/crates/core/src/policy/load_stats.rs
@@ -4,7 +4,7 @@
 use super::decay::FailureRatio;
 use super::sliding_window::SlidingCount;
 use super::Policy;
-use crate::api::Nanos;
+use crate::api::{Nanos, Settings};
 
 /// Overload is counted from this ratio of late or failed outcomes on.
 const OVERLOAD_THRESHOLD: f64 = 0.3;
@@ -77,6 +77,18 @@
         }
     }
 
+    /// Counts over windows of other lengths from now on.
+    pub(super) fn set_windows(&mut self, budget_window: Nanos, traffic_window: Nanos) {
+        for count in [&mut self.arrivals, &mut self.charged_attempts] {
+            count.set_window(budget_window);
+        }
+        let by_traffic =
+            [&mut self.first_attempts, &mut self.hedges, &mut self.ended_queries, &mut self.timely_queries];
+        for count in by_traffic {
+            count.set_window(traffic_window);
+        }
+    }
+
     pub(super) fn attempt_started(&mut self, kind: AttemptKind, charged: bool, now: Nanos) {
         match kind {
             AttemptKind::First => self.first_attempts.add(now),
@@ -96,6 +108,12 @@
     }
 }
 
+/// The window over which the retry budget counts.
+pub(super) fn budget_window(settings: &Settings) -> Nanos {
+    let traffic_window = traffic_window(settings.longest_latency_objective());
+    settings.retry_budget.map_or(traffic_window, |budget| budget.window)
+}
+
 /// The window over which traffic is counted, by the longest latency objective.
 pub(super) fn traffic_window(longest_objective: Nanos) -> Nanos {
     longest_objective.saturating_mul(TRAFFIC_WINDOW_OBJECTIVES)
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -37,6 +37,9 @@
 mod timers;
 mod zone_health;
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use crate::api::{Action, Event, Nanos, PartId, QueryId, Settings, SettingsError};
@@ -92,7 +95,7 @@
         settings.check()?;
         let longest_objective = settings.longest_latency_objective();
         let traffic_window = load_stats::traffic_window(longest_objective);
-        let budget_window = settings.retry_budget.map_or(traffic_window, |budget| budget.window);
+        let budget_window = load_stats::budget_window(&settings);
         let in_flight_limit = concurrency_limit::initial_in_flight_limit(settings.max_open);
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
@@ -166,8 +169,11 @@
     /// Takes over settings whose classes begin with those it has: see [`Settings::carried_over_from`].
     pub fn update_settings(&mut self, settings: Settings) {
         let classes = settings.classes.len();
-        let samples = client_timeout_samples(settings.longest_latency_objective());
-        self.client_timeouts.resize(classes, samples);
+        let longest_objective = settings.longest_latency_objective();
+        let traffic_window = load_stats::traffic_window(longest_objective);
+        self.counts.set_windows(load_stats::budget_window(&settings), traffic_window);
+        self.tenant_arrivals.iter_mut().for_each(|arrivals| arrivals.set_window(traffic_window));
+        self.client_timeouts.resize(classes, client_timeout_samples(longest_objective));
         for server in self.endpoints.servers.values_mut() {
             server.class_outlier_scores.resize_with(classes, Default::default);
         }
--- a/crates/core/src/policy/sliding_window.rs
+++ b/crates/core/src/policy/sliding_window.rs
@@ -16,6 +16,11 @@
         Self { window, times: VecDeque::new() }
     }
 
+    /// Counts over a window of another length from now on; what the one before has dropped does not come back.
+    pub(super) fn set_window(&mut self, window: Nanos) {
+        self.window = window;
+    }
+
     pub(super) fn add(&mut self, now: Nanos) {
         self.prune(now);
         self.times.push_back(now);
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -179,3 +179,25 @@
     let (never_ran, run) = (count_retries(Outcome::Rejected), count_retries(Outcome::ServerError));
     assert!(never_ran > 15 && run < 15, "{never_ran} of 20 rejected, {run} of 20 that failed");
 }
+
+/// Guards against a budget that is counted over the window of the settings from the start, once others are in force.
+#[test]
+fn the_retry_budget_is_counted_over_the_window_of_the_settings_in_force() {
+    let with_window = |window| {
+        let retry_budget = Some(RetryBudget { window, base_attempts: 2.0, ratio: 0.0 });
+        Settings { retry_budget, ..settings() }
+    };
+    let mut harness = PolicyHarness::new(with_window(5000 * MS), 60);
+    harness.policy.update_settings(with_window(20_000 * MS));
+    let mut retries_of = |queries: usize| {
+        let mut retries = 0;
+        for _ in 0..queries {
+            let first = sends(&harness.query(0, 1).2)[0];
+            retries += sends(&harness.round(vec![harness.ended(&first, 0, Outcome::ServerError)])).len();
+            harness.now += 10 * MS;
+        }
+        harness.now += 6000 * MS;
+        retries
+    };
+    assert_eq!([(); 5].map(|()| retries_of(5)), [2, 0, 0, 0, 2]);
+}
