--- a/crates/core/src/policy/sliding_window.rs
+++ b/crates/core/src/policy/sliding_window.rs
@@ -16,7 +16,7 @@
         Self { window, times: VecDeque::new() }
     }
 
-    /// Counts over a window of another length from now on; what the one before has dropped does not come back.
+    /// Counts over a window of another length from now on; what was dropped before does not come back.
     pub(super) fn set_window(&mut self, window: Nanos) {
         self.window = window;
     }
