The model of the notification rule ends a watch's silence with the watch

Trace of its case: silent from 18.76 s on, out of reach and the watch ended at 19.22 s, the change at 24.30 s, counted by the silence of 18.76 s. Change: going down ends the silence; a change made while the watch was silent counts as before.

--- a/crates/membership/tests/subscription/notification_rule.rs
+++ b/crates/membership/tests/subscription/notification_rule.rs
@@ -143,6 +143,8 @@
                 if self.now - self.heard_at < NOTICEABLE_SILENCE {
                     self.unsent_by_silence.clear();
                 }
+                // The watch ends with it: what is changed later is not missed by its silence.
+                self.silent_since = None;
                 for call in std::mem::take(&mut self.open) {
                     let end = if call.answered { CallEnd::Broken } else { CallEnd::Unanswered };
                     self.step(Event::Ended(call.id, end));
