A start's write to its group is proposed until it is applied, and ends no member

Callers saw: a member that had said "member started" and answered its clients refused connections some seconds later. Its process had ended, status 1, "the state's copy: not promised: Unknown", in just the moment in which the group looked for a leader.

Cause: with a replicated state a start reads its state from the group, retried for 60 s, and counts itself by one compare-and-set, tried once. A leader or an answer lost meanwhile gave the outcome Unknown, and serve returned it as an error.

Change: Member::compare_and_set_until_applied proposes the same command under the same tag until the member applies a copy. Why it works: once one copy has written, no later one can, so the first that is applied says whether this process has written, also where another process of its name seals the same bytes. Reads and writes of the replica take a deadline, 60 s for a whole start. A start that another process counted meanwhile is counted after it.

--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -177,6 +177,7 @@
             node.tick();
         });
         self.complete_overdue_requests(&mut output);
+        self.retry_proposals();
         self.process_ready(&mut output);
         output
     }
--- a/crates/replication/src/member/requests.rs
+++ b/crates/replication/src/member/requests.rs
@@ -27,6 +27,16 @@
     pub(super) kind: RequestKind,
     /// The tick at which it completes as unknown.
     deadline: u64,
+    /// Set for a command that is proposed until it is applied.
+    retry: Option<ProposalRetry>,
+}
+
+/// A command that is proposed again and again, always with the tag of its request.
+#[derive(Debug)]
+struct ProposalRetry {
+    entry_data: Vec<u8>,
+    /// The tick at which it is proposed next.
+    next_at: u64,
 }
 
 /// What a pending request waits for.
@@ -47,6 +57,64 @@
         self.submit(RequestKind::Command, |node, tag| node.propose(tag, data).is_ok())
     }
 
+    /// Sets a key if it is still at `version`, and proposes that again until it is applied, over changes of the leader and
+    /// lost messages; completes as unknown if it is not applied within `timeout_ticks`.
+    ///
+    /// The outcome is that of the first proposal that is applied: once that has written the key, all others find a later
+    /// version and change nothing. So the key must not be removed meanwhile, which would take its version back to 0. A
+    /// member that catches up by a snapshot may not see that proposal; it then completes with
+    /// [`VersionMismatch`](crate::CommandOutcome::VersionMismatch) although the key holds this value.
+    pub fn compare_and_set_until_applied(
+        &mut self,
+        key: String,
+        version: u64,
+        value: Vec<u8>,
+        timeout_ticks: u64,
+    ) -> (RequestHandle, MemberOutput) {
+        let mut output = MemberOutput::default();
+        let request = self.take_handle();
+        match self.reject_reason() {
+            // It waits for a leader.
+            None | Some(RejectReason::NoLeader) => {}
+            Some(reason) => {
+                output.complete(request, RequestOutcome::Rejected(reason));
+                return (request, output);
+            }
+        }
+        let command = Command::CompareAndSet { key, version, value: Some(value) };
+        let retry = ProposalRetry { entry_data: command.to_entry_data(), next_at: self.ticks };
+        let deadline = self.ticks + timeout_ticks;
+        let pending = PendingRequest { kind: RequestKind::Command, deadline, retry: Some(retry) };
+        self.pending.insert(request, pending);
+        self.retry_proposals();
+        self.process_ready(&mut output);
+        (request, output)
+    }
+
+    /// Proposes again what is due, if a leader is known.
+    pub(super) fn retry_proposals(&mut self) {
+        let next_at = self.ticks + self.limits.election_timeout_ticks as u64;
+        for (request, entry_data) in self.due_proposals() {
+            let tag = self.proposal_tag(request);
+            let is_proposed = self.with_raft(|node| node.propose(tag, entry_data).is_ok()) == Some(true);
+            let retry = self.pending.get_mut(&request).and_then(|pending| pending.retry.as_mut());
+            if let Some(retry) = retry.filter(|_| is_proposed) {
+                retry.next_at = next_at;
+            }
+        }
+    }
+
+    fn due_proposals(&self) -> Vec<(RequestHandle, Vec<u8>)> {
+        if self.leader().is_none() {
+            return Vec::new();
+        }
+        let due = |(request, pending): (&RequestHandle, &PendingRequest)| {
+            let retry = pending.retry.as_ref().filter(|retry| retry.next_at <= self.ticks)?;
+            Some((*request, retry.entry_data.clone()))
+        };
+        self.pending.iter().filter_map(due).collect()
+    }
+
     /// Reads a key linearizably, by read index: completes once the leader has confirmed with a majority that it still
     /// leads, and this member has applied the log up to the commit index that the leader had then.
     pub fn read(&mut self, key: &str) -> (RequestHandle, MemberOutput) {
@@ -77,18 +145,16 @@
         hand_over: impl FnOnce(&mut RawNode<RaftLog>, Vec<u8>) -> bool,
     ) -> (RequestHandle, MemberOutput) {
         let mut output = MemberOutput::default();
-        let request = self.next_request;
-        self.next_request = request.next();
+        let request = self.take_handle();
         if let Some(reason) = self.reject_reason() {
             output.complete(request, RequestOutcome::Rejected(reason));
             return (request, output);
         }
-        let tag = ProposalTag { member: self.id(), request };
-        let tag = tagged::seal(value_kind::PROPOSAL_TAG, &tag);
+        let tag = self.proposal_tag(request);
         match self.with_raft(|node| hand_over(node, tag)) {
             Some(true) => {
                 let deadline = self.ticks + self.limits.request_timeout_ticks;
-                self.pending.insert(request, PendingRequest { kind, deadline });
+                self.pending.insert(request, PendingRequest { kind, deadline, retry: None });
             }
             Some(false) => output.complete(request, RequestOutcome::Rejected(RejectReason::NoLeader)),
             None => output.complete(request, RequestOutcome::Rejected(RejectReason::Stopped)),
@@ -97,6 +163,18 @@
         (request, output)
     }
 
+    /// The handle of the next request.
+    fn take_handle(&mut self) -> RequestHandle {
+        let request = self.next_request;
+        self.next_request = request.next();
+        request
+    }
+
+    /// What stands beside a request in the log.
+    fn proposal_tag(&self, request: RequestHandle) -> Vec<u8> {
+        tagged::seal(value_kind::PROPOSAL_TAG, &ProposalTag { member: self.id(), request })
+    }
+
     fn reject_reason(&self) -> Option<RejectReason> {
         if self.stopped {
             Some(RejectReason::Stopped)
--- a/crates/replication/tests/scripted_group/mod.rs
+++ b/crates/replication/tests/scripted_group/mod.rs
@@ -71,6 +71,8 @@
 pub enum Request {
     Put(String, Vec<u8>),
     CompareAndSet(String, u64),
+    /// Proposed again until it is applied, for so many ticks.
+    CompareAndSetUntilApplied(String, u64, u64),
     Read(String),
 }
 
@@ -209,8 +211,9 @@
         panic!("no leader after 200 ticks");
     }
 
-    pub fn submit(&mut self, member: u64, request: Request) {
-        let Some(m) = self.members.get_mut(&member) else { return };
+    /// Makes a request of a member, if that runs; returns its handle.
+    pub fn submit(&mut self, member: u64, request: Request) -> Option<RequestHandle> {
+        let m = self.members.get_mut(&member)?;
         let (handle, output) = match &request {
             Request::Put(key, value) => m.propose(&Command::Put { key: key.clone(), value: value.clone() }),
             Request::CompareAndSet(key, version) => m.propose(&Command::CompareAndSet {
@@ -218,11 +221,21 @@
                 version: *version,
                 value: Some(member.to_le_bytes().to_vec()),
             }),
+            Request::CompareAndSetUntilApplied(key, version, timeout_ticks) => {
+                let value = member.to_le_bytes().to_vec();
+                m.compare_and_set_until_applied(key.clone(), *version, value, *timeout_ticks)
+            }
             Request::Read(key) => m.read(key),
         };
         assert!(!self.calls.contains_key(&(member, handle)), "{handle:?} of member {member} used twice");
         self.calls.insert((member, handle), Call { request, at: self.now, outcome: None });
         self.carry_out(member, output);
+        Some(handle)
+    }
+
+    /// The outcome of a request, once it has one.
+    pub fn outcome(&self, member: u64, request: RequestHandle) -> Option<&RequestOutcome> {
+        self.calls[&(member, request)].outcome.as_ref().map(|(_, outcome)| outcome)
     }
 
     pub fn kill(&mut self, id: u64) {
@@ -305,7 +318,10 @@
                 }
                 _ => continue,
             };
-            let (Request::Put(key, _) | Request::Read(key) | Request::CompareAndSet(key, _)) = &call.request;
+            let (Request::Put(key, _)
+            | Request::Read(key)
+            | Request::CompareAndSet(key, _)
+            | Request::CompareAndSetUntilApplied(key, ..)) = &call.request;
             operations.push(Operation { key: key.clone(), action, called_at: call.at, completed_at });
         }
         history::check(&operations).unwrap_or_else(|v| panic!("{v}: {:?}", v.operations))
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -5,6 +5,7 @@
 //! accepts. All of them end within [`POLL_INTERVAL`] after the proxy is dropped.
 
 mod forward;
+mod message_filter;
 mod reorder;
 
 use std::io::{self, ErrorKind};
@@ -36,6 +37,18 @@
     /// Now and then a whole message from the client to the target is duplicated or overtaken by the next one. Which one is
     /// chosen by the number of the message, so that a run is the same for the same messages.
     pub reorder: Option<MessageLength>,
+    /// These messages from the client to the target are dropped, each as a whole. Where `reorder` is set too, the others
+    /// are what is reordered. A connection's bytes must begin with a message when this is set.
+    pub drop_messages: Option<DroppedMessages>,
+}
+
+/// Which messages are dropped.
+#[derive(Debug, Clone, Copy)]
+pub struct DroppedMessages {
+    /// Where a message ends.
+    pub length: MessageLength,
+    /// Whether this whole message is dropped. Called once for each message, before it is forwarded.
+    pub is_dropped: fn(&[u8]) -> bool,
 }
 
 /// How many bytes the first message takes; none while that is not known.
--- a/crates/testkit/src/proxy/forward.rs
+++ b/crates/testkit/src/proxy/forward.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::thread;
 
+use super::message_filter::MessageFilter;
 use super::reorder::Reorderer;
 use super::{close, lock, Faults, Shared, POLL_INTERVAL};
 
@@ -30,7 +31,8 @@
 /// Forwards until one side closes the connection or the proxy stops; closes both sides then.
 pub(super) fn forward(mut from: TcpStream, mut to: TcpStream, direction: Direction, shared: &Shared) {
     let _ = from.set_read_timeout(Some(POLL_INTERVAL));
-    let (mut buffer, mut reorderer) = (vec![0; BUFFER_BYTES], Reorderer::default());
+    let mut buffer = vec![0; BUFFER_BYTES];
+    let (mut filter, mut reorderer) = (MessageFilter::default(), Reorderer::default());
     while !shared.is_stopping() {
         let read = match from.read(&mut buffer) {
             Ok(0) => break,
@@ -46,14 +48,19 @@
         if !faults.delay.is_zero() {
             thread::sleep(faults.delay);
         }
+        let kept = match faults.drop_messages.filter(|_| direction == Direction::Forward) {
+            Some(dropped_messages) => filter.keep(&buffer[..read], dropped_messages),
+            None => [&filter.take_incomplete(), &buffer[..read]].concat(),
+        };
+        lock(&shared.dropped).add(direction, filter.take_dropped_bytes());
         let bytes = match faults.reorder.filter(|_| direction == Direction::Forward) {
-            Some(message_length) => reorderer.forward(&buffer[..read], message_length),
-            None => [&reorderer.take_held(), &buffer[..read]].concat(),
+            Some(message_length) => reorderer.forward(&kept, message_length),
+            None => [reorderer.take_held(), kept.clone()].concat(),
         };
         if to.write_all(&bytes).is_err() {
             break;
         }
-        lock(&shared.forwarded).add(direction, read);
+        lock(&shared.forwarded).add(direction, kept.len());
     }
     // What one side still had to say is lost, as with a process that is killed.
     close(&to);
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -5,7 +5,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use curlewdeck_testkit::proxy::{Faults, Proxy, POLL_INTERVAL};
+use curlewdeck_testkit::proxy::{ByteCounts, DroppedMessages, Faults, Proxy, POLL_INTERVAL};
 
 fn echo() -> (SocketAddr, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -64,3 +64,41 @@
     drop(proxy);
     server.join().unwrap();
 }
+
+/// Guards against a message that is dropped in part, and against one that is dropped or held back though it wasn't chosen.
+#[test]
+fn only_the_chosen_messages_are_dropped_and_each_as_a_whole() {
+    let (target, server) = echo();
+    let proxy = Proxy::start(Some(target)).unwrap();
+    // A message is its length and so many bytes; those of `x` are dropped.
+    let dropped_messages = DroppedMessages {
+        length: |bytes| bytes.first().map(|&n| usize::from(n) + 1),
+        is_dropped: |message| message[1] == b'x',
+    };
+    proxy.set_faults(Faults { drop_messages: Some(dropped_messages), ..Faults::default() });
+    let mut stream = TcpStream::connect(proxy.address()).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let sent = b"\x03one\x02xx\x03two\x01x\x02xy\x05three";
+    // Piece by piece: messages are torn and joined on the way.
+    for piece in sent.chunks(4) {
+        stream.write_all(piece).unwrap();
+        thread::sleep(POLL_INTERVAL);
+    }
+    let mut got = [0; 14];
+    stream.read_exact(&mut got).unwrap();
+    assert_eq!(&got, b"\x03one\x03two\x05three");
+    assert_eq!(proxy.bytes_dropped(), ByteCounts { forward: 8, backward: 0 });
+    // The beginning of a message is held until the rest comes, and is forwarded once none are dropped any longer.
+    stream.write_all(b"\x03x").unwrap();
+    thread::sleep(5 * POLL_INTERVAL);
+    proxy.clear_faults();
+    stream.write_all(b"yz").unwrap();
+    let mut got = [0; 4];
+    stream.read_exact(&mut got).unwrap();
+    assert_eq!(&got, b"\x03xyz");
+    assert_eq!(proxy.bytes_dropped(), ByteCounts { forward: 8, backward: 0 });
+    // The echo server ends after its second connection.
+    drop(TcpStream::connect(proxy.address()).unwrap());
+    server.join().unwrap();
+}
--- a/src/replication/driver.rs
+++ b/src/replication/driver.rs
@@ -133,6 +133,10 @@
         let mut adds_member = None;
         let (handle, output) = match request {
             ClientRequest::Propose(command) => self.member.propose(&command),
+            ClientRequest::CompareAndSetUntilApplied { key, version, value, timeout } => {
+                let timeout_ticks = self.ticks_in(timeout);
+                self.member.compare_and_set_until_applied(key, version, value, timeout_ticks)
+            }
             ClientRequest::Read(key) => self.member.read(&key),
             ClientRequest::AddMember { id, address } => {
                 adds_member = Some(id);
@@ -149,6 +153,11 @@
         outputs.push(output);
     }
 
+    /// The number of ticks that cover a span.
+    fn ticks_in(&self, span: Duration) -> u64 {
+        u64::try_from(span.as_nanos().div_ceil(self.tick.as_nanos())).unwrap_or(u64::MAX)
+    }
+
     /// Writes, then sends, then completes requests. What a completion brings about is carried out in the same way.
     fn carry_out(&mut self, mut outputs: Vec<MemberOutput>) -> Result<(), DiskError> {
         while !outputs.is_empty() {
--- a/src/replication/member_handle.rs
+++ b/src/replication/member_handle.rs
@@ -11,6 +11,18 @@
 pub enum ClientRequest {
     /// Commits a command.
     Propose(Command),
+    /// Sets a key if it is still at a version, over changes of the leader:
+    /// [`Member::compare_and_set_until_applied`](curlewdeck_replication::Member::compare_and_set_until_applied).
+    CompareAndSetUntilApplied {
+        /// The key.
+        key: String,
+        /// The version at which it must be.
+        version: u64,
+        /// Its new value.
+        value: Vec<u8>,
+        /// How long it is tried.
+        timeout: Duration,
+    },
     /// Reads a key linearizably.
     Read(String),
     /// Adds a member.
--- a/src/replication/snapshot_replica.rs
+++ b/src/replication/snapshot_replica.rs
@@ -2,19 +2,18 @@
 
 use std::time::{Duration, Instant};
 
-use curlewdeck_replication::{Command, CommandOutcome, RejectReason, RequestOutcome};
+use curlewdeck_replication::{CommandOutcome, RejectReason, RequestOutcome};
 
 use super::member_handle::{ClientRequest, MemberHandle};
 use crate::snapshot_store::{ReplicaError, ReplicaValue, SnapshotReplica};
 
-/// How long a start waits until the group can be read. A member that came back with an empty folder must be added first.
-const START_TIMEOUT: Duration = Duration::from_secs(60);
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A replica of a state that is a key of the group.
 #[derive(Debug)]
 pub(super) struct ReplicatedSnapshot {
     member: MemberHandle,
+    /// How long one read may be pending.
     request_timeout: Duration,
     key: String,
 }
@@ -23,36 +22,68 @@
     pub(super) fn new(member: MemberHandle, request_timeout: Duration, name: &str) -> Self {
         Self { member, request_timeout, key: format!("state/{name}") }
     }
+
+    fn write_until_applied(&self, bytes: &[u8], version: u64, timeout: Duration) -> RequestOutcome {
+        let (key, value) = (self.key.clone(), bytes.to_vec());
+        let request = ClientRequest::CompareAndSetUntilApplied { key, version, value, timeout };
+        self.member.request(request, timeout)
+    }
 }
 
 impl SnapshotReplica for ReplicatedSnapshot {
-    fn read(&mut self) -> Result<ReplicaValue, ReplicaError> {
-        let started = Instant::now();
+    fn read(&mut self, deadline: Instant) -> Result<ReplicaValue, ReplicaError> {
         loop {
-            match self.member.request(ClientRequest::Read(self.key.clone()), self.request_timeout) {
+            let timeout = self.request_timeout.min(remaining(deadline));
+            match self.member.request(ClientRequest::Read(self.key.clone()), timeout) {
                 RequestOutcome::Read(Some(value)) => {
                     return Ok(ReplicaValue { bytes: Some(value.value), version: value.version })
                 }
                 RequestOutcome::Read(None) => return Ok(ReplicaValue { bytes: None, version: 0 }),
-                _ if started.elapsed() < START_TIMEOUT => std::thread::sleep(RETRY_INTERVAL),
-                outcome => return Err(ReplicaError::Unreadable(describe(&outcome))),
+                outcome if !retries_before(deadline) => {
+                    return Err(ReplicaError::Unreadable(describe(&outcome)))
+                }
+                outcome => log_retry("read", &outcome),
             }
+            std::thread::sleep(RETRY_INTERVAL);
         }
     }
 
-    fn write(&mut self, bytes: &[u8], version: u64) -> Result<u64, ReplicaError> {
-        let value = Some(bytes.to_vec());
-        let command = Command::CompareAndSet { key: self.key.clone(), version, value };
-        match self.member.request(ClientRequest::Propose(command), self.request_timeout) {
-            RequestOutcome::Committed(CommandOutcome::Written { version }) => Ok(version),
-            RequestOutcome::Committed(CommandOutcome::Rejected(why)) => {
-                Err(ReplicaError::Rejected(why.to_string()))
+    fn write(&mut self, bytes: &[u8], version: u64, deadline: Instant) -> Result<u64, ReplicaError> {
+        loop {
+            match self.write_until_applied(bytes, version, remaining(deadline)) {
+                RequestOutcome::Committed(CommandOutcome::Written { version }) => return Ok(version),
+                RequestOutcome::Committed(CommandOutcome::VersionMismatch { current }) => {
+                    return Err(ReplicaError::VersionMismatch { current })
+                }
+                RequestOutcome::Committed(CommandOutcome::Rejected(why)) => {
+                    return Err(ReplicaError::Rejected(why.to_string()))
+                }
+                // Nothing was done.
+                outcome @ RequestOutcome::Rejected(RejectReason::TooManyPending)
+                    if retries_before(deadline) =>
+                {
+                    log_retry("write", &outcome);
+                }
+                outcome => return Err(ReplicaError::NotCommitted(describe(&outcome))),
             }
-            outcome => Err(ReplicaError::NotCommitted(describe(&outcome))),
+            std::thread::sleep(RETRY_INTERVAL);
         }
     }
 }
 
+fn remaining(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
+}
+
+/// Whether there is time for another attempt.
+fn retries_before(deadline: Instant) -> bool {
+    remaining(deadline) > RETRY_INTERVAL
+}
+
+fn log_retry(action: &str, outcome: &RequestOutcome) {
+    log::info!(target: "group", action, outcome = describe(outcome).as_str(); "state's replica not reached: retried");
+}
+
 /// An outcome in the words that operators know from earlier versions.
 fn describe(outcome: &RequestOutcome) -> String {
     match outcome {
--- a/src/snapshot_store.rs
+++ b/src/snapshot_store.rs
@@ -27,6 +27,11 @@
 use replica::TrackedReplica;
 pub use replica::{ReplicaError, ReplicaValue, SnapshotReplica};
 
+/// How long a start waits for the replica. A member that came back with an empty folder must be added to its group first.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a process that serves waits for the replica at each write.
+const REPLICA_WRITE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// The section `[state]` of the edge's file.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -86,10 +91,10 @@
     /// anew.
     ///
     /// # Errors
-    /// The folder cannot be used, or the replica cannot be read or written.
+    /// The folder cannot be used, or the replica cannot be read or written in time.
     pub fn load(
         config: &StateConfig,
-        engine: Vec<u8>,
+        engine_id: Vec<u8>,
         replica: Option<Box<dyn SnapshotReplica>>,
     ) -> Result<Self, SnapshotError> {
         let in_directory = |source| SnapshotError::Directory { directory: config.folder.clone(), source };
@@ -99,31 +104,16 @@
         let directory = SnapshotDirectory::lock(&config.folder).map_err(in_directory)?;
         let mut contents = read_or_quarantine(&directory).map_err(in_directory)?;
         let mut replica = replica.map(TrackedReplica::new);
-        if let Some(replica) = &mut replica {
-            let replicated = replica
-                .read()
-                .map_err(|source| SnapshotError::ReplicaRead { directory: config.folder.clone(), source })?;
-            // The file is written before the replica: at the same count the file is the newer one.
-            contents = replicated.filter(|other| other.boots > contents.boots).unwrap_or(contents);
-        }
-        contents.boots = contents.boots.saturating_add(1);
-        if contents.engine_id.is_empty() {
-            contents.engine_id = engine;
-        }
-        let bytes = record::seal(STATE_RECORD, &contents).ok_or(SnapshotError::TooLarge)?;
-        let boots = contents.boots;
+        count_start(&mut contents, &engine_id, &directory, replica.as_mut())?;
+        log::info!(start = contents.boots, directory:% = directory.path().display(); "state loaded");
         let write_interval = Duration::from_secs(config.write_interval_s);
-        let store = Self {
+        Ok(Self {
             directory,
             write_interval,
             state: Mutex::new(State { contents, schedule: WriteSchedule::new(write_interval) }),
             replica: Mutex::new(replica),
             started: Instant::now(),
-        };
-        store.directory.write(&bytes).map_err(|e| in_directory(e.into()))?;
-        store.replicate(&bytes, boots).map_err(SnapshotError::ReplicaWrite)?;
-        log::info!(start = boots, directory:% = store.directory.path().display(); "state loaded");
-        Ok(store)
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -179,12 +169,64 @@
     /// Writes the replica, if there is one.
     fn replicate(&self, bytes: &[u8], boots: u32) -> Result<(), ReplicaError> {
         match &mut *lock(&self.replica) {
-            Some(replica) => replica.write(bytes, boots),
+            Some(replica) => replica.write(bytes, boots, Instant::now() + REPLICA_WRITE_TIMEOUT),
             None => Ok(()),
         }
     }
 }
 
+/// Counts a start in the folder, and then in the replica. Where another process of this name has counted one meanwhile,
+/// this one counts on from there.
+fn count_start(
+    contents: &mut SnapshotContents,
+    engine_id: &[u8],
+    directory: &SnapshotDirectory,
+    mut replica: Option<&mut TrackedReplica>,
+) -> Result<(), SnapshotError> {
+    let deadline = Instant::now() + START_TIMEOUT;
+    loop {
+        if let Some(replica) = &mut replica {
+            restore_newer(contents, replica, deadline).map_err(|source| SnapshotError::ReplicaRead {
+                directory: directory.path().to_owned(),
+                source,
+            })?;
+        }
+        contents.boots = contents.boots.saturating_add(1);
+        if contents.engine_id.is_empty() {
+            contents.engine_id = engine_id.to_vec();
+        }
+        let bytes = record::seal(STATE_RECORD, contents).ok_or(SnapshotError::TooLarge)?;
+        directory.write(&bytes).map_err(|e| SnapshotError::Directory {
+            directory: directory.path().to_owned(),
+            source: e.into(),
+        })?;
+        let Some(replica) = &mut replica else { return Ok(()) };
+        match replica.write(&bytes, contents.boots, deadline) {
+            Ok(()) => return Ok(()),
+            Err(ReplicaError::VersionMismatch { current }) if Instant::now() < deadline => {
+                log::warn!(
+                    start = contents.boots, version = current;
+                    "state's replica was written meanwhile: start counted anew"
+                );
+            }
+            Err(e) => return Err(SnapshotError::ReplicaWrite(e)),
+        }
+    }
+}
+
+/// Takes what the replica holds, if it is of a later start. The file is written before the replica: at the same count the
+/// file is the newer one.
+fn restore_newer(
+    contents: &mut SnapshotContents,
+    replica: &mut TrackedReplica,
+    deadline: Instant,
+) -> Result<(), ReplicaError> {
+    if let Some(replicated) = replica.read(deadline)?.filter(|replicated| replicated.boots > contents.boots) {
+        *contents = replicated;
+    }
+    Ok(())
+}
+
 /// The state of the file. One that is torn, changed or foreign is quarantined, and the state begins anew.
 fn read_or_quarantine(directory: &SnapshotDirectory) -> Result<SnapshotContents, DirectoryError> {
     let Some(bytes) = directory.read()? else { return Ok(SnapshotContents::default()) };
--- a/src/snapshot_store/replica.rs
+++ b/src/snapshot_store/replica.rs
@@ -1,6 +1,7 @@
 //! A replica of the state, which outlives the machine with its disk.
 
 use std::fmt::Debug;
+use std::time::Instant;
 
 use curlewdeck_snapshot::{record, RecordError};
 
@@ -17,17 +18,18 @@
 
 /// A replica of the state, written by compare-and-set.
 pub trait SnapshotReplica: Send + Debug {
-    /// Reads the replica; blocks until it is known what it holds.
+    /// Reads the replica; blocks until it is known what it holds, or until the deadline.
     ///
     /// # Errors
     /// Why that is not known.
-    fn read(&mut self) -> Result<ReplicaValue, ReplicaError>;
+    fn read(&mut self, deadline: Instant) -> Result<ReplicaValue, ReplicaError>;
 
-    /// Writes the replica if it is still at `version`; returns the new version.
+    /// Writes the replica if it is still at `version`; returns the new version. Blocks until it is known whether that was
+    /// done, or until the deadline.
     ///
     /// # Errors
     /// Why it is not known to be written.
-    fn write(&mut self, bytes: &[u8], version: u64) -> Result<u64, ReplicaError>;
+    fn write(&mut self, bytes: &[u8], version: u64, deadline: Instant) -> Result<u64, ReplicaError>;
 }
 
 /// Why a replica cannot be read or written.
@@ -45,6 +47,12 @@
     /// It is not known whether the value was written.
     #[error("not promised: {0}")]
     NotCommitted(String),
+    /// Another value was written since the replica was read.
+    #[error("not promised: Promised(Stale {{ current: {current} }})")]
+    VersionMismatch {
+        /// The version of that value.
+        current: u64,
+    },
     /// A process that started later writes under the same name.
     #[error("another process has taken over under this name")]
     Superseded,
@@ -64,8 +72,8 @@
     }
 
     /// Reads the state and takes note of its version.
-    pub(super) fn read(&mut self) -> Result<Option<SnapshotContents>, ReplicaError> {
-        let value = self.replica.read()?;
+    pub(super) fn read(&mut self, deadline: Instant) -> Result<Option<SnapshotContents>, ReplicaError> {
+        let value = self.replica.read(deadline)?;
         self.version = Some(value.version);
         let open = |bytes: Vec<u8>| record::open::<SnapshotContents>(STATE_RECORD, &bytes);
         value.bytes.map(open).transpose().map_err(ReplicaError::Corrupt)
@@ -73,12 +81,12 @@
 
     /// Writes the state. After a write whose outcome is not known it is read first: what it holds then must not be of a
     /// later start than this one.
-    pub(super) fn write(&mut self, bytes: &[u8], boots: u32) -> Result<(), ReplicaError> {
-        if self.version.is_none() && self.read()?.is_some_and(|contents| contents.boots > boots) {
+    pub(super) fn write(&mut self, bytes: &[u8], boots: u32, deadline: Instant) -> Result<(), ReplicaError> {
+        if self.version.is_none() && self.read(deadline)?.is_some_and(|contents| contents.boots > boots) {
             return Err(ReplicaError::Superseded);
         }
         let version = self.version.take().unwrap_or(0);
-        self.version = Some(self.replica.write(bytes, version)?);
+        self.version = Some(self.replica.write(bytes, version, deadline)?);
         Ok(())
     }
 }
--- a/src/snapshot_store/tests.rs
+++ b/src/snapshot_store/tests.rs
@@ -46,18 +46,23 @@
     bytes: Option<Vec<u8>>,
     version: u64,
     answers_are_lost: bool,
+    /// What another process of the same name writes right before the next write.
+    written_meanwhile: Option<Vec<u8>>,
 }
 
 impl SnapshotReplica for MemoryReplica {
-    fn read(&mut self) -> Result<ReplicaValue, ReplicaError> {
+    fn read(&mut self, _deadline: Instant) -> Result<ReplicaValue, ReplicaError> {
         let state = self.0.lock().unwrap();
         Ok(ReplicaValue { bytes: state.bytes.clone(), version: state.version })
     }
 
-    fn write(&mut self, bytes: &[u8], version: u64) -> Result<u64, ReplicaError> {
+    fn write(&mut self, bytes: &[u8], version: u64, _deadline: Instant) -> Result<u64, ReplicaError> {
         let mut state = self.0.lock().unwrap();
+        if let Some(other) = state.written_meanwhile.take() {
+            (state.bytes, state.version) = (Some(other), version + 1);
+        }
         if state.version != version {
-            return Err(ReplicaError::NotCommitted(format!("it is at version {}", state.version)));
+            return Err(ReplicaError::VersionMismatch { current: state.version });
         }
         (state.bytes, state.version) = (Some(bytes.to_vec()), version + 1);
         if state.answers_are_lost {
@@ -92,6 +97,27 @@
     assert!(ReplicaError::Superseded.to_string().contains("another process"));
 }
 
+/// Guards against two processes of one name that count the same start, where the other one counts between this one's
+/// read and its write; this one goes on.
+#[test]
+fn a_start_that_another_process_counted_meanwhile_is_counted_after_it() {
+    let folder = Folder::new("meanwhile");
+    for other_boots in [1, 4] {
+        let replica = MemoryReplica::default();
+        let other = SnapshotContents { boots: other_boots, ..SnapshotContents::default() };
+        replica.0.lock().unwrap().written_meanwhile = Some(record::seal(STATE_RECORD, &other).unwrap());
+        let _ = fs::remove_file(folder.0.join(STATE_FILE));
+        let loaded = SnapshotStore::load(&folder.config(), vec![7], Some(Box::new(replica.clone()))).unwrap();
+        assert_eq!(loaded.contents().boots, other_boots + 1);
+        assert_eq!(loaded.contents().engine_id, [7]);
+        let held =
+            record::open::<SnapshotContents>(STATE_RECORD, replica.0.lock().unwrap().bytes.as_ref().unwrap());
+        assert_eq!(held.unwrap(), loaded.contents());
+        let file = fs::read(folder.0.join(STATE_FILE)).unwrap();
+        assert_eq!(record::open::<SnapshotContents>(STATE_RECORD, &file).unwrap(), loaded.contents());
+    }
+}
+
 /// Guards against an old and a new version that write over each other's totals.
 #[test]
 fn a_folder_serves_one_process_at_a_time() {
