A process whose group has no quorum ends before it may be killed

Callers saw: 62.8 s from SIGTERM to the process's end, where SIGKILL may come after 3.7 s. The folder is written first: nothing was lost.

Cause: after a write of unknown outcome the replica is read before the next write, for up to 60 s, at the end too, and the last write waited without a bound for an earlier one's lock.

Change: the last write has a deadline, that of all answers after SIGTERM (at least 0.2 s), which bounds its wait for the lock as well.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -317,7 +317,8 @@
         idle.saturating_sub(self.idle_margin.min(idle / IDLE_MARGIN_DIVISOR))
     }
 
-    /// After SIGTERM: how long new requests are accepted, and by when all are answered.
+    /// After SIGTERM: how long new requests are accepted, and by when all are answered, with a margin before SIGKILL may
+    /// come.
     pub fn term(&self, longest_deadline: Duration) -> (Duration, Duration) {
         let kill = longest_deadline.min(self.term_longest) + self.term_kill;
         let answered = kill.saturating_sub(self.term_margin);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -12,5 +12,5 @@
 pub use permits::{Permit, Permits};
 pub use spawn::{spawn, spawn_reporting, spawn_vital, thread, SpawnError, SMALL_STACK};
 pub use stream::{Stream, WriteError};
-pub use sync::lock;
+pub use sync::{lock, lock_until};
 pub use timer::Timer;
--- a/src/snapshot_store.rs
+++ b/src/snapshot_store.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::net::coordinator::CoreHandle;
-use crate::runtime::lock;
+use crate::runtime::{lock, lock_until};
 
 use directory::SnapshotDirectory;
 pub use error::{DirectoryError, SnapshotError};
@@ -78,6 +78,15 @@
     started: Instant,
 }
 
+/// Why the state is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteReason {
+    /// Its write interval has passed.
+    Due,
+    /// The process ends.
+    ProcessEnds,
+}
+
 /// The state as it was restored, with the number of this start, and when it is written next.
 #[derive(Debug)]
 struct State {
@@ -133,13 +142,22 @@
         let store = self.clone();
         std::thread::Builder::new().name("snapshot".into()).spawn(move || loop {
             std::thread::sleep(store.write_interval);
-            store.write_now(&core, false);
+            store.write_if_due(&core);
         })?;
         Ok(())
     }
 
-    /// Writes the state if its schedule allows it, or in any case if `force` is set. Blocks.
-    pub fn write_now(&self, core: &CoreHandle, force: bool) {
+    /// Writes the state, if its schedule allows it. Blocks.
+    fn write_if_due(&self, core: &CoreHandle) {
+        self.write(core, WriteReason::Due, || Instant::now() + REPLICA_WRITE_TIMEOUT);
+    }
+
+    /// Writes the state once more before the process ends; waits for the replica no longer than until then.
+    pub fn write_last(&self, core: &CoreHandle, replicate_by: Instant) {
+        self.write(core, WriteReason::ProcessEnds, || replicate_by);
+    }
+
+    fn write(&self, core: &CoreHandle, reason: WriteReason, replicate_by: impl FnOnce() -> Instant) {
         let Some(ledger) = core.saved_ledger() else {
             log::warn!("state not written: the coordinator did not answer in time");
             return;
@@ -151,7 +169,7 @@
             return;
         };
         let now = self.started.elapsed();
-        if !state.schedule.should_write(now, &bytes) && !force {
+        if !state.schedule.should_write(now, &bytes) && reason == WriteReason::Due {
             return;
         }
         let written = self.directory.write(&bytes);
@@ -161,15 +179,16 @@
         if let Err(e) = written {
             log::error!(directory:% = self.directory.path().display(), error:% = e; "state not written");
         }
-        if let Err(e) = self.replicate(&bytes, boots) {
+        if let Err(e) = self.replicate(&bytes, boots, replicate_by()) {
             log::error!(error:% = e; "state not replicated");
         }
     }
 
     /// Writes the replica, if there is one.
-    fn replicate(&self, bytes: &[u8], boots: u32) -> Result<(), ReplicaError> {
-        match &mut *lock(&self.replica) {
-            Some(replica) => replica.write(bytes, boots, Instant::now() + REPLICA_WRITE_TIMEOUT),
+    fn replicate(&self, bytes: &[u8], boots: u32, deadline: Instant) -> Result<(), ReplicaError> {
+        let mut replica = lock_until(&self.replica, deadline).ok_or(ReplicaError::WriteInProgress)?;
+        match &mut *replica {
+            Some(replica) => replica.write(bytes, boots, deadline),
             None => Ok(()),
         }
     }
--- a/src/snapshot_store/replica.rs
+++ b/src/snapshot_store/replica.rs
@@ -53,6 +53,9 @@
         /// The version of that value.
         current: u64,
     },
+    /// An earlier write of this process still waits for the replica.
+    #[error("not promised: an earlier write still waits")]
+    WriteInProgress,
     /// A process that started later writes under the same name.
     #[error("another process has taken over under this name")]
     Superseded,
--- a/src/snapshot_store/tests.rs
+++ b/src/snapshot_store/tests.rs
@@ -73,6 +73,10 @@
     }
 }
 
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(1)
+}
+
 /// Guards against boots that go back with the disk, and against two that count under one name. After a write whose
 /// outcome is not known it goes on.
 #[test]
@@ -87,13 +91,13 @@
     let contents = SnapshotContents { boots: 2, ..SnapshotContents::default() };
     let bytes = record::seal(STATE_RECORD, &contents).unwrap();
     replica.0.lock().unwrap().answers_are_lost = true;
-    assert!(lost.replicate(&bytes, 2).is_err());
+    assert!(lost.replicate(&bytes, 2, soon()).is_err());
     replica.0.lock().unwrap().answers_are_lost = false;
-    lost.replicate(&bytes, 2).unwrap();
+    lost.replicate(&bytes, 2, soon()).unwrap();
     let other = Folder::new("replaced");
     assert_eq!(load(&other).unwrap().contents().boots, 3);
-    assert!(lost.replicate(&bytes, 2).is_err(), "it wrote over the one that took its place");
-    assert_eq!(lost.replicate(&bytes, 2), Err(ReplicaError::Superseded));
+    assert!(lost.replicate(&bytes, 2, soon()).is_err(), "it wrote over the one that took its place");
+    assert_eq!(lost.replicate(&bytes, 2, soon()), Err(ReplicaError::Superseded));
     assert!(ReplicaError::Superseded.to_string().contains("another process"));
 }
 
@@ -161,3 +165,16 @@
     let error = SnapshotStore::load(&config, Vec::new(), None).unwrap_err().to_string();
     assert_eq!(error, "state folder /nowhere/at/all: every_s must be above 0");
 }
+
+/// Guards the end of a process against an earlier write that still waits for its group.
+#[test]
+fn a_write_waits_no_longer_than_its_deadline_for_an_earlier_one() {
+    let folder = Folder::new("waits");
+    let store = folder.load().unwrap();
+    let earlier = store.replica.lock().unwrap();
+    let deadline = Instant::now() + Duration::from_millis(50);
+    assert_eq!(store.replicate(b"state", 1, deadline), Err(ReplicaError::WriteInProgress));
+    assert!(Instant::now() >= deadline);
+    drop(earlier);
+    assert_eq!(store.replicate(b"state", 1, deadline), Ok(()));
+}
--- a/src/startup/coordinator.rs
+++ b/src/startup/coordinator.rs
@@ -26,6 +26,9 @@
 /// came while others were closed is seen by the second.
 const IDLE_CHECKS_BEFORE_END: u32 = 2;
 
+/// The state's replica is waited for at least this long at the end: a group with a leader answers sooner.
+const LAST_REPLICATION_MIN: Duration = Duration::from_millis(200);
+
 /// The key of the configuration file under which the settings stand.
 const SETTINGS_KEY: &str = "settings";
 
@@ -121,6 +124,7 @@
     /// once all requests are answered, or the time for that is over.
     pub fn finish(&self) {
         let finish = self.finish_times();
+        let replicate_by = Instant::now() + Duration::from_nanos(finish.answered);
         if let Some(stopping) = &self.stopping {
             stopping.send();
         }
@@ -135,7 +139,8 @@
         }
         self.close_connections();
         if let Some(store) = &self.snapshot_store {
-            store.write_now(&self.core, true);
+            let replicate_by = replicate_by.max(Instant::now() + LAST_REPLICATION_MIN);
+            store.write_last(&self.core, replicate_by);
         }
     }
 
--- a/tests/replicated_state.rs
+++ b/tests/replicated_state.rs
@@ -1,5 +1,5 @@
-//! Starts of a coordinator whose state is replicated, in a group of three processes on loopback, with a fault proxy on the way
-//! from each member to each other one. The order of events is forced: the proxies choose raft messages by their type.
+//! Starts and ends of a coordinator whose state is replicated, in a group of three processes on loopback, with a fault proxy on
+//! the way from each member to each other one. The order of events is forced: the proxies choose raft messages by their type.
 
 mod harness;
 
@@ -319,3 +319,22 @@
     group.member(starting).runs_for(2 * REQUEST_TIMEOUT);
     group.member(starting).loads_its_state(2);
 }
+
+/// SIGKILL may come so long after SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s.
+const TERMINATION_TIMEOUT: Duration = Duration::from_millis(3_700);
+
+/// Guards against a process that waits at its end for a group that has no quorum, until it is killed.
+#[test]
+fn a_process_whose_group_has_no_quorum_ends_before_it_is_killed() {
+    let mut group = Group::start("no-quorum");
+    let (first, rest) = (0, 1..SIZE);
+    rest.for_each(|n| group.kill(n));
+    let log = group.member(first).log.clone();
+    until("a write of the state without a quorum", || lock(&log).contains("] state not replicated "));
+    let terminated = Instant::now();
+    harness::signal(&group.member(first).child, "TERM");
+    let ended = group.member(first).child.wait().unwrap();
+    let took = terminated.elapsed();
+    assert!(ended.success(), "{ended:?}; its log:\n{}", lock(&log));
+    assert!(took < TERMINATION_TIMEOUT, "it ended after {took:?}; its log:\n{}", lock(&log));
+}
