A member asks again for a read index that its leader has not confirmed

Callers saw: a read right after an election, or one whose message was lost, got 504 after 30 ticks; starts took as long.

Cause: raft-rs drops a request for a read index while the leader has committed nothing of its term, without a word, and a member asked once.

Change: pending requests have a time of their next try; a read is asked for again every 5 ticks (read_retry_ticks). A read index taken later is still one of a moment between the request and its outcome.

--- a/crates/replication/src/limits.rs
+++ b/crates/replication/src/limits.rs
@@ -24,6 +24,8 @@
     pub heartbeat_interval_ticks: usize,
     /// Ticks after which a pending request completes as [unknown](crate::RequestOutcome::Unknown).
     pub request_timeout_ticks: u64,
+    /// Ticks after which the leader is asked again for a read index that it has not confirmed.
+    pub read_retry_ticks: u64,
     /// Append messages in flight to one follower: back-pressure on a follower that lags.
     pub max_inflight_messages: usize,
     /// Bytes of one append message.
@@ -42,6 +44,7 @@
             fixed_election_delay_ticks: None,
             heartbeat_interval_ticks: 1,
             request_timeout_ticks: 30,
+            read_retry_ticks: 5,
             max_inflight_messages: 64,
             max_message_bytes: 1 << 20,
         }
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -177,7 +177,7 @@
             node.tick();
         });
         self.complete_overdue_requests(&mut output);
-        self.retry_proposals();
+        self.retry_requests();
         self.process_ready(&mut output);
         output
     }
--- a/crates/replication/src/member/requests.rs
+++ b/crates/replication/src/member/requests.rs
@@ -27,16 +27,8 @@
     pub(super) kind: RequestKind,
     /// The tick at which it completes as unknown.
     deadline: u64,
-    /// Set for a command that is proposed until it is applied.
-    retry: Option<ProposalRetry>,
-}
-
-/// A command that is proposed again and again, always with the tag of its request.
-#[derive(Debug)]
-struct ProposalRetry {
-    entry_data: Vec<u8>,
-    /// The tick at which it is proposed next.
-    next_at: u64,
+    /// The tick at which it is handed to raft-rs again; none if that is done once only.
+    retry_at: Option<u64>,
 }
 
 /// What a pending request waits for.
@@ -44,6 +36,8 @@
 pub(super) enum RequestKind {
     /// That its command is applied.
     Command,
+    /// The same; the command is proposed again and again, always with the tag of its request.
+    RetriedCommand { entry_data: Vec<u8> },
     /// That its change of membership is applied.
     MembershipChange,
     /// That the member has applied the log up to the read index, once the leader has confirmed it.
@@ -82,41 +76,56 @@
             }
         }
         let command = Command::CompareAndSet { key, version, value: Some(value) };
-        let retry = ProposalRetry { entry_data: command.to_entry_data(), next_at: self.ticks };
-        let deadline = self.ticks + timeout_ticks;
-        let pending = PendingRequest { kind: RequestKind::Command, deadline, retry: Some(retry) };
-        self.pending.insert(request, pending);
-        self.retry_proposals();
+        let kind = RequestKind::RetriedCommand { entry_data: command.to_entry_data() };
+        let deadline = self.ticks.saturating_add(timeout_ticks);
+        self.pending.insert(request, PendingRequest { kind, deadline, retry_at: Some(self.ticks) });
+        self.retry_requests();
         self.process_ready(&mut output);
         (request, output)
     }
 
-    /// Proposes again what is due, if a leader is known.
-    pub(super) fn retry_proposals(&mut self) {
-        let next_at = self.ticks + self.limits.election_timeout_ticks as u64;
-        for (request, entry_data) in self.due_proposals() {
-            let tag = self.proposal_tag(request);
-            let is_proposed = self.with_raft(|node| node.propose(tag, entry_data).is_ok()) == Some(true);
-            let retry = self.pending.get_mut(&request).and_then(|pending| pending.retry.as_mut());
-            if let Some(retry) = retry.filter(|_| is_proposed) {
-                retry.next_at = next_at;
-            }
+    /// Hands the requests that are due to raft-rs again, if a leader is known.
+    pub(super) fn retry_requests(&mut self) {
+        if self.leader().is_none() {
+            return;
+        }
+        let is_due = |pending: &PendingRequest| pending.retry_at.is_some_and(|at| at <= self.ticks);
+        let due: Vec<RequestHandle> =
+            self.pending.iter().filter(|(_, pending)| is_due(pending)).map(|(request, _)| *request).collect();
+        for request in due {
+            self.retry(request);
         }
     }
 
-    fn due_proposals(&self) -> Vec<(RequestHandle, Vec<u8>)> {
-        if self.leader().is_none() {
-            return Vec::new();
-        }
-        let due = |(request, pending): (&RequestHandle, &PendingRequest)| {
-            let retry = pending.retry.as_ref().filter(|retry| retry.next_at <= self.ticks)?;
-            Some((*request, retry.entry_data.clone()))
+    /// Hands a pending request to raft-rs again, under the same tag.
+    fn retry(&mut self, request: RequestHandle) {
+        let tag = self.proposal_tag(request);
+        let Some(pending) = self.pending.get(&request) else { return };
+        let retry_at = match &pending.kind {
+            RequestKind::RetriedCommand { entry_data } => {
+                let entry_data = entry_data.clone();
+                let is_proposed = self.with_raft(|node| node.propose(tag, entry_data).is_ok());
+                let interval =
+                    if is_proposed == Some(true) { self.limits.election_timeout_ticks as u64 } else { 1 };
+                Some(self.ticks + interval)
+            }
+            RequestKind::Read { read_index: None, .. } => {
+                self.with_raft(|node| node.read_index(tag));
+                Some(self.ticks + self.limits.read_retry_ticks)
+            }
+            // Its read index is confirmed.
+            RequestKind::Read { .. } => None,
+            // Another one might take effect beside the first.
+            RequestKind::Command | RequestKind::MembershipChange => None,
         };
-        self.pending.iter().filter_map(due).collect()
+        if let Some(pending) = self.pending.get_mut(&request) {
+            pending.retry_at = retry_at;
+        }
     }
 
     /// Reads a key linearizably, by read index: completes once the leader has confirmed with a majority that it still
-    /// leads, and this member has applied the log up to the commit index that the leader had then.
+    /// leads, and this member has applied the log up to the commit index that the leader had then. The leader is asked
+    /// again until then: raft-rs drops what a new leader is asked before it has committed an entry of its term.
     pub fn read(&mut self, key: &str) -> (RequestHandle, MemberOutput) {
         let kind = RequestKind::Read { key: key.to_owned(), read_index: None };
         self.submit(kind, |node, tag| {
@@ -154,7 +163,9 @@
         match self.with_raft(|node| hand_over(node, tag)) {
             Some(true) => {
                 let deadline = self.ticks + self.limits.request_timeout_ticks;
-                self.pending.insert(request, PendingRequest { kind, deadline, retry: None });
+                let is_read = matches!(kind, RequestKind::Read { .. });
+                let retry_at = is_read.then_some(self.ticks + self.limits.read_retry_ticks);
+                self.pending.insert(request, PendingRequest { kind, deadline, retry_at });
             }
             Some(false) => output.complete(request, RequestOutcome::Rejected(RejectReason::NoLeader)),
             None => output.complete(request, RequestOutcome::Rejected(RejectReason::Stopped)),
