A process that cannot be started ends before its member starts

Callers saw: a process whose address or state folder is in use started its group's member and served the group's clients, and ended then, up to 60 s later: a member that comes and goes with each try of a supervisor.

Cause: the group's member started before the state folder was locked and before any frontend listened.

Change: SnapshotStore::open locks and reads the folder, OpenState::count_start counts the start once the member runs; with a group, the addresses of the frontends are tried before. They are not held: clients would be accepted by a process that cannot answer yet.

--- a/src/snapshot_store.rs
+++ b/src/snapshot_store.rs
@@ -95,9 +95,7 @@
 }
 
 impl SnapshotStore {
-    /// Restores the state and counts this start. The count is on the disk, and in the replica, before this returns, so
-    /// that no two processes ever have the same one. A file that cannot be used is quarantined, and the state begins
-    /// anew.
+    /// Restores the state and counts this start: [`open`](Self::open), and then [`count_start`](OpenState::count_start).
     ///
     /// # Errors
     /// The folder cannot be used, or the replica cannot be read or written in time.
@@ -106,23 +104,22 @@
         engine_id: Vec<u8>,
         replica: Option<Box<dyn SnapshotReplica>>,
     ) -> Result<Self, SnapshotError> {
+        Self::open(config)?.count_start(engine_id, replica)
+    }
+
+    /// Locks the folder and reads its state. A file that cannot be used is quarantined, and the state begins anew.
+    ///
+    /// # Errors
+    /// The folder cannot be used.
+    pub fn open(config: &StateConfig) -> Result<OpenState, SnapshotError> {
         let in_directory = |source| SnapshotError::Directory { directory: config.folder.clone(), source };
         if config.write_interval_s == 0 {
             return Err(in_directory(DirectoryError::ZeroWriteInterval));
         }
         let directory = SnapshotDirectory::lock(&config.folder).map_err(in_directory)?;
-        let mut contents = read_or_quarantine(&directory).map_err(in_directory)?;
-        let mut replica = replica.map(TrackedReplica::new);
-        count_start(&mut contents, &engine_id, &directory, replica.as_mut())?;
-        log::info!(start = contents.boots, directory:% = directory.path().display(); "state loaded");
+        let contents = read_or_quarantine(&directory).map_err(in_directory)?;
         let write_interval = Duration::from_secs(config.write_interval_s);
-        Ok(Self {
-            directory,
-            write_interval,
-            state: Mutex::new(State { contents, schedule: WriteSchedule::new(write_interval) }),
-            replica: Mutex::new(replica),
-            started: Instant::now(),
-        })
+        Ok(OpenState { directory, contents, write_interval })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -194,56 +191,90 @@
     }
 }
 
-/// Counts a start in the folder, and then in the replica. Where another process of this name has counted one meanwhile,
-/// this one counts on from there.
-fn count_start(
-    contents: &mut SnapshotContents,
-    engine_id: &[u8],
-    directory: &SnapshotDirectory,
-    mut replica: Option<&mut TrackedReplica>,
-) -> Result<(), SnapshotError> {
-    let deadline = Instant::now() + START_TIMEOUT;
-    loop {
-        if let Some(replica) = &mut replica {
-            restore_newer(contents, replica, deadline).map_err(|source| SnapshotError::ReplicaRead {
-                directory: directory.path().to_owned(),
-                source,
-            })?;
-        }
-        contents.boots = contents.boots.saturating_add(1);
-        if contents.engine_id.is_empty() {
-            contents.engine_id = engine_id.to_vec();
+/// A state folder that is locked and read, of which no start is counted yet.
+#[derive(Debug)]
+pub struct OpenState {
+    directory: SnapshotDirectory,
+    contents: SnapshotContents,
+    write_interval: Duration,
+}
+
+impl OpenState {
+    /// Counts this start in the folder, and then in the replica. The count is on the disk, and in the replica, before this
+    /// returns, so that no two processes ever have the same one. Where another process of this name has counted one
+    /// meanwhile, this one counts on from there.
+    ///
+    /// # Errors
+    /// The folder cannot be written, or the replica cannot be read or written in time.
+    pub fn count_start(
+        mut self,
+        engine_id: Vec<u8>,
+        replica: Option<Box<dyn SnapshotReplica>>,
+    ) -> Result<SnapshotStore, SnapshotError> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        let mut replica = replica.map(TrackedReplica::new);
+        loop {
+            if let Some(replica) = &mut replica {
+                self.restore_newer(replica, deadline)?;
+            }
+            let bytes = self.write_next_start(&engine_id)?;
+            match replica.as_mut().map(|replica| replica.write(&bytes, self.contents.boots, deadline)) {
+                None | Some(Ok(())) => return Ok(self.into_store(replica)),
+                Some(Err(ReplicaError::VersionMismatch { current })) if Instant::now() < deadline => {
+                    log::warn!(
+                        start = self.contents.boots, version = current;
+                        "state's replica was written meanwhile: start counted anew"
+                    )
+                }
+                Some(Err(e)) => return Err(SnapshotError::ReplicaWrite(e)),
+            }
         }
-        let bytes = record::seal(STATE_RECORD, contents).ok_or(SnapshotError::TooLarge)?;
-        directory.write(&bytes).map_err(|e| SnapshotError::Directory {
-            directory: directory.path().to_owned(),
-            source: e.into(),
+    }
+
+    /// Takes what the replica holds, if it is of a later start. The file is written before the replica: at the same count
+    /// the file is the newer one.
+    fn restore_newer(
+        &mut self,
+        replica: &mut TrackedReplica,
+        deadline: Instant,
+    ) -> Result<(), SnapshotError> {
+        let replicated = replica.read(deadline).map_err(|source| SnapshotError::ReplicaRead {
+            directory: self.directory.path().to_owned(),
+            source,
         })?;
-        let Some(replica) = &mut replica else { return Ok(()) };
-        match replica.write(&bytes, contents.boots, deadline) {
-            Ok(()) => return Ok(()),
-            Err(ReplicaError::VersionMismatch { current }) if Instant::now() < deadline => {
-                log::warn!(
-                    start = contents.boots, version = current;
-                    "state's replica was written meanwhile: start counted anew"
-                );
-            }
-            Err(e) => return Err(SnapshotError::ReplicaWrite(e)),
+        if let Some(replicated) = replicated.filter(|replicated| replicated.boots > self.contents.boots) {
+            self.contents = replicated;
+        }
+        Ok(())
+    }
+
+    /// Counts the next start in the folder; returns the bytes written.
+    fn write_next_start(&mut self, engine_id: &[u8]) -> Result<Vec<u8>, SnapshotError> {
+        self.contents.boots = self.contents.boots.saturating_add(1);
+        if self.contents.engine_id.is_empty() {
+            self.contents.engine_id = engine_id.to_vec();
+        }
+        let bytes = record::seal(STATE_RECORD, &self.contents).ok_or(SnapshotError::TooLarge)?;
+        match self.directory.write(&bytes) {
+            Ok(()) => Ok(bytes),
+            Err(e) => Err(SnapshotError::Directory {
+                directory: self.directory.path().to_owned(),
+                source: e.into(),
+            }),
         }
     }
-}
 
-/// Takes what the replica holds, if it is of a later start. The file is written before the replica: at the same count the
-/// file is the newer one.
-fn restore_newer(
-    contents: &mut SnapshotContents,
-    replica: &mut TrackedReplica,
-    deadline: Instant,
-) -> Result<(), ReplicaError> {
-    if let Some(replicated) = replica.read(deadline)?.filter(|replicated| replicated.boots > contents.boots) {
-        *contents = replicated;
+    fn into_store(self, replica: Option<TrackedReplica>) -> SnapshotStore {
+        let Self { directory, contents, write_interval } = self;
+        log::info!(start = contents.boots, directory:% = directory.path().display(); "state loaded");
+        SnapshotStore {
+            directory,
+            write_interval,
+            state: Mutex::new(State { contents, schedule: WriteSchedule::new(write_interval) }),
+            replica: Mutex::new(replica),
+            started: Instant::now(),
+        }
     }
-    Ok(())
 }
 
 /// The state of the file. One that is torn, changed or foreign is quarantined, and the state begins anew.
--- a/src/startup/frontends.rs
+++ b/src/startup/frontends.rs
@@ -1,6 +1,6 @@
 //! The frontends: one for each protocol by which clients, managers and operators reach the coordinator.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 
 use curlewdeck_lifecycle::{Lifecycle, Spans};
@@ -20,7 +20,7 @@
 use crate::replication::Group;
 use crate::runtime::{nanos, Permits};
 use crate::snapshot_store::SnapshotContents;
-use crate::snmp;
+use crate::snmp::{self, SnmpStartError};
 
 /// Starts frontends that share the bounds on client connections and the lifecycle of the process.
 pub(super) struct Frontends {
@@ -39,6 +39,25 @@
     pub(super) stopping: Option<ShutdownSignal>,
 }
 
+/// Checks that the addresses of all frontends can be listened at, without serving at any of them. They may still be taken
+/// by another process before the frontends start.
+pub(super) fn check_addresses(config: &Config, edge: &Edge) -> Result<(), StartError> {
+    let clients = config.listen_fd.is_none().then_some(config.listen);
+    let features = edge.features.as_ref().map(|features| features.listen);
+    let aggregation = edge.aggregation.as_ref().map(|aggregation| aggregation.listen);
+    for address in [clients, features, aggregation].into_iter().flatten() {
+        TcpListener::bind(address).map_err(|source| StartError::Listen { address, source })?;
+    }
+    if let Some(address) = config.control {
+        TcpListener::bind(address).map_err(|source| StartError::ListenControl { address, source })?;
+    }
+    if let Some(snmp) = &edge.snmp {
+        let address = snmp.listen;
+        UdpSocket::bind(address).map_err(|source| SnmpStartError::Listen { address, source })?;
+    }
+    Ok(())
+}
+
 impl Frontends {
     pub(super) fn new(process: &ProcessContext, core: CoreHandle, shared_listener: bool) -> Self {
         let limits = process.limits.clone();
--- a/src/startup/mod.rs
+++ b/src/startup/mod.rs
@@ -42,6 +42,10 @@
     // Another version may serve beside this one from the same socket, within the same bounds.
     let other_processes = u32::from(inherited.is_some());
     let process = ProcessContext::new(&config, other_processes)?;
+    if edge.group.is_some() {
+        // A member whose process ends again is a vote that the others lose.
+        frontends::check_addresses(&config, &edge)?;
+    }
     let mut subsystems = Subsystems::start(&process, &mut config, &edge)?;
     let frontends = Frontends::new(&process, subsystems.core.clone(), inherited.is_some());
     let started = frontends.start_all(&config, &edge, &mut subsystems, inherited)?;
--- a/src/startup/subsystems.rs
+++ b/src/startup/subsystems.rs
@@ -27,7 +27,7 @@
 use crate::replication::{self, Group};
 use crate::runtime::{nanos, Clock, Permits};
 use crate::settings::Deployment;
-use crate::snapshot_store::{SnapshotContents, SnapshotStore};
+use crate::snapshot_store::{SnapshotContents, SnapshotReplica, SnapshotStore};
 
 /// What all subsystems of the process share.
 pub(super) struct ProcessContext {
@@ -75,8 +75,13 @@
         let start_node = node_starter(&edge.nodes, process.node_context(&list_state));
         let range_memory =
             edge.aggregation.as_ref().map(|_| Memory::new(&process.limits, process.deployment.shards));
+        let open_state = edge.state.as_ref().map(SnapshotStore::open).transpose()?;
+        let engine_id = edge.snmp.as_ref().map_or(Ok(Vec::new()), SnmpConfig::engine_id)?;
+        // After what can fail without the group: a member whose process ends again is a vote that the others lose.
         let group = process.start_replication(edge.group.as_ref())?;
-        let snapshot_store = load_snapshot_store(edge, &config.name, group.as_ref())?;
+        let replica = snapshot_replica(edge, &config.name, group.as_ref());
+        let snapshot_store =
+            open_state.map(|state| state.count_start(engine_id, replica)).transpose()?.map(Arc::new);
         let restored = snapshot_store.as_ref().map(|store| store.contents());
         let core_config = CoreConfig {
             restored_ledger: restored.as_ref().map(|restored| restored.ledger.clone()),
@@ -193,14 +198,8 @@
     }
 }
 
-/// Loads what an earlier process stored, from the folder and, where it is replicated, from the group.
-fn load_snapshot_store(
-    edge: &Edge,
-    name: &str,
-    group: Option<&Group>,
-) -> Result<Option<Arc<SnapshotStore>>, StartError> {
-    let Some(state) = &edge.state else { return Ok(None) };
-    let engine_id = edge.snmp.as_ref().map_or(Ok(Vec::new()), SnmpConfig::engine_id)?;
-    let replica = group.filter(|_| state.replicated).map(|group| group.snapshot_replica(name));
-    Ok(Some(Arc::new(SnapshotStore::load(state, engine_id, replica)?)))
+/// The replica of the coordinator's state in the group, if the edge's file asks for one.
+fn snapshot_replica(edge: &Edge, name: &str, group: Option<&Group>) -> Option<Box<dyn SnapshotReplica>> {
+    let is_replicated = edge.state.as_ref().is_some_and(|state| state.replicated);
+    group.filter(|_| is_replicated).map(|group| group.snapshot_replica(name))
 }
--- a/tests/replicated_state.rs
+++ b/tests/replicated_state.rs
@@ -4,8 +4,9 @@
 mod harness;
 
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -136,13 +137,19 @@
 }
 
 impl Group {
-    /// Founds it and starts its members, and waits until each has loaded its state.
-    fn start(name: &str) -> Self {
+    /// Founds it, with no member started.
+    fn new(name: &str) -> Self {
         let dir = std::env::temp_dir().join(format!("curlewdeck-start-{name}-{}", std::process::id()));
         let ways = (0..SIZE).flat_map(|a| (0..SIZE).map(move |b| (a, b))).filter(|(a, b)| a != b);
         let proxies = ways.map(|way| (way, Proxy::start(None).unwrap())).collect();
-        let mut group = Self { dir, members: BTreeMap::new(), proxies };
+        let group = Self { dir, members: BTreeMap::new(), proxies };
         (0..SIZE).for_each(|n| group.found(n));
+        group
+    }
+
+    /// Founds it and starts its members, and waits until each has loaded its state.
+    fn start(name: &str) -> Self {
+        let mut group = Self::new(name);
         (0..SIZE).for_each(|n| group.begin(n));
         group.members.values_mut().for_each(|member| member.loads_its_state(1));
         group
@@ -338,3 +345,49 @@
     assert!(ended.success(), "{ended:?}; its log:\n{}", lock(&log));
     assert!(took < TERMINATION_TIMEOUT, "it ended after {took:?}; its log:\n{}", lock(&log));
 }
+
+/// What is wrong with a coordinator that cannot be started.
+#[derive(Debug, Clone, Copy)]
+enum StartFault {
+    /// Another socket listens at its address for clients.
+    ClientsAddressInUse,
+    /// Another socket listens at its second address.
+    ControlAddressInUse,
+    /// Another process uses its state folder.
+    StateFolderInUse,
+}
+
+/// Starts a coordinator with this fault; returns how it ended and its log.
+fn start_with(fault: StartFault) -> std::process::Output {
+    let group = Group::new(&format!("{fault:?}"));
+    let (home, other) = (group.home(0), TcpListener::bind("127.0.0.1:0").unwrap());
+    let lock_file = File::create(home.join("state/lock")).unwrap();
+    let config_file = home.join("config.json");
+    let mut config = std::fs::read_to_string(&config_file).unwrap();
+    let address = other.local_addr().unwrap();
+    match fault {
+        StartFault::ClientsAddressInUse => config = config.replace("127.0.0.1:0", &address.to_string()),
+        StartFault::ControlAddressInUse => {
+            config = config.replacen('{', &format!(r#"{{"control":"{address}","#), 1);
+        }
+        StartFault::StateFolderInUse => lock_file.lock().unwrap(),
+    }
+    std::fs::write(config_file, config).unwrap();
+    program(&home, &["serve", "--config", "config.json", "--edge", "edge.toml"]).output().unwrap()
+}
+
+/// Guards a group against a member that comes and goes with each try of a process that cannot be started.
+#[test]
+fn a_process_that_cannot_be_started_starts_no_member() {
+    for (fault, error) in [
+        (StartFault::ClientsAddressInUse, "curlewdeck: cannot listen at "),
+        (StartFault::ControlAddressInUse, "curlewdeck: cannot listen at the second address "),
+        (StartFault::StateFolderInUse, "another process uses it: end that one first"),
+    ] {
+        let output = start_with(fault);
+        let log = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(1), "{fault:?}: {log}");
+        assert!(log.contains(error), "{fault:?}: {log}");
+        assert!(!log.contains("member started"), "{fault:?}: {log}");
+    }
+}
