Review of the replicated start: totals of another process kept, stricter tests

Cause: found by a reviewer new to it. Where another process of the name had counted a start meanwhile, equal counts kept this one's totals and wrote over the other's, so that a counter could go back (the review's test: 0 in place of 77). The bound of a write while serving was 4 s whatever the tick. A reason was logged at each retry. The address for the group's clients was not tried before the member started. Mutants passed: the old single proposal under the unit tests, a proposal at each tick, no bound on pending requests.

Change: after a mismatch the replica's totals are taken at the same count as well; a write takes as long as a request of the group may; one line a reason; saturating sums; the group's address is tried too. Tests for each of the three mutants and for the totals.

--- a/crates/replication/src/member/requests.rs
+++ b/crates/replication/src/member/requests.rs
@@ -54,10 +54,12 @@
     /// Sets a key if it is still at `version`, and proposes that again until it is applied, over changes of the leader and
     /// lost messages; completes as unknown if it is not applied within `timeout_ticks`.
     ///
-    /// The outcome is that of the first proposal that is applied: once that has written the key, all others find a later
-    /// version and change nothing. So the key must not be removed meanwhile, which would take its version back to 0. A
-    /// member that catches up by a snapshot may not see that proposal; it then completes with
-    /// [`VersionMismatch`](crate::CommandOutcome::VersionMismatch) although the key holds this value.
+    /// The outcome is that of the first proposal that this member applies. Once one has written the key, all later ones
+    /// find another version and change nothing. Three things follow from that:
+    /// - The key must not be removed meanwhile, which would take its version back to 0.
+    /// - A member that catches up by a snapshot may not see the proposal that has written; it then completes with
+    ///   [`VersionMismatch`](crate::CommandOutcome::VersionMismatch) although the key holds this value.
+    /// - After [`Rejected`](crate::CommandOutcome::Rejected), or as unknown, another proposal may still take effect.
     pub fn compare_and_set_until_applied(
         &mut self,
         key: String,
--- a/crates/replication/src/request.rs
+++ b/crates/replication/src/request.rs
@@ -33,9 +33,9 @@
     Read(Option<VersionedValue>),
     /// Rejected at once: nothing was done, and nothing will be. One election timeout later it may be retried.
     Rejected(RejectReason),
-    /// The request was pending for
-    /// [`request_timeout_ticks`](crate::ReplicationLimits::request_timeout_ticks): the command may still be applied, or
-    /// never.
+    /// The request was pending for its timeout, which is
+    /// [`request_timeout_ticks`](crate::ReplicationLimits::request_timeout_ticks) unless its caller gave one: the command
+    /// may still be applied, or never.
     Unknown,
 }
 
--- a/crates/replication/tests/compare_and_set_until_applied.rs
+++ b/crates/replication/tests/compare_and_set_until_applied.rs
@@ -3,7 +3,9 @@
 
 mod scripted_group;
 
-use curlewdeck_replication::{CommandOutcome, ReplicationLimits, RequestHandle, RequestOutcome};
+use curlewdeck_replication::{
+    CommandOutcome, RejectReason, ReplicationLimits, RequestHandle, RequestOutcome,
+};
 
 use scripted_group::{put, small_limits, Group, Request};
 
@@ -201,3 +203,25 @@
     assert_eq!(outcome, RequestOutcome::Committed(CommandOutcome::VersionMismatch { current }));
     assert_eq!(version_at(&group, follower), current);
 }
+
+/// Guards the log against a proposal at each tick while a leader waits for its followers.
+#[test]
+fn a_proposal_is_repeated_no_more_often_than_a_leader_is_elected() {
+    let (mut group, leader, _) = settled(2);
+    let last_index = |group: &Group| group.members[&leader].log().entries_after_snapshot().len();
+    let before = last_index(&group);
+    group.partition(&[&[leader], &[1, 2, 3].into_iter().filter(|&id| id != leader).collect::<Vec<_>>()]);
+    compare_and_set(&mut group, leader, 0);
+    group.run(ReplicationLimits::default().election_timeout_ticks as u64 - 1);
+    assert_eq!(last_index(&group), before + 1);
+}
+
+#[test]
+fn requests_that_wait_for_a_leader_count_among_the_pending_ones() {
+    let limits = ReplicationLimits { max_pending_requests: 1, ..ReplicationLimits::default() };
+    let mut group = Group::new(1, &MEMBERS, limits);
+    compare_and_set(&mut group, 1, 0);
+    let rejected = compare_and_set(&mut group, 1, 0);
+    let outcome = RequestOutcome::Rejected(RejectReason::TooManyPending);
+    assert_eq!(group.outcome(1, rejected), Some(&outcome));
+}
--- a/src/replication/snapshot_replica.rs
+++ b/src/replication/snapshot_replica.rs
@@ -32,6 +32,7 @@
 
 impl SnapshotReplica for ReplicatedSnapshot {
     fn read(&mut self, deadline: Instant) -> Result<ReplicaValue, ReplicaError> {
+        let mut retries = RetryLog::default();
         loop {
             let timeout = self.request_timeout.min(remaining(deadline));
             match self.member.request(ClientRequest::Read(self.key.clone()), timeout) {
@@ -42,13 +43,14 @@
                 outcome if !retries_before(deadline) => {
                     return Err(ReplicaError::Unreadable(describe(&outcome)))
                 }
-                outcome => log_retry("read", &outcome),
+                outcome => retries.log("read", outcome),
             }
             std::thread::sleep(RETRY_INTERVAL);
         }
     }
 
     fn write(&mut self, bytes: &[u8], version: u64, deadline: Instant) -> Result<u64, ReplicaError> {
+        let mut retries = RetryLog::default();
         loop {
             match self.write_until_applied(bytes, version, remaining(deadline)) {
                 RequestOutcome::Committed(CommandOutcome::Written { version }) => return Ok(version),
@@ -62,13 +64,17 @@
                 outcome @ RequestOutcome::Rejected(RejectReason::TooManyPending)
                     if retries_before(deadline) =>
                 {
-                    log_retry("write", &outcome);
+                    retries.log("write", outcome);
                 }
                 outcome => return Err(ReplicaError::NotCommitted(describe(&outcome))),
             }
             std::thread::sleep(RETRY_INTERVAL);
         }
     }
+
+    fn request_timeout(&self) -> Duration {
+        self.request_timeout
+    }
 }
 
 fn remaining(deadline: Instant) -> Duration {
@@ -80,8 +86,18 @@
     remaining(deadline) > RETRY_INTERVAL
 }
 
-fn log_retry(action: &str, outcome: &RequestOutcome) {
-    log::info!(target: "group", action, outcome = describe(outcome).as_str(); "state's replica not reached: retried");
+/// Logs why a request is retried, once for each reason in a row.
+#[derive(Debug, Default)]
+struct RetryLog(Option<RequestOutcome>);
+
+impl RetryLog {
+    fn log(&mut self, action: &str, outcome: RequestOutcome) {
+        if self.0.as_ref() != Some(&outcome) {
+            let text = describe(&outcome);
+            log::info!(target: "group", action, outcome = text.as_str(); "state's replica not reached: retried");
+            self.0 = Some(outcome);
+        }
+    }
 }
 
 /// An outcome in the words that operators know from earlier versions.
--- a/src/replication/snapshot_replica/tests.rs
+++ b/src/replication/snapshot_replica/tests.rs
@@ -37,13 +37,26 @@
 /// Far longer than the scripted member takes.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A replica whose member gives these outcomes, one a request, and the thread that counts the requests.
+/// Whether a request is one of those by which the replica is read and written: a write is proposed until it is applied, for
+/// as long as the caller waits.
+fn is_expected(request: &ClientRequest) -> bool {
+    match request {
+        ClientRequest::Read(key) => key == "state/n1",
+        ClientRequest::CompareAndSetUntilApplied { key, version: 0, value, timeout } => {
+            key == "state/n1" && value == b"state" && *timeout > TIMEOUT / 2
+        }
+        _ => false,
+    }
+}
+
+/// A replica whose member gives these outcomes, one a request, and the thread that does so and counts the requests.
 fn scripted(outcomes: Vec<RequestOutcome>) -> (ReplicatedSnapshot, JoinHandle<usize>) {
     let (member, messages) = MemberHandle::with_capacity(1);
     let serve = move || {
         let mut served = 0;
         for (outcome, message) in outcomes.into_iter().zip(messages) {
-            if let MemberMessage::Request(_, reply) = message {
+            if let MemberMessage::Request(request, reply) = message {
+                assert!(is_expected(&request), "{request:?}");
                 reply.send(outcome).unwrap();
                 served += 1;
             }
--- a/src/snapshot_store.rs
+++ b/src/snapshot_store.rs
@@ -29,8 +29,6 @@
 
 /// How long a start waits for the replica. A member that came back with an empty folder must be added to its group first.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
-/// How long a process that serves waits for the replica at each write.
-const REPLICA_WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// The section `[state]` of the edge's file.
 #[derive(Debug, Clone, Deserialize)]
@@ -146,15 +144,16 @@
 
     /// Writes the state, if its schedule allows it. Blocks.
     fn write_if_due(&self, core: &CoreHandle) {
-        self.write(core, WriteReason::Due, || Instant::now() + REPLICA_WRITE_TIMEOUT);
+        self.write(core, WriteReason::Due, None);
     }
 
     /// Writes the state once more before the process ends; waits for the replica no longer than until then.
     pub fn write_last(&self, core: &CoreHandle, replicate_by: Instant) {
-        self.write(core, WriteReason::ProcessEnds, || replicate_by);
+        self.write(core, WriteReason::ProcessEnds, Some(replicate_by));
     }
 
-    fn write(&self, core: &CoreHandle, reason: WriteReason, replicate_by: impl FnOnce() -> Instant) {
+    /// Writes the folder, and then the replica: by that time, or else within the time of a request.
+    fn write(&self, core: &CoreHandle, reason: WriteReason, replicate_by: Option<Instant>) {
         let Some(ledger) = core.saved_ledger() else {
             log::warn!("state not written: the coordinator did not answer in time");
             return;
@@ -176,18 +175,20 @@
         if let Err(e) = written {
             log::error!(directory:% = self.directory.path().display(), error:% = e; "state not written");
         }
-        if let Err(e) = self.replicate(&bytes, boots, replicate_by()) {
+        if let Err(e) = self.replicate(&bytes, boots, replicate_by) {
             log::error!(error:% = e; "state not replicated");
         }
     }
 
-    /// Writes the replica, if there is one.
-    fn replicate(&self, bytes: &[u8], boots: u32, deadline: Instant) -> Result<(), ReplicaError> {
-        let mut replica = lock_until(&self.replica, deadline).ok_or(ReplicaError::WriteInProgress)?;
-        match &mut *replica {
-            Some(replica) => replica.write(bytes, boots, deadline),
-            None => Ok(()),
-        }
+    /// Writes the replica, if there is one: by the deadline, or else within the time of a request.
+    fn replicate(&self, bytes: &[u8], boots: u32, deadline: Option<Instant>) -> Result<(), ReplicaError> {
+        let mut replica = match deadline {
+            Some(deadline) => lock_until(&self.replica, deadline).ok_or(ReplicaError::WriteInProgress)?,
+            None => lock(&self.replica),
+        };
+        let Some(replica) = &mut *replica else { return Ok(()) };
+        let deadline = deadline.unwrap_or_else(|| Instant::now() + replica.request_timeout());
+        replica.write(bytes, boots, deadline)
     }
 }
 
@@ -213,9 +214,11 @@
     ) -> Result<SnapshotStore, SnapshotError> {
         let deadline = Instant::now() + START_TIMEOUT;
         let mut replica = replica.map(TrackedReplica::new);
+        // Of a file at the replica's count: it is written before the replica, and so the newer one of the two.
+        let mut file_is_newer = true;
         loop {
             if let Some(replica) = &mut replica {
-                self.restore_newer(replica, deadline)?;
+                self.restore(replica, file_is_newer, deadline)?;
             }
             let bytes = self.write_next_start(&engine_id)?;
             match replica.as_mut().map(|replica| replica.write(&bytes, self.contents.boots, deadline)) {
@@ -228,21 +231,25 @@
                 }
                 Some(Err(e)) => return Err(SnapshotError::ReplicaWrite(e)),
             }
+            // What another process has written at the count of this file has totals that this file lacks.
+            file_is_newer = false;
         }
     }
 
-    /// Takes what the replica holds, if it is of a later start. The file is written before the replica: at the same count
-    /// the file is the newer one.
-    fn restore_newer(
+    /// Reads the replica, and takes what it holds if it is of a later start than the file, or of the same one and the
+    /// newer of the two.
+    fn restore(
         &mut self,
         replica: &mut TrackedReplica,
+        file_is_newer: bool,
         deadline: Instant,
     ) -> Result<(), SnapshotError> {
         let replicated = replica.read(deadline).map_err(|source| SnapshotError::ReplicaRead {
             directory: self.directory.path().to_owned(),
             source,
         })?;
-        if let Some(replicated) = replicated.filter(|replicated| replicated.boots > self.contents.boots) {
+        let oldest_taken = self.contents.boots.saturating_add(u32::from(file_is_newer));
+        if let Some(replicated) = replicated.filter(|replicated| replicated.boots >= oldest_taken) {
             self.contents = replicated;
         }
         Ok(())
--- a/src/snapshot_store/replica.rs
+++ b/src/snapshot_store/replica.rs
@@ -1,7 +1,7 @@
 //! A replica of the state, which outlives the machine with its disk.
 
 use std::fmt::Debug;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use curlewdeck_snapshot::{record, RecordError};
 
@@ -30,6 +30,9 @@
     /// # Errors
     /// Why it is not known to be written.
     fn write(&mut self, bytes: &[u8], version: u64, deadline: Instant) -> Result<u64, ReplicaError>;
+
+    /// How long a process that serves waits for a request.
+    fn request_timeout(&self) -> Duration;
 }
 
 /// Why a replica cannot be read or written.
@@ -47,7 +50,8 @@
     /// It is not known whether the value was written.
     #[error("not promised: {0}")]
     NotCommitted(String),
-    /// Another value was written since the replica was read.
+    /// A value was written since the replica was read: another process's, or this one's if its outcome was not heard. The
+    /// text is that of the group's outcome, which operators know.
     #[error("not promised: Promised(Stale {{ current: {current} }})")]
     VersionMismatch {
         /// The version of that value.
@@ -74,6 +78,11 @@
         Self { replica, version: None }
     }
 
+    /// How long a process that serves waits for a request.
+    pub(super) fn request_timeout(&self) -> Duration {
+        self.replica.request_timeout()
+    }
+
     /// Reads the state and takes note of its version.
     pub(super) fn read(&mut self, deadline: Instant) -> Result<Option<SnapshotContents>, ReplicaError> {
         let value = self.replica.read(deadline)?;
--- a/src/snapshot_store/tests.rs
+++ b/src/snapshot_store/tests.rs
@@ -71,10 +71,10 @@
             Ok(version + 1)
         }
     }
-}
 
-fn soon() -> Instant {
-    Instant::now() + Duration::from_secs(1)
+    fn request_timeout(&self) -> Duration {
+        Duration::from_secs(1)
+    }
 }
 
 /// Guards against boots that go back with the disk, and against two that count under one name. After a write whose
@@ -91,29 +91,31 @@
     let contents = SnapshotContents { boots: 2, ..SnapshotContents::default() };
     let bytes = record::seal(STATE_RECORD, &contents).unwrap();
     replica.0.lock().unwrap().answers_are_lost = true;
-    assert!(lost.replicate(&bytes, 2, soon()).is_err());
+    assert!(lost.replicate(&bytes, 2, None).is_err());
     replica.0.lock().unwrap().answers_are_lost = false;
-    lost.replicate(&bytes, 2, soon()).unwrap();
+    lost.replicate(&bytes, 2, None).unwrap();
     let other = Folder::new("replaced");
     assert_eq!(load(&other).unwrap().contents().boots, 3);
-    assert!(lost.replicate(&bytes, 2, soon()).is_err(), "it wrote over the one that took its place");
-    assert_eq!(lost.replicate(&bytes, 2, soon()), Err(ReplicaError::Superseded));
+    assert!(lost.replicate(&bytes, 2, None).is_err(), "it wrote over the one that took its place");
+    assert_eq!(lost.replicate(&bytes, 2, None), Err(ReplicaError::Superseded));
     assert!(ReplicaError::Superseded.to_string().contains("another process"));
 }
 
 /// Guards against two processes of one name that count the same start, where the other one counts between this one's
-/// read and its write; this one goes on.
+/// read and its write; this one goes on, from the other one's totals.
 #[test]
 fn a_start_that_another_process_counted_meanwhile_is_counted_after_it() {
     let folder = Folder::new("meanwhile");
     for other_boots in [1, 4] {
         let replica = MemoryReplica::default();
-        let other = SnapshotContents { boots: other_boots, ..SnapshotContents::default() };
+        let ledger = SavedLedger { retries: 77, ..SavedLedger::default() };
+        let other = SnapshotContents { boots: other_boots, engine_id: Vec::new(), ledger };
         replica.0.lock().unwrap().written_meanwhile = Some(record::seal(STATE_RECORD, &other).unwrap());
         let _ = fs::remove_file(folder.0.join(STATE_FILE));
         let loaded = SnapshotStore::load(&folder.config(), vec![7], Some(Box::new(replica.clone()))).unwrap();
         assert_eq!(loaded.contents().boots, other_boots + 1);
         assert_eq!(loaded.contents().engine_id, [7]);
+        assert_eq!(loaded.contents().ledger.retries, 77, "totals went back");
         let held =
             record::open::<SnapshotContents>(STATE_RECORD, replica.0.lock().unwrap().bytes.as_ref().unwrap());
         assert_eq!(held.unwrap(), loaded.contents());
@@ -173,8 +175,8 @@
     let store = folder.load().unwrap();
     let earlier = store.replica.lock().unwrap();
     let deadline = Instant::now() + Duration::from_millis(50);
-    assert_eq!(store.replicate(b"state", 1, deadline), Err(ReplicaError::WriteInProgress));
+    assert_eq!(store.replicate(b"state", 1, Some(deadline)), Err(ReplicaError::WriteInProgress));
     assert!(Instant::now() >= deadline);
     drop(earlier);
-    assert_eq!(store.replicate(b"state", 1, deadline), Ok(()));
+    assert_eq!(store.replicate(b"state", 1, Some(deadline)), Ok(()));
 }
--- a/src/startup/frontends.rs
+++ b/src/startup/frontends.rs
@@ -17,7 +17,7 @@
 use crate::frontend::http_server::{self, Frontend, FrontendContext, Service};
 use crate::frontend::platform::Platform;
 use crate::net::coordinator::CoreHandle;
-use crate::replication::Group;
+use crate::replication::{Group, GroupStartError};
 use crate::runtime::{nanos, Permits};
 use crate::snapshot_store::SnapshotContents;
 use crate::snmp::{self, SnmpStartError};
@@ -39,7 +39,7 @@
     pub(super) stopping: Option<ShutdownSignal>,
 }
 
-/// Checks that the addresses of all frontends can be listened at, without serving at any of them. They may still be taken
+/// Checks that the addresses of all frontends, and of the group's clients, can be listened at, without serving at any of them. They may still be taken
 /// by another process before the frontends start.
 pub(super) fn check_addresses(config: &Config, edge: &Edge) -> Result<(), StartError> {
     let clients = config.listen_fd.is_none().then_some(config.listen);
@@ -51,6 +51,10 @@
     if let Some(address) = config.control {
         TcpListener::bind(address).map_err(|source| StartError::ListenControl { address, source })?;
     }
+    if let Some(group) = &edge.group {
+        let address = group.control;
+        TcpListener::bind(address).map_err(|source| GroupStartError::ListenForClients { address, source })?;
+    }
     if let Some(snmp) = &edge.snmp {
         let address = snmp.listen;
         UdpSocket::bind(address).map_err(|source| SnmpStartError::Listen { address, source })?;
--- a/tests/replicated_state.rs
+++ b/tests/replicated_state.rs
@@ -346,48 +346,54 @@
     assert!(took < TERMINATION_TIMEOUT, "it ended after {took:?}; its log:\n{}", lock(&log));
 }
 
-/// What is wrong with a coordinator that cannot be started.
+/// What another process uses of a coordinator that is started.
 #[derive(Debug, Clone, Copy)]
-enum StartFault {
-    /// Another socket listens at its address for clients.
-    ClientsAddressInUse,
-    /// Another socket listens at its second address.
-    ControlAddressInUse,
-    /// Another process uses its state folder.
-    StateFolderInUse,
+enum InUse {
+    /// Its address for clients.
+    ClientsAddress,
+    /// Its second address.
+    ControlAddress,
+    /// Its address for clients of the group.
+    GroupAddress,
+    /// Its state folder.
+    StateFolder,
 }
 
-/// Starts a coordinator with this fault; returns how it ended and its log.
-fn start_with(fault: StartFault) -> std::process::Output {
-    let group = Group::new(&format!("{fault:?}"));
+/// Starts a coordinator of which another process uses this; returns how it ended and its log.
+fn start_beside(in_use: InUse) -> std::process::Output {
+    let group = Group::new(&format!("{in_use:?}"));
     let (home, other) = (group.home(0), TcpListener::bind("127.0.0.1:0").unwrap());
     let lock_file = File::create(home.join("state/lock")).unwrap();
-    let config_file = home.join("config.json");
-    let mut config = std::fs::read_to_string(&config_file).unwrap();
     let address = other.local_addr().unwrap();
-    match fault {
-        StartFault::ClientsAddressInUse => config = config.replace("127.0.0.1:0", &address.to_string()),
-        StartFault::ControlAddressInUse => {
-            config = config.replacen('{', &format!(r#"{{"control":"{address}","#), 1);
+    let replace = |file: &str, from: &str, to: String| {
+        let text = std::fs::read_to_string(home.join(file)).unwrap();
+        assert!(text.contains(from));
+        std::fs::write(home.join(file), text.replacen(from, &to, 1)).unwrap();
+    };
+    match in_use {
+        InUse::ClientsAddress => replace("config.json", "127.0.0.1:0", address.to_string()),
+        InUse::ControlAddress => replace("config.json", "{", format!(r#"{{"control":"{address}","#)),
+        InUse::GroupAddress => {
+            replace("edge.toml", r#"control = "127.0.0.1:0""#, format!(r#"control = "{address}""#));
         }
-        StartFault::StateFolderInUse => lock_file.lock().unwrap(),
+        InUse::StateFolder => lock_file.lock().unwrap(),
     }
-    std::fs::write(config_file, config).unwrap();
     program(&home, &["serve", "--config", "config.json", "--edge", "edge.toml"]).output().unwrap()
 }
 
 /// Guards a group against a member that comes and goes with each try of a process that cannot be started.
 #[test]
 fn a_process_that_cannot_be_started_starts_no_member() {
-    for (fault, error) in [
-        (StartFault::ClientsAddressInUse, "curlewdeck: cannot listen at "),
-        (StartFault::ControlAddressInUse, "curlewdeck: cannot listen at the second address "),
-        (StartFault::StateFolderInUse, "another process uses it: end that one first"),
+    for (in_use, error) in [
+        (InUse::ClientsAddress, "curlewdeck: cannot listen at "),
+        (InUse::ControlAddress, "curlewdeck: cannot listen at the second address "),
+        (InUse::GroupAddress, "curlewdeck: cannot listen for clients of the group at "),
+        (InUse::StateFolder, "another process uses it: end that one first"),
     ] {
-        let output = start_with(fault);
+        let output = start_beside(in_use);
         let log = String::from_utf8(output.stderr).unwrap();
-        assert_eq!(output.status.code(), Some(1), "{fault:?}: {log}");
-        assert!(log.contains(error), "{fault:?}: {log}");
-        assert!(!log.contains("member started"), "{fault:?}: {log}");
+        assert_eq!(output.status.code(), Some(1), "{in_use:?}: {log}");
+        assert!(log.contains(error), "{in_use:?}: {log}");
+        assert!(!log.contains(" group] "), "{in_use:?}: {log}");
     }
 }
