A reset that a peek has met is read as a reset, not as an orderly end

Callers saw: no whole answer for 10 s while discovery was out of reach (a_list_is_used_on_while_discovery_is_out_of_reach, beside load). An orderly end of the watch bounds the use of the endpoint list to 2 s, whatever refused calls say.

Cause: the system reports a socket's failure once, to whichever call meets it first, and reads return 0 bytes after that. Before frames go out PendingUpdates::is_pending peeks at the connections to discovery; it met the reset of the watch before the watch's reader was polled, and dropped it. Call::read_watch took the 0 bytes for the end.

Excluded: an orderly end by the test's stand-in.

Change: Stream records the failure that a peek meets, and a read of 0 bytes after it returns that failure. Why it works: the reader learns what the system has told to another call; is_open and is_readable, which peek as well, are covered.

--- a/src/net/pending_updates/tests.rs
+++ b/src/net/pending_updates/tests.rs
@@ -60,6 +60,21 @@
     drop(watched);
 }
 
+/// Guards the end of a watch against a check between its reset and its reader's next turn: the reader is told of the reset,
+/// and not of an end in order.
+#[test]
+fn a_check_leaves_a_reset_to_the_reader() {
+    let (stream, peer) = connection();
+    let pending_updates = PendingUpdates::default();
+    let watched = pending_updates.watch(stream);
+    socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+    // On loopback the reset has arrived once this returns.
+    drop(peer);
+    assert!(!waited_in_vain(&pending_updates), "a reset is no update");
+    let read = watched.read(&mut [0], Duration::from_secs(10));
+    assert_eq!(read.map_err(|e| e.kind()), Err(io::ErrorKind::ConnectionReset));
+}
+
 /// Guards against a check for each frame, and against one that is relied on for too long.
 #[test]
 fn a_check_holds_for_a_bounded_time() {
--- a/src/runtime/stream.rs
+++ b/src/runtime/stream.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use may::net::TcpStream;
@@ -26,6 +26,9 @@
     inner: TcpStream,
     /// Reads in a row that found something at once.
     consecutive_reads: AtomicU32,
+    /// The system's number of the failure that a peek has met; 0 if none has. The system reports a failure once, and reads
+    /// return 0 bytes from then on: without this a reset would be read as an orderly end.
+    peek_failure: AtomicI32,
     _permit: Option<Permit>,
 }
 
@@ -46,7 +49,12 @@
     /// The socket's options cannot be set.
     pub fn new(inner: TcpStream, permit: Option<Permit>) -> io::Result<Self> {
         inner.set_nodelay(true)?;
-        Ok(Self { inner, consecutive_reads: AtomicU32::new(0), _permit: permit })
+        Ok(Self {
+            inner,
+            consecutive_reads: AtomicU32::new(0),
+            peek_failure: AtomicI32::new(0),
+            _permit: permit,
+        })
     }
 
     /// Opens a connection. What fails for a moment only is tried again.
@@ -108,6 +116,7 @@
         loop {
             match (&mut self.inner.inner()).read(buffer) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Ok(0) if !buffer.is_empty() => return self.recorded_failure().map_or(Ok(0), Err),
                 Ok(count) => {
                     self.consecutive_reads.fetch_add(1, Ordering::Relaxed);
                     return Ok(count);
@@ -137,11 +146,28 @@
         loop {
             match self.inner.inner().peek(&mut [0]) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    self.record_failure(&e);
+                    return Err(e);
+                }
                 peeked => return peeked,
             }
         }
     }
 
+    /// Records a failure that a peek has met, for the next read.
+    fn record_failure(&self, error: &io::Error) {
+        if let Some(number) = error.raw_os_error().filter(|_| error.kind() != io::ErrorKind::WouldBlock) {
+            self.peek_failure.store(number, Ordering::Relaxed);
+        }
+    }
+
+    /// The failure that a peek has met.
+    fn recorded_failure(&self) -> Option<io::Error> {
+        let number = self.peek_failure.load(Ordering::Relaxed);
+        (number != 0).then(|| io::Error::from_raw_os_error(number))
+    }
+
     /// Whether a read would not wait: there are bytes, the peer has closed its side, or the connection has failed.
     pub fn is_readable(&self) -> bool {
         !matches!(self.peek_now(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
--- a/tests/drain_lease.rs
+++ b/tests/drain_lease.rs
@@ -195,3 +195,28 @@
     let kinds = FLEETS.into_iter().flat_map(|fleet| BOTH.map(|way| (fleet, way)));
     all_pass(kinds.collect(), |(fleet, way)| out_of_reach(fleet, way));
 }
+
+/// Queries that keep a coordinator at work for longer than it takes to stop it.
+const BURST: u64 = 200;
+
+fn out_of_reach_at_work(fleet: u32, delivery: Delivery) -> Verdict {
+    let name = format!("out of reach, its watch reset amid work, fleet of {fleet}");
+    let (mut trial, service, number) = following_by(delivery, &name, fleet);
+    let clients = trial.burst(number, BURST);
+    trial.held_up(number, || service.go_down());
+    let begun = Instant::now();
+    thread::sleep(OUT_OF_REACH);
+    drop(clients);
+    trial.has_served_throughout(number, begun, "while discovery was out of reach");
+    trial.catalog.set_all(&SHUT, Duration::ZERO);
+    service.come_back();
+    trial.finish_after(RECOVERY)
+}
+
+/// Guards service against a reset of the watch that is found by a check before a send, and not by the watch's reader: it is
+/// no end in order, after which the list may be used for 2 s only.
+#[test]
+fn a_watch_that_is_reset_amid_work_has_not_ended_in_order() {
+    let kinds = FLEETS.into_iter().flat_map(|fleet| BOTH.map(|way| (fleet, way)));
+    all_pass(kinds.collect(), |(fleet, way)| out_of_reach_at_work(fleet, way));
+}
--- a/tests/harness/drain_trial.rs
+++ b/tests/harness/drain_trial.rs
@@ -2,6 +2,7 @@
 //! queries, data nodes that log what begins when, and the checker's verdict at the end.
 
 use std::collections::BTreeMap;
+use std::io::Write as _;
 use std::net::TcpStream;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
@@ -13,7 +14,7 @@
     Violation, WatchEnd, Write,
 };
 use super::faulty_discovery::FaultyDiscovery;
-use super::load_generator::{coordinator_of, Answered, LoadGenerator};
+use super::load_generator::{coordinator_of, query, query_id, Answered, LoadGenerator};
 use super::stand_in::{lock, DataNode, Part};
 use super::{served, until, Program, TestCluster};
 
@@ -144,6 +145,26 @@
         (0..clients).filter_map(|_| TcpStream::connect(addr).ok()).collect()
     }
 
+    /// Sends a coordinator so many queries at once, each on a connection of its own, whose answers nobody reads.
+    pub fn burst(&self, number: usize, queries: u64) -> Vec<TcpStream> {
+        let addr = self.running[number].program.as_ref().unwrap().addr;
+        let mut clients: Vec<_> = (0..queries).map(|_| TcpStream::connect(addr).unwrap()).collect();
+        for (query_number, client) in (0..).zip(&mut clients) {
+            let id = query_id(number, CLIENTS, query_number);
+            client.write_all(query(&id, query_number).as_bytes()).unwrap();
+        }
+        clients
+    }
+
+    /// Stops a coordinator's process while something happens.
+    pub fn held_up(&self, number: usize, happens: impl FnOnce()) {
+        let program = self.running[number].program.as_ref().unwrap();
+        program.signal("STOP");
+        until("the stop", || program.state() == 'T');
+        happens();
+        program.signal("CONT");
+    }
+
     /// Parts that began at a data node, by all coordinators.
     fn parts(&self, uid: &str) -> usize {
         self.nodes[uid].parts().len()
--- a/tests/harness/load_generator.rs
+++ b/tests/harness/load_generator.rs
@@ -41,7 +41,7 @@
             thread::spawn(move || {
                 let mut connection = None;
                 for number in (0..MOST).take_while(|_| !stop.load(Ordering::SeqCst)) {
-                    let id = format!("{coordinator:04x}{client:04x}{number:08x}");
+                    let id = query_id(coordinator, client, number);
                     let status = ask(&mut connection, addr, &id, number);
                     match status {
                         Ok(status) => lock(&answers).push(Answered { at: Instant::now(), status }),
@@ -80,6 +80,23 @@
     usize::from_str_radix(part.get(..4)?, 16).ok()
 }
 
+/// The id of a client's query to a coordinator.
+pub fn query_id(coordinator: usize, client: u64, number: u64) -> String {
+    format!("{coordinator:04x}{client:04x}{number:08x}")
+}
+
+/// A query for two parts.
+pub fn query(id: &str, number: u64) -> String {
+    let (first, second) = (number % SHARDS, (number + 1) % SHARDS);
+    let body =
+        format!(r#"{{"parts":[{{"id":{first},"w":0.5}},{{"id":{second},"w":0.5}}],"expr":"c41e77d0"}}"#);
+    let head = format!(
+        "POST /tag-lookup HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: 2000m\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    head + &body
+}
+
 /// Asks for two parts on a connection that is kept; returns the answer's status.
 fn ask(
     connection: &mut Option<BufReader<TcpStream>>,
@@ -94,14 +111,7 @@
         *connection = Some(BufReader::new(stream));
     }
     let reader = connection.as_mut().unwrap();
-    let (first, second) = (number % SHARDS, (number + 1) % SHARDS);
-    let body =
-        format!(r#"{{"parts":[{{"id":{first},"w":0.5}},{{"id":{second},"w":0.5}}],"expr":"c41e77d0"}}"#);
-    let head = format!(
-        "POST /tag-lookup HTTP/1.1\r\nHost: a\r\nX-Request-ID: {id}\r\nX-Timeout: 2000m\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    reader.get_mut().write_all((head + &body).as_bytes())?;
+    reader.get_mut().write_all(query(id, number).as_bytes())?;
     let answer = read_answer(reader)?;
     if answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
         *connection = None;
