The test of a leader lost with its disk waits until its first start is counted

Cause: a_leader_lost_with_its_disk_loses_no_committed_write expects the second start to have number 2, and killed the first process as soon as 60 puts were committed. In 1 of 13 plays beside a load of 77 that start was not counted yet (its first read was not answered for 1.6 s), and the next one rightly had number 1.

Change: the test waits for the line of its first start. All its checks stay.

--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -341,6 +341,9 @@
     clients.go_on(60);
     let lost = group.leader();
     let old = group.member(lost).id;
+    until("its first start to be counted", || {
+        lock(&group.member(lost).log).contains("] state loaded start=1 directory=")
+    });
     group.kill(lost, true);
     clients.go_on(60);
     group.begin(lost);
