--- a/src/runtime/stream.rs
+++ b/src/runtime/stream.rs
@@ -26,8 +26,8 @@
     inner: TcpStream,
     /// Reads in a row that found something at once.
     consecutive_reads: AtomicU32,
-    /// The system's number of the failure that a peek has met; 0 if none has. The system reports a failure once, and reads
-    /// return 0 bytes from then on: without this a reset would be read as an orderly end.
+    /// The system's number of the failure that [`has_unread`](Self::has_unread) has met; 0 if none has. The system reports
+    /// a failure once, and reads return 0 bytes from then on: without this a reset would be read as an orderly end.
     peek_failure: AtomicI32,
     _permit: Option<Permit>,
 }
@@ -146,23 +146,19 @@
         loop {
             match self.inner.inner().peek(&mut [0]) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => {
-                    self.record_failure(&e);
-                    return Err(e);
-                }
                 peeked => return peeked,
             }
         }
     }
 
-    /// Records a failure that a peek has met, for the next read.
+    /// Records a failure, for the next read.
     fn record_failure(&self, error: &io::Error) {
         if let Some(number) = error.raw_os_error().filter(|_| error.kind() != io::ErrorKind::WouldBlock) {
             self.peek_failure.store(number, Ordering::Relaxed);
         }
     }
 
-    /// The failure that a peek has met.
+    /// The failure that `has_unread` has met.
     fn recorded_failure(&self) -> Option<io::Error> {
         let number = self.peek_failure.load(Ordering::Relaxed);
         (number != 0).then(|| io::Error::from_raw_os_error(number))
@@ -173,9 +169,16 @@
         !matches!(self.peek_now(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether there are bytes to be read. That the peer has closed its side does not count.
+    /// Whether there are bytes to be read. That the peer has closed its side does not count. A failure is left to the
+    /// next read.
     pub fn has_unread(&self) -> bool {
-        self.peek_now().is_ok_and(|count| count > 0)
+        match self.peek_now() {
+            Ok(count) => count > 0,
+            Err(e) => {
+                self.record_failure(&e);
+                false
+            }
+        }
     }
 
     /// Whether the peer has not closed its side, as far as can be seen: unread bytes hide an end behind them.
