--- a/src/runtime/stream/tests.rs
+++ b/src/runtime/stream/tests.rs
@@ -94,3 +94,29 @@
         assert_eq!(read.map_err(|e| e.kind()), Err(io::ErrorKind::ConnectionReset), "after {checks} checks");
     }
 }
+
+/// Guards the reader of a connection against a check of it between a reset and the read: what the check finds out, the read
+/// tells as well. A reset that reads as an end in order is taken for the end of what was sent.
+#[test]
+fn a_reset_that_a_peek_has_met_is_still_read_as_one() {
+    type Look = fn(&Stream) -> bool;
+    let looks: [(&str, Look); 4] = [
+        ("none", |_| false),
+        ("has_unread", Stream::has_unread),
+        ("is_readable", Stream::is_readable),
+        ("is_open", Stream::is_open),
+    ];
+    let read_after = |look: Look| {
+        let listener = may::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Stream::new(listener.accept().unwrap().0, None).unwrap();
+        socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+        // On loopback the reset has arrived once this returns.
+        drop(peer);
+        look(&stream);
+        stream.read(&mut [0], Duration::from_secs(60))
+    };
+    let ends = looks.map(|(name, look)| (name, read_after(look).map_err(|e| e.kind())));
+    let reset = |name| (name, Err(io::ErrorKind::ConnectionReset));
+    assert_eq!(ends, ["none", "has_unread", "is_readable", "is_open"].map(reset));
+}
