Review: a script that dies does not look like a broken rule

Cause: Python ends with 1 on an error of its own, which is the status of a broken rule. Change: the scripts turn the statuses of their Python part into 0, 1 and 2.

--- a/review/lib.py
+++ b/review/lib.py
@@ -17,7 +17,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HOST = "127.0.0.1"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# `run.sh` turns these into the statuses of a case, so that a script that dies does not look like a broken rule.
+HELD, BROKEN, COULD_NOT_RUN = 0, 11, 12
 LONGEST_S = 115
 
 
