Review: case 3 without its disruption sends no signal

Cause: TROUBLE=0 began with the second file and sent SIGTERM all the same. Change: it has the same start and requests and no signal; the planned restart alone is RELOAD=0 now.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,7 +2,8 @@
 
 Clients send tag lookups on connections that they keep. The configuration file is replaced by one that lacks the class
 `monthly-settle`, with SIGHUP. 9 s later SIGTERM is sent, and SIGKILL after the longest deadline and 0.7 s. Requests
-that came more than 0.7 s after SIGTERM and that SIGKILL finds unanswered are lost.
+that came more than 0.7 s after SIGTERM and that SIGKILL finds unanswered are lost. With TROUBLE=0 no signal is
+sent, and every request has to be answered.
 """
 import os
 import random
@@ -21,6 +22,8 @@
 PART_WORK_S = 0.16
 # SIGKILL comes no sooner than the longest deadline and this after SIGTERM; the page's slack of 50 ms is added.
 KILL_AFTER_S = 1.5 + 0.7 + 0.05
+# RELOAD=0: the planned restart alone, of a process that had the second file from its start.
+RELOAD = os.environ.get("RELOAD", "1") != "0"
 # What came later than this after SIGTERM and is unanswered at SIGKILL is lost.
 LATE_AFTER_S = 0.7
 # New connections go on coming for this long after SIGTERM.
@@ -93,18 +96,31 @@
         return False
 
 
+def is_broken_without_disruption(case, clients):
+    """The same time of requests with no signal; every one has to be answered before its time is up."""
+    time.sleep(KILL_AFTER_S)
+    clients.stopped = True
+    time.sleep(1.5 + 0.3)
+    sent = [request for request in clients.requests if request["sent"] is not None]
+    lost = [request for request in sent if request["end"] is None or not request["end"].isdigit()]
+    for request in sent:
+        case.record("request", id=request["id"], end=request["end"], lost=int(request in lost))
+    case.record("result", requests=len(sent), lost=len(lost))
+    return bool(lost)
+
+
 def main(case):
     nodes = [DataNode(case, PART_WORK_S) for _ in range(3)]
     discovery = Discovery(nodes)
     listen, control = free_ports(2)
     before, after = (config("n1", listen, discovery.port, classes, control) for classes in (BEFORE, AFTER))
-    coordinator = Coordinator(case, "n1", before if case.trouble else after)
+    coordinator = Coordinator(case, "n1", before if RELOAD else after)
     coordinator.start()
     health = lambda: (call((HOST, listen), "GET", "/_health") or (0,))[0] == 200
     wait_until(health, 20.0, "the coordinator says yes")
     clients = Clients(case, listen)
     time.sleep(2.0)
-    if case.trouble:
+    if case.trouble and RELOAD:
         coordinator.write_config(after)
         coordinator.signal(signal.SIGHUP)
         stats = lambda: b"edge_lb.reloads_ok=1\n" in (call((HOST, control), "GET", "/ops/stats") or (0, 0, b""))[2]
@@ -115,6 +131,8 @@
     if not all(request["end"] == "200" for request in clients.requests if request["end"]):
         raise CouldNotRun("a request was not answered before SIGTERM")
     clients.term_at = time.monotonic()
+    if not case.trouble:
+        return is_broken_without_disruption(case, clients)
     coordinator.signal(signal.SIGTERM)
     ended = coordinator.wait(clients.term_at + KILL_AFTER_S - time.monotonic())
     kill_at = time.monotonic()
