Log the limits of a shutdown and the longest deadline that they follow from

Cause: at SIGTERM nothing said until when requests are accepted and answered, nor which deadline that follows from.

Change: one line at SIGTERM, "shutdown limits", with the fields longest_deadline, accept and answered.

--- a/src/startup/coordinator.rs
+++ b/src/startup/coordinator.rs
@@ -152,6 +152,7 @@
         let deadlines = deployment.settings.classes.iter().map(|class| class.deadline);
         let longest = Duration::from_nanos(deadlines.max().unwrap_or(0));
         let (accept, answered) = self.limits.term(longest);
+        log::info!(longest_deadline:? = longest, accept:? = accept, answered:? = answered; "shutdown limits");
         ShutdownLimits { accept_duration: nanos(accept), answer_duration: nanos(answered) }
     }
 
