SIGTERM right after a reload goes by the new deadlines

What callers saw: where SIGTERM followed a reload with shorter deadlines while the core was busy, queries were answered 3.4 s after SIGTERM, where SIGKILL may come after 2.2 s.

Cause: the limits were taken from the settings that the core had taken. It gets them as a message, and may not have read it when the file has been applied and counted.

Fix: the limits follow from the configuration that was applied last.

--- a/src/startup/coordinator.rs
+++ b/src/startup/coordinator.rs
@@ -146,9 +146,11 @@
         }
     }
 
-    /// The times after SIGTERM until which requests are accepted and answered.
+    /// The times after SIGTERM until which requests are accepted and answered, by the configuration that was applied
+    /// last. The core may not have taken its settings yet.
     fn shutdown_limits(&self) -> ShutdownLimits {
-        let longest = Duration::from_nanos(self.core.deployment().settings.longest_deadline());
+        let longest_deadline = lock(&self.applied_config).deployment.settings.longest_deadline();
+        let longest = Duration::from_nanos(longest_deadline);
         let (accept, answered) = self.limits.term(longest);
         log::info!(longest_deadline:? = longest, accept:? = accept, answered:? = answered; "shutdown limits");
         ShutdownLimits { accept_duration: nanos(accept), answer_duration: nanos(answered) }
--- a/tests/shutdown_after_reload.rs
+++ b/tests/shutdown_after_reload.rs
@@ -7,14 +7,19 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread::{self, sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
+use curlewdeck::config::Config;
+
 use harness::stand_in::{lock, read_answer, DataNode, Discovery, NodeReply, Part};
-use harness::{query_bytes, start_two_data_nodes, successful_reply, wait_until, Program, TestCluster};
+use harness::{
+    query_bytes, start, start_two_data_nodes, successful_reply, wait_until, wait_until_healthy, Program,
+    TestCluster,
+};
 
 /// SIGKILL follows SIGTERM no sooner than after the longest deadline and this.
 const KILL_DELAY: Duration = Duration::from_millis(700);
@@ -273,3 +278,36 @@
     let terminated_at = test.terminate();
     test.kill_and_check(terminated_at, SHORT_DEADLINE);
 }
+
+/// The same fault where SIGTERM comes right after a reload: the core, busy, has not taken the new settings yet.
+#[test]
+fn settings_that_the_core_has_not_taken_yet_limit_the_shutdown() {
+    // The core is busy until after the shutdown has begun.
+    const CORE_BUSY: Duration = Duration::from_millis(300);
+    let (a, b, discovery) = start_two_data_nodes(reply, reply);
+    let coordinator = Arc::new(start(&config(&discovery, LONG_CLASSES), ""));
+    wait_until_healthy(&coordinator);
+    let log = RequestLog::default();
+    let (open_log, addr) = (log.clone(), coordinator.listen);
+    let open = thread::spawn(move || {
+        let request = query_bytes(CHANGING_CLASS, &[SILENT_SHARD], "60000m");
+        open_log.send(&mut TcpStream::connect(addr).unwrap(), &request)
+    });
+    let parts = || a.received_parts().len() + b.received_parts().len();
+    wait_until("the open query", || parts() > 0);
+    let (busy_sender, busy) = mpsc::channel();
+    coordinator.core.ledger_snapshot(move |_| {
+        busy_sender.send(()).unwrap();
+        sleep(CORE_BUSY);
+    });
+    busy.recv().unwrap();
+    let settings = Config::read(&config(&discovery, STEADY_CLASS_ONLY), |_| None).unwrap();
+    coordinator.apply_config(settings).unwrap();
+    let terminated_at = Instant::now();
+    let finishing = thread::spawn(move || coordinator.finish());
+    open.join().unwrap();
+    let answered_after = terminated_at.elapsed();
+    finishing.join().unwrap();
+    assert!(matches!(log.requests()[0].end, Some(RequestEnd::Answered(_))), "{:?}", log.requests());
+    assert!(answered_after < SHORT_DEADLINE + KILL_DELAY, "answered {answered_after:?} after SIGTERM");
+}
