Settings that are applied during the shutdown shorten it

What callers saw: where SIGTERM came while the file of a SIGHUP was still being read, and the file had shorter deadlines, requests were unanswered when SIGKILL came.

Cause: the limits were computed once, at SIGTERM.

Fix: an applied configuration shortens a shutdown that has begun. The lifecycle keeps the shorter of each limit, counted from SIGTERM, and the engine cuts open queries again; longer deadlines change nothing. The lock on the applied configuration orders SIGTERM and a reload. Random limits are checked against a model, and the engine with several deadlines. The tests' pipe that a reload reads moved to the harness.

--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -157,15 +157,15 @@
         self.servers.intern(name)
     }
 
-    /// Begins the shutdown of the process: limits the deadlines of open queries, queued ones included, and of new ones
-    /// to `deadline`.
+    /// Begins the shutdown of the process, or shortens it: limits the deadlines of open queries, queued ones included,
+    /// and of new ones to `deadline`. A later deadline than the one of an earlier call has no effect.
     pub fn shut_down_by(&mut self, deadline: Nanos) {
         self.shutdown_deadline = self.shutdown_deadline.min(deadline);
         for (id, query) in self.queries.iter_mut().filter(|(_, query)| query.deadline > deadline) {
             query.deadline = deadline;
             self.deadlines.queries.push(deadline.saturating_add(self.deadline_grace), id);
         }
-        self.events.push(Event::ShuttingDown(deadline));
+        self.events.push(Event::ShuttingDown(self.shutdown_deadline));
     }
 
     /// Closes a query whose client has disconnected, and cancels its attempts. The query gets no answer.
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -450,3 +450,23 @@
         Err(RejectReason::DeadlinePassed)
     );
 }
+
+/// Newer settings shorten a shutdown that has begun. Queries that are open or new then must not keep the time of the
+/// first deadline, and a later one must not give them more.
+#[test]
+fn the_shortest_of_several_shutdown_deadlines_applies() {
+    let mut engine = engine();
+    engine.submit(0, QueryId(1), request(0, &[0, 1], 2000 * MS)).unwrap();
+    engine.run(0);
+    engine.shut_down_by(500 * MS);
+    engine.run(MS);
+    engine.shut_down_by(50 * MS);
+    engine.shut_down_by(400 * MS);
+    engine.submit(2 * MS, QueryId(2), request(1, &[2], 2000 * MS)).unwrap();
+    for now in 2..60 {
+        engine.run(now * MS);
+    }
+    assert_eq!(engine.open_queries(), 0);
+    let late = engine.submit(60 * MS, QueryId(3), request(0, &[0], 2000 * MS));
+    assert_eq!(late, Err(RejectReason::DeadlinePassed));
+}
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -32,6 +32,16 @@
     pub answer_duration: Time,
 }
 
+impl ShutdownLimits {
+    /// The shorter one of each limit.
+    fn shortest(self, other: Self) -> Self {
+        Self {
+            accept_duration: self.accept_duration.min(other.accept_duration),
+            answer_duration: self.answer_duration.min(other.answer_duration),
+        }
+    }
+}
+
 /// The client connections to close.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Closing {
@@ -70,8 +80,8 @@
         since: Time,
     },
     Finishing {
-        accept_until: Time,
-        answered_by: Time,
+        since: Time,
+        limits: ShutdownLimits,
     },
 }
 
@@ -125,14 +135,22 @@
         match self.state {
             State::Finishing { .. } => TransitionResult::Already,
             State::Starting | State::Serving | State::Drained { .. } => {
-                self.transition_to(State::Finishing {
-                    accept_until: now.saturating_add(limits.accept_duration),
-                    answered_by: now.saturating_add(limits.answer_duration),
-                })
+                self.transition_to(State::Finishing { since: now, limits })
             }
         }
     }
 
+    /// Shortens the limits of a process that is finishing to those of newer settings. Longer limits have no effect:
+    /// what enforces the end of the process may still go by the shorter ones.
+    pub fn shorten_shutdown(&mut self, newer: ShutdownLimits) -> TransitionResult {
+        match self.state {
+            State::Finishing { since, limits } if limits.shortest(newer) != limits => {
+                self.transition_to(State::Finishing { since, limits: limits.shortest(newer) })
+            }
+            _ => TransitionResult::Already,
+        }
+    }
+
     /// Whether the process serves new clients, one of the conditions of a successful health check.
     pub fn is_serving(&self) -> bool {
         self.state == State::Serving
@@ -158,7 +176,7 @@
     /// finishing.
     pub fn answered_by(&self) -> Time {
         match self.state {
-            State::Finishing { answered_by, .. } => answered_by,
+            State::Finishing { since, limits } => since.saturating_add(limits.answer_duration),
             _ => Time::MAX,
         }
     }
@@ -170,7 +188,9 @@
         match self.state {
             State::Drained { since } if has_passed(since, idle_close_delay) => Closing::IdleAndAfterResponse,
             State::Drained { since } if has_passed(since, drain_notice) => Closing::AfterResponse,
-            State::Finishing { accept_until, .. } if now >= accept_until => Closing::IdleAndAfterResponse,
+            State::Finishing { since, limits } if has_passed(since, limits.accept_duration) => {
+                Closing::IdleAndAfterResponse
+            }
             // Other processes accept from the same listener, so these clients can reconnect at the same address.
             State::Finishing { .. } if shared_listener => Closing::AfterResponse,
             _ => Closing::None,
--- a/crates/lifecycle/src/tests.rs
+++ b/crates/lifecycle/src/tests.rs
@@ -58,4 +58,38 @@
             }
         }
     }
+
+    /// A reload during the shutdown that drops a long deadline must not leave the process the time of the old one. For
+    /// any order of newer limits, the shortest since SIGTERM apply; those from before SIGTERM are replaced by its own.
+    #[test]
+    fn the_shortest_limits_since_sigterm_apply(
+        shared in any::<bool>(),
+        terminated_at in 0..40_u64,
+        before in (0..100_u64, 0..100_u64),
+        at_sigterm in (0..100_u64, 0..100_u64),
+        newer in proptest::collection::vec((0..100_u64, 0..100_u64), 0..10),
+    ) {
+        let limits = |(accept_duration, answer_duration)| ShutdownLimits { accept_duration, answer_duration };
+        let mut lifecycle = Lifecycle::new(DrainTimings { shared_listener: shared, ..TIMINGS });
+        lifecycle.listening();
+        prop_assert_eq!(lifecycle.shorten_shutdown(limits(before)), TransitionResult::Already);
+        prop_assert!(lifecycle.is_serving());
+        lifecycle.terminate(terminated_at, limits(at_sigterm));
+        let (mut accept, mut answer) = at_sigterm;
+        for newer in newer {
+            let is_shorter = newer.0 < accept || newer.1 < answer;
+            let changes = lifecycle.changes();
+            let result = lifecycle.shorten_shutdown(limits(newer));
+            prop_assert_eq!(result == TransitionResult::Changed, is_shorter);
+            prop_assert_eq!(lifecycle.changes() > changes, is_shorter);
+            (accept, answer) = (accept.min(newer.0), answer.min(newer.1));
+            prop_assert!(lifecycle.is_shutting_down());
+            prop_assert_eq!(lifecycle.answered_by(), terminated_at + answer);
+            let open = if shared { Closing::AfterResponse } else { Closing::None };
+            for later in 0..100 {
+                let closing = if later >= accept { Closing::IdleAndAfterResponse } else { open };
+                prop_assert_eq!(lifecycle.closing(terminated_at + later), closing);
+            }
+        }
+    }
 }
--- a/src/startup/coordinator.rs
+++ b/src/startup/coordinator.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use curlewdeck_accounting::LedgerSnapshot;
-use curlewdeck_lifecycle::{Closing, ShutdownLimits};
+use curlewdeck_lifecycle::{Closing, ShutdownLimits, TransitionResult};
 use may::sync::mpsc::Sender;
 
 use super::report::ledger_report;
@@ -90,6 +90,7 @@
             if applied.document == config.document { ConfigChange::Unchanged } else { ConfigChange::Changed };
         *applied = config;
         log::info!(classes = applied.deployment.class_names.len(); "configuration applied");
+        self.shorten_shutdown(&applied);
         Ok(change)
     }
 
@@ -125,37 +126,65 @@
     /// Shuts down after SIGTERM: accepts requests for a limited time, then completes those in flight and closes idle
     /// connections. Returns once all requests are answered, or at the deadline for that.
     pub fn finish(&self) {
-        let limits = self.shutdown_limits();
-        let replicate_by = Instant::now() + Duration::from_nanos(limits.answer_duration);
         if let Some(stopping) = &self.stopping {
             stopping.send();
         }
+        self.begin_shutdown();
+        while self.service.closing() < Closing::IdleAndAfterResponse {
+            std::thread::sleep(CLOSING_CHECK_INTERVAL);
+        }
+        self.close_connections();
+        if let Some(store) = &self.snapshot_store {
+            store.write_last(&self.core, self.replicate_by());
+        }
+    }
+
+    /// Stops being ready for new clients, and limits the time of all queries. The lock makes sure that a configuration
+    /// that is not considered here shortens the shutdown once it is applied.
+    fn begin_shutdown(&self) {
+        let applied = lock(&self.applied_config);
+        let limits = self.shutdown_limits(&applied);
+        log_shutdown_limits(&applied, limits);
         let answered_by = {
             let mut lifecycle = self.service.lifecycle();
             lifecycle.terminate(self.service.now(), limits);
             lifecycle.answered_by()
         };
         self.core.shut_down_by(answered_by);
-        while self.service.closing() < Closing::IdleAndAfterResponse {
-            std::thread::sleep(CLOSING_CHECK_INTERVAL);
+    }
+
+    /// Shortens a shutdown that has begun, if this newly applied configuration has shorter deadlines: SIGKILL may
+    /// follow by them.
+    fn shorten_shutdown(&self, applied: &Config) {
+        if !self.service.lifecycle().is_shutting_down() {
+            return;
         }
-        self.close_connections();
-        if let Some(store) = &self.snapshot_store {
-            let replicate_by = replicate_by.max(Instant::now() + MIN_LAST_REPLICATION_TIMEOUT);
-            store.write_last(&self.core, replicate_by);
+        let limits = self.shutdown_limits(applied);
+        let (result, answered_by) = {
+            let mut lifecycle = self.service.lifecycle();
+            (lifecycle.shorten_shutdown(limits), lifecycle.answered_by())
+        };
+        if result == TransitionResult::Changed {
+            log_shutdown_limits(applied, limits);
+            self.core.shut_down_by(answered_by);
         }
     }
 
-    /// The times after SIGTERM until which requests are accepted and answered, by the configuration that was applied
-    /// last. The core may not have taken its settings yet.
-    fn shutdown_limits(&self) -> ShutdownLimits {
-        let longest_deadline = lock(&self.applied_config).deployment.settings.longest_deadline();
-        let longest = Duration::from_nanos(longest_deadline);
-        let (accept, answered) = self.limits.term(longest);
-        log::info!(longest_deadline:? = longest, accept:? = accept, answered:? = answered; "shutdown limits");
+    /// The times after SIGTERM until which requests are accepted and answered, by this applied configuration. The core
+    /// may not have taken its settings yet.
+    fn shutdown_limits(&self, applied: &Config) -> ShutdownLimits {
+        let longest_deadline = Duration::from_nanos(applied.deployment.settings.longest_deadline());
+        let (accept, answered) = self.limits.term(longest_deadline);
         ShutdownLimits { accept_duration: nanos(accept), answer_duration: nanos(answered) }
     }
 
+    /// Until when the state may be replicated at the end.
+    fn replicate_by(&self) -> Instant {
+        let answered_by = self.service.lifecycle().answered_by();
+        let time_left = Duration::from_nanos(answered_by.saturating_sub(self.service.now()));
+        Instant::now() + time_left.max(MIN_LAST_REPLICATION_TIMEOUT)
+    }
+
     /// Closes client connections as they become idle, until all are closed or `Limits::term_finish` has passed.
     fn close_connections(&self) {
         let start = Instant::now();
@@ -168,3 +197,13 @@
         }
     }
 }
+
+/// Logs the limits of a shutdown, and the deadline that they follow from.
+fn log_shutdown_limits(applied: &Config, limits: ShutdownLimits) {
+    log::info!(
+        longest_deadline:? = Duration::from_nanos(applied.deployment.settings.longest_deadline()),
+        accept:? = Duration::from_nanos(limits.accept_duration),
+        answered:? = Duration::from_nanos(limits.answer_duration);
+        "shutdown limits"
+    );
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -13,6 +13,7 @@
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
 
+use std::fs::File;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
@@ -292,6 +293,12 @@
         config
     }
 
+    /// Replaces the configuration with a pipe and sends SIGHUP; returns the pipe's writing end once the read has begun.
+    pub fn reload_pipe(&self) -> File {
+        let pipe = self.reload_with(make_pipe);
+        File::options().write(true).open(pipe).unwrap()
+    }
+
     /// Replaces the configuration file without a signal; the program reads it at the next SIGHUP or retry.
     pub fn replace_config(&self, text: &str) {
         self.replace_config_with(|path| std::fs::write(path, text).unwrap());
@@ -364,6 +371,11 @@
     assert!(kill.unwrap().success());
 }
 
+/// Creates a named pipe, for [`Program::reload_with`]: reading it takes until the writing end is closed.
+pub fn make_pipe(path: &Path) {
+    assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
+}
+
 /// Renders a request to the control address or to a replication group's address.
 pub fn call_bytes(method: &str, path: &str, body: &str) -> Vec<u8> {
     format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}", body.len())
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -4,18 +4,16 @@
 
 mod harness;
 
-use std::fs::File;
 use std::io::Write;
 use std::os::unix::fs::{symlink, PermissionsExt};
 use std::path::{Path, PathBuf};
-use std::process::Command;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
 use harness::stand_in::{DataNode, Discovery};
-use harness::{member, query, successful_reply, wait_until, Program, TestCluster};
+use harness::{make_pipe, member, query, successful_reply, wait_until, Program, TestCluster};
 
 /// Time after SIGHUP at which the content of the new discovery counts as notified.
 const NOTIFIED_AFTER: Duration = Duration::from_secs(4);
@@ -65,12 +63,6 @@
         signalled
     }
 
-    /// Replaces the configuration with a pipe and sends SIGHUP; returns the pipe's writing end once the read has begun.
-    fn reload_pipe(&self) -> File {
-        let pipe = self.program.reload_with(make_pipe);
-        File::options().write(true).open(pipe).unwrap()
-    }
-
     /// Waits until this number of files has been rejected.
     fn wait_for_rejections(&self, files: u64) {
         wait_until("the file's rejection", || self.reloads().1 == files);
@@ -100,10 +92,6 @@
     log.lines().filter(|l| l.contains("configuration rejected")).count()
 }
 
-fn make_pipe(path: &Path) {
-    assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
-}
-
 /// A configuration is still incomplete when SIGHUP arrives. The incomplete file is rejected at once, and the complete
 /// one is applied without another signal.
 #[test]
@@ -173,7 +161,7 @@
 fn file_replaced_while_it_is_read_is_read_again() {
     let moving = MovingDiscovery::start();
     let signalled = Instant::now();
-    let mut slow_writer = moving.reload_pipe();
+    let mut slow_writer = moving.program.reload_pipe();
     let complete = config_with_discovery(&moving.new);
     slow_writer.write_all(&complete.as_bytes()[..complete.len() / 2]).unwrap();
     moving.program.replace_config(&complete);
@@ -187,7 +175,7 @@
 #[test]
 fn hanging_read_does_not_delay_a_newer_file() {
     let moving = MovingDiscovery::start();
-    let mut silent_writer = moving.reload_pipe();
+    let mut silent_writer = moving.program.reload_pipe();
     moving.program.replace_config(&config_with_discovery(&moving.new));
     let signalled = moving.send_sighup();
     moving.assert_follows_new_discovery(signalled);
@@ -229,7 +217,7 @@
     moving.program.replace_config(&config_with_discovery(&moving.new));
     wait_until("the file to be processed", || moving.reloads() == (1, 1));
     // The same text through a pipe, whose open returns when the read of this SIGHUP has begun.
-    let mut same = moving.reload_pipe();
+    let mut same = moving.program.reload_pipe();
     same.write_all(config_with_discovery(&moving.new).as_bytes()).unwrap();
     drop(same);
     moving.program.reload("{}");
--- a/tests/shutdown_after_reload.rs
+++ b/tests/shutdown_after_reload.rs
@@ -4,6 +4,7 @@
 
 mod harness;
 
+use std::fs::File;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,8 +18,8 @@
 
 use harness::stand_in::{lock, read_answer, DataNode, Discovery, NodeReply, Part};
 use harness::{
-    query_bytes, start, start_two_data_nodes, successful_reply, wait_until, wait_until_healthy, Program,
-    TestCluster,
+    control_request_succeeds, query_bytes, start, start_two_data_nodes, successful_reply, wait_until,
+    wait_until_healthy, Program, TestCluster,
 };
 
 /// SIGKILL follows SIGTERM no sooner than after the longest deadline and this.
@@ -204,6 +205,16 @@
         terminated_at
     }
 
+    /// Sends SIGHUP, and SIGTERM while the configuration is being read. Returns the pipe that it is read from, and the
+    /// time of SIGTERM, once the shutdown has begun.
+    fn terminate_during_read(&self) -> (File, Instant) {
+        let pipe = self.program.reload_pipe();
+        let terminated_at = self.terminate();
+        let control = self.program.control.unwrap();
+        wait_until("the shutdown", || !control_request_succeeds(control, "GET", "/ops/readiness"));
+        (pipe, terminated_at)
+    }
+
     /// Sends SIGKILL at the earliest time after SIGTERM that the longest deadline permits. Asserts that no request is
     /// unanswered then. Returns all requests and the log.
     fn kill_and_check(
@@ -311,3 +322,39 @@
     assert!(matches!(log.requests()[0].end, Some(RequestEnd::Answered(_))), "{:?}", log.requests());
     assert!(answered_after < SHORT_DEADLINE + KILL_DELAY, "answered {answered_after:?} after SIGTERM");
 }
+
+/// SIGTERM comes right after SIGHUP: whether the file is read before or after it, the shutdown goes by the new file.
+#[test]
+fn sigterm_right_after_sighup_is_limited_by_the_new_settings() {
+    let test = ShutdownTest::start();
+    test.program.reload(&config(&test.discovery, STEADY_CLASS_ONLY));
+    let terminated_at = test.terminate();
+    test.kill_and_check(terminated_at, SHORT_DEADLINE);
+}
+
+/// The same fault where the file is still being read at SIGTERM: the limits of the old settings must not stay.
+#[test]
+fn settings_applied_during_the_shutdown_shorten_it() {
+    // Part of the time for which requests are still accepted by the new settings.
+    const READ_DURATION: Duration = Duration::from_millis(300);
+    let test = ShutdownTest::start();
+    let (mut file, terminated_at) = test.terminate_during_read();
+    sleep(READ_DURATION);
+    file.write_all(config(&test.discovery, STEADY_CLASS_ONLY).as_bytes()).unwrap();
+    drop(file);
+    let (_, log) = test.kill_and_check(terminated_at, SHORT_DEADLINE);
+    assert!(log.contains("configuration applied"), "{log}");
+}
+
+/// Settings with longer deadlines that are applied during the shutdown must not extend it: SIGKILL may follow by the
+/// deadlines at SIGTERM.
+#[test]
+fn settings_applied_during_the_shutdown_do_not_extend_it() {
+    let mut test = ShutdownTest::start();
+    test.reload(STEADY_CLASS_ONLY);
+    let (mut file, terminated_at) = test.terminate_during_read();
+    file.write_all(config(&test.discovery, LONG_CLASSES).as_bytes()).unwrap();
+    drop(file);
+    let (_, log) = test.kill_and_check(terminated_at, SHORT_DEADLINE);
+    assert_eq!(log.matches("configuration applied").count(), 2, "{log}");
+}
