Connections to data nodes go by the latency objective in force

What callers saw: after a SIGHUP with shorter objectives, parts went out on connections to data nodes that had been silent for longer than the new objective allows, and waited there.

Cause: the actors of data nodes held the shortest objective of the settings from the start, for the silence of a connection and the time for a frame.

Fix: core and actors share the shortest objective; the core sets it when it takes new settings.

--- a/src/net/connection_pool/pool.rs
+++ b/src/net/connection_pool/pool.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Changes [`PoolLimits::silence_timeout`], also for the connections that are open.
+    pub fn set_silence_timeout(&mut self, silence_timeout: Nanos) {
+        self.limits.silence_timeout = silence_timeout;
+    }
+
     /// Number of connections that are open, being opened or being closed.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
--- a/src/net/coordinator/actor.rs
+++ b/src/net/coordinator/actor.rs
@@ -16,6 +16,7 @@
 use crate::net::coordinator::node::NodeHandle;
 use crate::net::endpoint_list_lease::EndpointListLease;
 use crate::net::messages::{CoreMessage, DiscoveryMessage, OutcomeCallback, REQUEST_LOG_TARGET};
+use crate::net::shortest_objective::ShortestLatencyObjective;
 use crate::runtime::{lock, Timer};
 use crate::settings::Deployment;
 
@@ -44,6 +45,7 @@
     pub(super) replies: HashMap<QueryId, OutcomeCallback>,
     pub(super) endpoint_list: EndpointListState,
     pub(super) lease: EndpointListLease,
+    pub(super) shortest_latency_objective: ShortestLatencyObjective,
     /// Time of the last update or confirmation of the endpoint list.
     pub(super) last_update_at: Nanos,
     /// Longest expected interval between updates; a longer one is logged and counted as overdue.
@@ -178,6 +180,7 @@
     fn update_settings(&mut self, deployment: Deployment) {
         let deployment = self.engine.update_settings(deployment);
         self.ledger.add_classes(&deployment.settings.classes, &deployment.class_names);
+        self.shortest_latency_objective.set(deployment.settings.shortest_latency_objective());
         *lock(&self.handle.deployment) = Arc::new(deployment.clone());
     }
 }
--- a/src/net/coordinator/config.rs
+++ b/src/net/coordinator/config.rs
@@ -15,6 +15,7 @@
 use crate::net::endpoint_list_lease::EndpointListLease;
 use crate::net::endpoints::EndpointUpdate;
 use crate::net::messages::{CoreMailbox, CoreMessage, DiscoveryMessage, DrainGate, NodeMessage};
+use crate::net::shortest_objective::ShortestLatencyObjective;
 use crate::runtime::{spawn_critical, Clock, Timer};
 use crate::settings::Deployment;
 
@@ -36,6 +37,8 @@
     pub stack_words: usize,
     /// The lease of the endpoint list, set by discovery.
     pub lease: EndpointListLease,
+    /// Updated when the settings change; read by the data nodes' actors.
+    pub shortest_latency_objective: ShortestLatencyObjective,
     /// Limits of the request ledger's table of data nodes.
     pub node_table_bounds: NodeBounds,
     /// The request ledger saved by an earlier process, if there is one.
@@ -83,6 +86,7 @@
         replies: Default::default(),
         endpoint_list: EndpointListState::Unconfirmed,
         lease: config.lease,
+        shortest_latency_objective: config.shortest_latency_objective,
         on_endpoints_started: config.on_endpoints_started,
         restored_ledger: config.restored_ledger,
         stats_interval: config.stats_interval,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,3 +17,4 @@
 pub mod node;
 pub mod pending_updates;
 pub mod received_frames;
+pub mod shortest_objective;
--- a/src/net/node/actor.rs
+++ b/src/net/node/actor.rs
@@ -135,8 +135,10 @@
         }
     }
 
-    /// Passes an input to the pool and performs its outputs. Checks the drain gate before each input.
+    /// Passes an input to the pool and performs its outputs. Checks the drain gate before each input, and whether new
+    /// settings have changed the silence timeout.
     fn step(&mut self, input: Input) {
+        self.pool.set_silence_timeout(nanos(self.context.connection_silence()));
         let now = self.context.clock.now();
         let accepts_new_attempts = self.gate.is_open(now);
         let mut outputs =
@@ -213,7 +215,7 @@
         health_check_timeout: nanos(limits.health_check_timeout),
         queued_parts: limits.queued_parts_per_node,
         closed_attempts: limits.remembered_parts,
-        silence_timeout: nanos(limits.connection_silence_for(context.shortest_latency_objective)),
+        silence_timeout: nanos(context.connection_silence()),
         no_socket_backoff: nanos(limits.no_socket_backoff),
     }
 }
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -18,6 +18,7 @@
 use crate::net::messages::{CoreMailbox, DrainGate, NodeMessage};
 use crate::net::node::actor::NodeActor;
 use crate::net::pending_updates::PendingUpdates;
+use crate::net::shortest_objective::ShortestLatencyObjective;
 use crate::runtime::{spawn_critical, Clock, Permits};
 use crate::settings::Connections;
 
@@ -30,8 +31,8 @@
     pub limits: Arc<Limits>,
     /// The settings of connections: multiplexing, idle and connect timeouts.
     pub connections: Connections,
-    /// The shortest latency objective of all classes.
-    pub shortest_latency_objective: Duration,
+    /// The shortest latency objective of all classes; changes with the settings.
+    pub shortest_latency_objective: ShortestLatencyObjective,
     /// Permits for sockets, shared by all data nodes.
     pub permits: Permits,
     /// Rate limit of the log line about missing sockets, shared by all data nodes.
@@ -44,6 +45,13 @@
     pub pending_updates: PendingUpdates,
 }
 
+impl NodeContext {
+    /// The time without a complete frame after which a connection with parts in flight is not used for new ones.
+    fn connection_silence(&self) -> Duration {
+        self.limits.connection_silence_for(self.shortest_latency_objective.get())
+    }
+}
+
 /// Starts the data node's actor; returns its mailbox.
 pub fn start(id: ServerId, gate: DrainGate, context: NodeContext) -> Sender<NodeMessage> {
     let (mailbox, inbox) = channel();
--- a/src/net/node/reader.rs
+++ b/src/net/node/reader.rs
@@ -39,8 +39,6 @@
 struct FrameReader<'a> {
     context: &'a NodeContext,
     limits: FrameLimits,
-    /// Maximum time between the first and the last byte of a frame.
-    frame_timeout: Duration,
     /// Received bytes that do not form a complete frame yet.
     buffered: Vec<u8>,
     read_buffer: Vec<u8>,
@@ -57,9 +55,6 @@
                 max_frame_bytes: limits.max_frame_bytes,
                 max_line_bytes: limits.max_frame_line_bytes,
             },
-            frame_timeout: limits
-                .frame_read_timeout
-                .max(limits.connection_silence_for(context.shortest_latency_objective)),
             buffered: Vec::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             frame_begun_at: None,
@@ -87,7 +82,12 @@
 
     fn read_timeout(&self) -> Duration {
         self.frame_begun_at
-            .map_or(READ_TIMEOUT, |begun_at| self.frame_timeout.saturating_sub(begun_at.elapsed()))
+            .map_or(READ_TIMEOUT, |begun_at| self.frame_timeout().saturating_sub(begun_at.elapsed()))
+    }
+
+    /// Maximum time between the first and the last byte of a frame.
+    fn frame_timeout(&self) -> Duration {
+        self.context.limits.frame_read_timeout.max(self.context.connection_silence())
     }
 
     /// Removes and returns the complete frames in the buffer.
--- a/src/net/node/tests.rs
+++ b/src/net/node/tests.rs
@@ -33,7 +33,7 @@
             connect_timeout: 60_000_000_000,
             max_parts_in_flight: 1,
         },
-        shortest_latency_objective: Duration::from_secs(1),
+        shortest_latency_objective: ShortestLatencyObjective::new(1_000_000_000),
         permits: Permits::new(permits),
         no_socket_log: Arc::new(Mutex::new(LogRateLimit::new(Nanos::MAX))),
         counters: Arc::default(),
--- a/src/startup/subsystems.rs
+++ b/src/startup/subsystems.rs
@@ -2,7 +2,6 @@
 //! state and the core.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use curlewdeck_accounting::node_table::NodeBounds;
 use may::sync::mpsc::Sender;
@@ -23,6 +22,7 @@
 use crate::net::messages::{self, CoreMailbox, DiscoveryMessage};
 use crate::net::node::{self, NodeContext};
 use crate::net::pending_updates::PendingUpdates;
+use crate::net::shortest_objective::ShortestLatencyObjective;
 use crate::replication::config::GroupConfig;
 use crate::replication::{self, Group};
 use crate::runtime::{nanos, Clock, Permits};
@@ -35,6 +35,7 @@
     pub(super) clock: Clock,
     pub(super) counters: Arc<Counters>,
     pub(super) deployment: Arc<Deployment>,
+    pub(super) shortest_latency_objective: ShortestLatencyObjective,
 }
 
 /// The started subsystems, and the data that the frontends need from them.
@@ -106,11 +107,13 @@
 
 impl ProcessContext {
     pub(super) fn new(config: &Config, other_processes: u32) -> Result<Self, StartError> {
+        let shortest_latency_objective = config.deployment.settings.shortest_latency_objective();
         Ok(Self {
             limits: Arc::new(Limits::within(config.platform_bounds(other_processes as usize))?),
             clock: Clock::start(),
             counters: Arc::default(),
             deployment: Arc::new(config.deployment.clone().with_sibling_processes(other_processes)),
+            shortest_latency_objective: ShortestLatencyObjective::new(shortest_latency_objective),
         })
     }
 
@@ -150,12 +153,11 @@
 
     /// The context for the actor of each data node.
     fn node_context(&self, list_state: &EndpointListState) -> NodeContext {
-        let shortest_latency_objective = self.deployment.settings.shortest_latency_objective();
         NodeContext {
             core: list_state.core.clone(),
             limits: self.limits.clone(),
             connections: self.deployment.connections,
-            shortest_latency_objective: Duration::from_nanos(shortest_latency_objective),
+            shortest_latency_objective: self.shortest_latency_objective.clone(),
             permits: Permits::new(self.limits.node_sockets),
             no_socket_log: Arc::new(Mutex::new(LogRateLimit::new(nanos(self.limits.no_socket_log_interval)))),
             counters: self.counters.clone(),
@@ -181,6 +183,7 @@
             max_mailbox_queries: limits.core_backlog,
             stack_words: limits.core_stack_words,
             lease,
+            shortest_latency_objective: self.shortest_latency_objective.clone(),
             node_table_bounds: NodeBounds {
                 max_rows: limits.node_rows,
                 retention: nanos(limits.node_row_retention),
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -206,6 +206,41 @@
     assert_eq!(program.statistic("served.monthly-settle"), Some(1));
 }
 
+/// The silence after which a connection to a data node gets no new parts is a share of the shortest latency objective.
+/// After a reload with a shorter one, a part must not wait on a connection that is silent by it.
+#[test]
+fn connection_that_is_silent_by_the_settings_in_force_gets_no_new_parts() {
+    const SILENT_SHARD: u32 = 3;
+    // Far above the silence of 100 ms that follows from the new objective, far below that of 4 s from the old one.
+    const SILENCE: Duration = Duration::from_millis(500);
+    let silent = |part: &harness::stand_in::Part| match part.shard {
+        SILENT_SHARD => NodeReply::Silence,
+        _ => successful_reply(part),
+    };
+    let node = DataNode::start(silent);
+    let discovery = Discovery::start("127.0.0.1:0", vec![member("a", 0, node.addr)]);
+    let cluster = TestCluster { partition_groups: 1, replicas: 1, ..TestCluster::default() };
+    let config = |objective: Duration| {
+        let mut config: Value = serde_json::from_str(&cluster.config(discovery.addr)).unwrap();
+        config["control"] = json!("127.0.0.1:0");
+        config["settings"]["limits"]["probes"] = json!(false);
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            class["aim_ns"] = json!(objective.as_nanos() as u64);
+        }
+        config.to_string()
+    };
+    let program = Program::start(&config(Duration::from_secs(20)));
+    assert_eq!(query(program.addr, "tag-lookup", &[0]).unwrap().status, 200);
+    program.reload(&config(Duration::from_millis(500)));
+    wait_until("the reload", || program.statistic("reloads_ok") == Some(1));
+    let _open = connect_and_send(program.addr, &query_bytes("tag-lookup", &[SILENT_SHARD], "60000m"));
+    wait_until("the silent part", || node.received_parts().iter().any(|part| part.shard == SILENT_SHARD));
+    assert_eq!(node.connections(), 1);
+    std::thread::sleep(SILENCE);
+    assert_eq!(query(program.addr, "tag-lookup", &[0]).unwrap().status, 200);
+    assert!(node.connections() > 1, "a part was sent on the silent connection");
+}
+
 /// An invalid configuration file is rejected as a whole, whatever the fault: nothing of it is applied, including its
 /// discovery address.
 #[test]
