Latency samples and client timeouts count by the objective in force

What callers saw: after a SIGHUP with a longer objective, at little traffic, hedges went by a share of the objective in place of the latencies seen, and shortened timeouts of retries were not recognized.

Cause: the age up to which samples count followed from the settings at the start; only the windows of counts were changed with them.

Evidence: samples_count_by_the_latency_objective_in_force failed before (no quantile known 20 s after the samples, where 50 s are allowed) and passes now.

Fix: update_settings gives all samples the age of the settings in force.

--- a/crates/core/src/policy/latency_stats.rs
+++ b/crates/core/src/policy/latency_stats.rs
@@ -32,6 +32,11 @@
         Self { samples, refresh_at: 0, tail: None, median: 0, lower_quartile: 0 }
     }
 
+    /// Changes the maximum age of a sample to that of this latency objective.
+    pub(super) fn set_longest_objective(&mut self, longest_objective: Nanos) {
+        self.samples.set_max_age(max_sample_age(longest_objective));
+    }
+
     pub(super) fn record(&mut self, now: Nanos, latency: Nanos) {
         self.samples.add(now, latency);
     }
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -174,6 +174,9 @@
         let traffic_window = load_stats::traffic_window(longest_objective);
         self.counts.set_windows(load_stats::budget_window(&settings), traffic_window);
         self.tenant_arrivals.iter_mut().for_each(|arrivals| arrivals.set_window(traffic_window));
+        self.latency.set_longest_objective(longest_objective);
+        let max_sample_age = latency_stats::max_sample_age(longest_objective);
+        self.client_timeouts.iter_mut().for_each(|timeouts| timeouts.set_max_age(max_sample_age));
         self.client_timeouts.resize(classes, client_timeout_samples(longest_objective));
         for server in self.endpoints.servers.values_mut() {
             server.class_outlier_scores.resize_with(classes, Default::default);
--- a/crates/core/src/policy/sliding_window.rs
+++ b/crates/core/src/policy/sliding_window.rs
@@ -63,6 +63,11 @@
         Self { capacity, max_age, samples: VecDeque::new() }
     }
 
+    /// Changes the maximum age; it applies to the samples taken before, too.
+    pub(super) fn set_max_age(&mut self, max_age: Nanos) {
+        self.max_age = max_age;
+    }
+
     pub(super) fn add(&mut self, now: Nanos, value: Nanos) {
         if self.samples.len() >= self.capacity {
             self.samples.pop_front();
--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -35,3 +35,25 @@
     let interval = policy.mean_send_interval();
     assert!((90e6..110e6).contains(&interval), "{interval}");
 }
+
+/// Samples must count for as long as the new, longer objective allows: at low traffic all of them are older than the
+/// age that the old objective allowed, and nothing would be known about latencies and client timeouts.
+#[test]
+fn samples_count_by_the_latency_objective_in_force() {
+    let mut policy = Policy::new(settings_with_objective(500 * MS), 7).unwrap();
+    policy.update_settings(settings_with_objective(5000 * MS));
+    for _ in 0..20 {
+        policy.now += MS;
+        let now = policy.now;
+        policy.latency.record(now, 30 * MS);
+        policy.client_timeouts[0].add(now, 900 * MS);
+    }
+    let timeout = |policy: &Policy| policy.client_timeouts[0].quantile(policy.now, 0.5, 8);
+    policy.now += 20_000 * MS;
+    policy.refresh_latency_quantiles();
+    assert_eq!((policy.latency.tail, timeout(&policy)), (Some(30 * MS), Some(900 * MS)));
+    policy.update_settings(settings_with_objective(500 * MS));
+    policy.now += 5 * MS;
+    policy.refresh_latency_quantiles();
+    assert_eq!((policy.latency.tail, timeout(&policy)), (None, None));
+}
