tests: a seeded soak of reloads beside SIGTERM

Cause: the order of SIGHUP, the end of a read, a retry, a drain and SIGTERM was judged by single tests only.

Change: tests/shutdown_soak.rs plays random series of files that drop, shorten and bring back deadlines, with SIGTERM before, while or after the last one is read, some after an operator's drain or at a hand-over. The clients and the kill moved from tests/shutdown_after_reload.rs to harness::shutdown_trial, and the seeds' parser from drain_soak to the harness; no check has changed.

--- a/tests/drain_soak.rs
+++ b/tests/drain_soak.rs
@@ -17,6 +17,7 @@
 use harness::drain_check::{Delivery, NodeState};
 use harness::drain_trial::{assert_all_pass_with_limit, Trial, TrialResult, BOTH_DELIVERIES};
 use harness::faulty_discovery::FaultyDiscovery;
+use harness::soak_seeds;
 
 /// Seeds that are run without `SOAK_SEEDS`.
 const SEEDS: Range<u64> = 1..9;
@@ -199,15 +200,8 @@
     soak.trial.finish_after(RECOVERY)
 }
 
-/// Returns the seeds of `SOAK_SEEDS`, or the default ones.
-fn seeds() -> Range<u64> {
-    let Ok(asked) = std::env::var("SOAK_SEEDS") else { return SEEDS };
-    let (from, to) = asked.split_once("..").expect("SOAK_SEEDS is FROM..TO");
-    from.parse().expect("a number")..to.parse().expect("a number")
-}
-
 /// Catches violations of the drain rule in combinations of faults that no single test covers.
 #[test]
 fn drain_rule_holds_under_random_faults() {
-    assert_all_pass_with_limit(MAX_CONCURRENT_TRIALS, seeds().collect(), soak);
+    assert_all_pass_with_limit(MAX_CONCURRENT_TRIALS, soak_seeds(SEEDS).collect(), soak);
 }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -9,6 +9,7 @@
 pub mod faulty_discovery;
 pub mod load_generator;
 pub mod scripted;
+pub mod shutdown_trial;
 pub mod stalling_data_node;
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
@@ -16,6 +17,7 @@
 use std::fs::File;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -371,6 +373,13 @@
     assert!(kill.unwrap().success());
 }
 
+/// Returns the seeds of a soak test: those of `SOAK_SEEDS` (`FROM..TO`), or the default ones.
+pub fn soak_seeds(default: Range<u64>) -> Range<u64> {
+    let Ok(asked) = std::env::var("SOAK_SEEDS") else { return default };
+    let (from, to) = asked.split_once("..").expect("SOAK_SEEDS is FROM..TO");
+    from.parse().expect("a number")..to.parse().expect("a number")
+}
+
 /// Creates a named pipe, for [`Program::reload_with`]: reading it takes until the writing end is closed.
 pub fn make_pipe(path: &Path) {
     assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
