tests: processes of groups are read by one module of the harness

Cause: tests/replication.rs and tests/replicated_state.rs each had their own lock, collector of a process's log and, in one, reader of a process's state, which the harness had once more.

Change: harness::process has the state and the log; stand_in::lock serves both files.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -8,6 +8,7 @@
 pub mod drain_trial;
 pub mod faulty_discovery;
 pub mod load_generator;
+pub mod process;
 pub mod scripted;
 pub mod shutdown_trial;
 pub mod stalling_data_node;
@@ -278,8 +279,7 @@
 
     /// The process state letter of `/proc/PID/stat`: `T` when stopped.
     pub fn state(&self) -> char {
-        let status = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
-        status.rsplit(") ").next().and_then(|rest| rest.chars().next()).unwrap()
+        process::state(&self.child).unwrap()
     }
 
     /// Replaces the configuration file and sends SIGHUP.
--- a/tests/replicated_state.rs
+++ b/tests/replicated_state.rs
@@ -5,18 +5,19 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use curlewdeck::replication::wire::HEADER_BYTES;
 use curlewdeck_testkit::proxy::{DroppedMessages, Faults, Proxy};
 use raft::eraftpb::MessageType;
 
+use harness::process::collect_log;
+use harness::stand_in::lock;
 use harness::{control_request_succeeds, send_control_request, wait_until, TestCluster};
 
 const SIZE: usize = 3;
@@ -26,10 +27,6 @@
 /// How long a starting process waits for its group (docs/replication.md).
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Faults that drop the frames that a predicate selects. A frame begins with the sender and the length, as in
 /// `replication::wire`.
 fn drop_frames(is_dropped: fn(&[u8]) -> bool) -> Faults {
@@ -69,11 +66,7 @@
     fn start(dir: &Path) -> Self {
         let mut command = program(dir, &["serve", "--config", "config.json", "--edge", "edge.toml"]);
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-        let log = Arc::new(Mutex::new(String::new()));
-        let (lines, log_in_thread) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
-        std::thread::spawn(move || {
-            lines.lines().map_while(Result::ok).for_each(|l| *lock(&log_in_thread) += &(l + "\n"))
-        });
+        let log = collect_log(&mut child);
         let field = |name: &str| {
             let log = lock(&log);
             let (_, fields) = log.split_once(" group] member started ")?;
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -4,12 +4,12 @@
 mod harness;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -17,16 +17,13 @@
 use curlewdeck_testkit::history::{self, Action, Operation};
 use curlewdeck_testkit::proxy::{Faults, MessageLength, Proxy};
 
-use harness::stand_in::{read_answer, Answer};
+use harness::process::{self, collect_log};
+use harness::stand_in::{lock, read_answer, Answer};
 use harness::{call_bytes, wait_until, TestCluster};
 
 /// Longer than any call may take: only a call to a stalled process exceeds it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> std::io::Result<Answer> {
     let mut stream = TcpStream::connect(at)?;
     stream.set_read_timeout(Some(CALL_TIMEOUT))?;
@@ -60,11 +57,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_curlewdeck"));
         command.args(["serve", "--config", "config.json", "--edge", "edge.toml"]).current_dir(dir);
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-        let log = Arc::new(Mutex::new(String::new()));
-        let (lines, log_in_thread) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
-        std::thread::spawn(move || {
-            lines.lines().map_while(Result::ok).for_each(|l| *lock(&log_in_thread) += &(l + "\n"))
-        });
+        let log = collect_log(&mut child);
         let started = || log_line(&lock(&log), "member started");
         wait_until("the member to start", || started().is_some());
         let started = started().unwrap();
@@ -81,8 +74,7 @@
 
     /// Fails the test with the state of the process, which shows whether it has ended or stopped accepting connections.
     fn fail_unreachable(&self, error: &std::io::Error) -> ! {
-        let process = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        let state = process.map(|stat| stat.rsplit(") ").next().and_then(|rest| rest.chars().next()));
+        let state = process::state(&self.child);
         panic!(
             "member {} at {}: {error}; process state {state:?}; log:\n{}",
             self.id,
