--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -36,8 +36,9 @@
     assert!((90e6..110e6).contains(&interval), "{interval}");
 }
 
-/// Samples must count for as long as the new, longer objective allows: at low traffic all of them are older than the
-/// age that the old objective allowed, and nothing would be known about latencies and client timeouts.
+/// Samples must count for as long as the new, longer objective allows: at low traffic all of them are older
+/// than the age that the old objective allowed, and nothing would be known about latencies and client
+/// timeouts.
 #[test]
 fn samples_count_by_the_latency_objective_in_force() {
     let mut policy = Policy::new(settings_with_objective(500 * MS), 7).unwrap();
