tests: the soaks share one pool of runs, and restarts after reloads one sequence

Cause: tests/shutdown_soak.rs repeated the worker pool of harness::drain_trial, and four tests of tests/shutdown_after_reload.rs the same sequence of reloads, SIGTERM, SIGKILL and check.

Change: harness::run_with_limit serves both soaks; restart_after_reloads has the sequence. No check, bound or seed has changed.

--- a/tests/harness/drain_trial.rs
+++ b/tests/harness/drain_trial.rs
@@ -16,7 +16,7 @@
 use super::faulty_discovery::FaultyDiscovery;
 use super::load_generator::{coordinator_of, query, query_id, LoadGenerator, TimedAnswer};
 use super::stand_in::{lock, DataNode, Part};
-use super::{successful_reply, wait_until, Program, TestCluster};
+use super::{run_with_limit, successful_reply, wait_until, Program, TestCluster};
 
 /// Load-generating clients of each coordinator.
 const CLIENTS_PER_COORDINATOR: u64 = 2;
@@ -418,22 +418,10 @@
     kinds: Vec<K>,
     trial: impl Fn(K) -> TrialResult + Sync,
 ) {
-    let (trial, kinds) = (&trial, Mutex::new(kinds.into_iter().enumerate()));
-    let results = Mutex::new(BTreeMap::new());
-    let next = || lock(&kinds).next();
-    thread::scope(|scope| {
-        for _ in 0..limit {
-            scope.spawn(|| {
-                while let Some((number, kind)) = next() {
-                    let slot = TrialSlot::take();
-                    let result = trial(kind);
-                    drop(slot);
-                    lock(&results).insert(number, result);
-                }
-            });
-        }
+    let results = run_with_limit(limit, kinds, |kind| {
+        let _slot = TrialSlot::take();
+        trial(kind)
     });
-    let results: Vec<TrialResult> = results.into_inner().unwrap().into_values().collect();
     for result in &results {
         println!("{} {}", if result.passed() { "passed" } else { "FAILED" }, result.summary());
     }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -15,6 +15,7 @@
 #[path = "../../examples/toy/stand_in.rs"]
 pub mod stand_in;
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
@@ -23,14 +24,14 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Once};
+use std::sync::{Arc, Mutex, Once};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use curlewdeck::config::{Config, EdgeConfig};
 use curlewdeck::limits::Limits;
 use curlewdeck::startup::{self, Coordinator};
-use stand_in::{send_request, Answer, DataNode, Discovery, Member, NodeReply, Part};
+use stand_in::{lock, send_request, Answer, DataNode, Discovery, Member, NodeReply, Part};
 
 /// Parameters of a test cluster. The default deadline is so long that no test waits for it to pass.
 pub struct TestCluster {
@@ -380,6 +381,24 @@
     from.parse().expect("a number")..to.parse().expect("a number")
 }
 
+/// Runs each item, at most `limit` at once. Returns the results in the order of the items.
+pub fn run_with_limit<K: Send, R: Send>(limit: usize, items: Vec<K>, run: impl Fn(K) -> R + Sync) -> Vec<R> {
+    let (run, items) = (&run, Mutex::new(items.into_iter().enumerate()));
+    let results = Mutex::new(BTreeMap::new());
+    let next = || lock(&items).next();
+    std::thread::scope(|scope| {
+        for _ in 0..limit {
+            scope.spawn(|| {
+                while let Some((number, item)) = next() {
+                    let result = run(item);
+                    lock(&results).insert(number, result);
+                }
+            });
+        }
+    });
+    results.into_inner().unwrap().into_values().collect()
+}
+
 /// Creates a named pipe, for [`Program::reload_with`]: reading it takes until the writing end is closed.
 pub fn make_pipe(path: &Path) {
     assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
--- a/tests/shutdown_after_reload.rs
+++ b/tests/shutdown_after_reload.rs
@@ -13,49 +13,44 @@
 use curlewdeck::config::Config;
 
 use harness::shutdown_trial::{
-    config, reply, Request, RequestEnd, RequestLog, ShutdownTrial, CHANGING_CLASS, KILL_DELAY, LONG_CLASSES,
-    LONG_DEADLINE, SHORTENED_CLASSES, SHORT_DEADLINE, SILENT_SHARD, STEADY_CLASS_ONLY,
+    config, reply, ClassDeadline, Request, RequestEnd, RequestLog, ShutdownTrial, TrialEnd, CHANGING_CLASS,
+    KILL_DELAY, LONG_CLASSES, LONG_DEADLINE, SHORTENED_CLASSES, SHORT_DEADLINE, SILENT_SHARD,
+    STEADY_CLASS_ONLY,
 };
 use harness::{query_bytes, start, start_two_data_nodes, wait_until, wait_until_healthy, Program};
 
+/// Applies these files one after the other, then sends SIGTERM, and SIGKILL at the earliest time that the longest
+/// deadline permits. Asserts that no request is unanswered then.
+fn restart_after_reloads(files: &[&[ClassDeadline]], longest_deadline: Duration) -> TrialEnd {
+    let mut trial = ShutdownTrial::start();
+    files.iter().for_each(|classes| trial.reload(classes));
+    let terminated_at = trial.terminate();
+    trial.kill_and_check(terminated_at, longest_deadline)
+}
+
 /// A deadline that no class in force has any more must not keep connections open up to SIGKILL: the class was dropped.
 #[test]
 fn deadline_of_a_dropped_class_does_not_extend_the_shutdown() {
-    let mut trial = ShutdownTrial::start();
-    trial.reload(STEADY_CLASS_ONLY);
-    let terminated_at = trial.terminate();
-    trial.kill_and_check(terminated_at, SHORT_DEADLINE);
+    restart_after_reloads(&[STEADY_CLASS_ONLY], SHORT_DEADLINE);
 }
 
 /// The same fault by a class that keeps its name and gets a shorter deadline.
 #[test]
 fn earlier_deadline_of_a_shortened_class_does_not_extend_the_shutdown() {
-    let mut trial = ShutdownTrial::start();
-    trial.reload(SHORTENED_CLASSES);
-    let terminated_at = trial.terminate();
-    trial.kill_and_check(terminated_at, SHORT_DEADLINE);
+    restart_after_reloads(&[SHORTENED_CLASSES], SHORT_DEADLINE);
 }
 
 /// The same fault by several reloads: a class is dropped, brought back with its long deadline, and shortened.
 #[test]
 fn last_of_several_reloads_limits_the_shutdown() {
-    let mut trial = ShutdownTrial::start();
-    for classes in [STEADY_CLASS_ONLY, LONG_CLASSES, SHORTENED_CLASSES] {
-        trial.reload(classes);
-    }
-    let terminated_at = trial.terminate();
-    trial.kill_and_check(terminated_at, SHORT_DEADLINE);
+    restart_after_reloads(&[STEADY_CLASS_ONLY, LONG_CLASSES, SHORTENED_CLASSES], SHORT_DEADLINE);
 }
 
 /// A class that is brought back counts again: requests must not be turned away as if its deadline were still gone.
 #[test]
 fn deadline_of_a_class_that_is_brought_back_extends_the_shutdown() {
-    let mut trial = ShutdownTrial::start();
-    trial.reload(STEADY_CLASS_ONLY);
-    trial.reload(LONG_CLASSES);
-    let terminated_at = trial.terminate();
-    let end = trial.kill_and_check(terminated_at, LONG_DEADLINE);
-    let is_late = |r: &&Request| r.sent_at > terminated_at + SHORT_DEADLINE;
+    let end = restart_after_reloads(&[STEADY_CLASS_ONLY, LONG_CLASSES], LONG_DEADLINE);
+    let is_late = |r: &&Request| r.sent_at > end.terminated_at + SHORT_DEADLINE;
     let late: Vec<_> = end.requests.iter().filter(is_late).filter_map(|r| r.end).collect();
     assert!(late.contains(&RequestEnd::Answered(200)), "{late:?}\n{}", end.log);
 }
--- a/tests/shutdown_soak.rs
+++ b/tests/shutdown_soak.rs
@@ -6,12 +6,10 @@
 
 mod harness;
 
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpListener;
 use std::ops::Range;
-use std::sync::Mutex;
-use std::thread::{self, sleep};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
@@ -19,8 +17,7 @@
     config, ClassDeadline, ShutdownTrial, TrialEnd, CHANGING_CLASS, LONG_CLASSES, LONG_DEADLINE,
     SHORTENED_CLASSES, SHORT_DEADLINE, STEADY_CLASS, STEADY_CLASS_ONLY,
 };
-use harness::stand_in::lock;
-use harness::{soak_seeds, Program};
+use harness::{run_with_limit, soak_seeds, Program};
 
 /// Seeds that are run without `SOAK_SEEDS`.
 const SEEDS: Range<u64> = 1..17;
@@ -176,19 +173,7 @@
 /// covers.
 #[test]
 fn no_request_is_unanswered_at_sigkill_after_random_reloads() {
-    let (seeds, failures) = (Mutex::new(soak_seeds(SEEDS)), Mutex::new(BTreeMap::new()));
-    let next_seed = || lock(&seeds).next();
-    thread::scope(|scope| {
-        for _ in 0..MAX_CONCURRENT_TRIALS {
-            scope.spawn(|| {
-                while let Some(seed) = next_seed() {
-                    if let Some(failure) = play(seed) {
-                        lock(&failures).insert(seed, failure);
-                    }
-                }
-            });
-        }
-    });
-    let failures: Vec<String> = failures.into_inner().unwrap().into_values().collect();
+    let results = run_with_limit(MAX_CONCURRENT_TRIALS, soak_seeds(SEEDS).collect(), play);
+    let failures: Vec<String> = results.into_iter().flatten().collect();
     assert!(failures.is_empty(), "{} runs failed\n{}", failures.len(), failures.join("\n"));
 }
