--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,6 +10,7 @@
 from standins import Group, NotRun, TROUBLE, http, run, wait_until  # noqa: E402
 
 KEYS = 20
+READ_BOUND_S = 20  # an election takes 2 s by the page
 
 
 def main(case):
@@ -17,18 +18,21 @@
     leader = group.start()
     first, second = [i for i in range(3) if i != leader]
     case.say("leader n%d, followers n%d and n%d" % (leader + 1, first + 1, second + 1))
-    promised, count = {}, [0]
+    promised, rounds = {}, [0]
 
-    def put(until=None, times=0):
-        """Puts at the leader, up to an index of the log or so many."""
-        done = 0
-        while (until and group.applied(leader) < until) or done < times:
-            for _ in range(min(10, until - group.applied(leader)) if until else times):
-                key, value = "k%02d" % (count[0] % KEYS), "v%d" % count[0]
-                reply = http(group.control[leader], "PUT", "/group/keys/" + key, value)
-                if not reply or reply[0] != 200:
-                    raise NotRun("a put was not promised: %s" % (reply and reply[0]))
-                promised[key], count[0], done = value, count[0] + 1, done + 1
+    def put(times):
+        """Puts at the leader, each an entry of the log."""
+        while times > 0:
+            rounds[0] += 1
+            keys, value = ["k%02d" % n for n in range(min(KEYS, times))], "v%d" % rounds[0]
+            for key, status in group.put_all(leader, keys, value).items():
+                if status != 200:
+                    raise NotRun("a put was not promised: %s" % status)
+                promised[key] = value
+            times -= len(keys)
+
+    def put_until(index):
+        put(index - group.applied(leader))
 
     def snapshot(i):
         reply = http(group.control[i], "POST", "/group/snapshot")
@@ -40,7 +44,7 @@
             group.members[i].signal(signal.SIGTERM)
             if group.members[i].wait(15) is None:
                 raise NotRun("a coordinator did not end after SIGTERM")
-        put(times=puts)
+        put(puts)
         if TROUBLE:
             group.members[i].start()
             if not wait_until(30, lambda: group.ready(i)):
@@ -49,13 +53,13 @@
             time.sleep(1)
         case.say("status of n%d: %s" % (i + 1, group.status(i)))
 
-    put(until=300)
+    put_until(300)
     snapshot(second)
-    put(until=600)
+    put_until(600)
     snapshot(leader)
-    put(until=1010)
+    put_until(1010)
     restart(first, 40)
-    put(until=1310)
+    put_until(1310)
     restart(second, 40)
     case.say("the second round of restarts")
     restart(first, 1)
@@ -77,7 +81,7 @@
                 return False
         return True
 
-    read_all_in_time = wait_until(30, read_all, interval=1)
+    read_all_in_time = wait_until(READ_BOUND_S, read_all, interval=1)
     for i in range(3):
         case.say("end: n%d running=%s %s" % (i + 1, group.members[i].alive(), group.status(i)))
         for line in group.members[i].log().split("\n"):
--- a/review/tools-2/standins.py
+++ b/review/tools-2/standins.py
@@ -16,6 +16,7 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "curlewdeck")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LIMIT_S = 115  # a case that takes longer ends as one that could not run
 
 
 class NotRun(Exception):
@@ -54,23 +55,23 @@
         print("the program is not built", file=sys.stderr)
         sys.exit(NOT_RUN)
     case = Case(folder)
+
+    def finish(verdict, text):
+        case.say("verdict: " + text)
+        print(text, flush=True)
+        case.end()
+        os._exit(verdict)
+
+    watchdog = threading.Timer(LIMIT_S, finish, (NOT_RUN, "could not run: out of time"))
+    watchdog.daemon = True
+    watchdog.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: finish(NOT_RUN, "could not run: told to end"))
     try:
         broken = case_main(case)
-        verdict = BROKEN if broken else HELD
-        case.say("verdict: " + ("broken: " + broken if broken else "held"))
-        print("broken: " + broken if broken else "held")
-    except NotRun as e:
-        verdict = NOT_RUN
-        case.say("could not run: %s" % e)
-        print("could not run: %s" % e)
-    except Exception as e:  # a fault of the case itself
-        verdict = NOT_RUN
-        case.say("could not run: %r" % e)
-        print("could not run: %r" % e)
-    finally:
-        case.end()
-    sys.stdout.flush()
-    os._exit(verdict)
+    except Exception as e:  # NotRun, or a fault of the case itself
+        finish(NOT_RUN, "could not run: %s" % (e if isinstance(e, NotRun) else repr(e)))
+    finish(BROKEN if broken else HELD, "broken: " + broken if broken else "held")
 
 
 def free_ports(count):
@@ -441,6 +442,27 @@
                 f.write('%d = "127.0.0.1:%d"\n' % (n + 1, port))
         return path
 
+    def put_all(self, i, keys, value):
+        """Puts at a member, eight at a time. Returns the status of each; None where there was no answer."""
+        statuses, queue, lock = {}, list(keys), threading.Lock()
+
+        def work():
+            while True:
+                with lock:
+                    if not queue:
+                        return
+                    key = queue.pop(0)
+                reply = http(self.control[i], "PUT", "/group/keys/" + key, value)
+                with lock:
+                    statuses[key] = reply and reply[0]
+
+        workers = [threading.Thread(target=work) for _ in range(8)]
+        for worker in workers:
+            worker.start()
+        for worker in workers:
+            worker.join()
+        return statuses
+
     def status(self, i):
         reply = http(self.control[i], "GET", "/group/status", timeout=2)
         if not reply or reply[0] != 200:
