--- a/review/tools-2/standins.py
+++ b/review/tools-2/standins.py
@@ -272,6 +272,9 @@
     def whole(self):
         return {"rev": self.rev, "all": True, "targets": list(self.members.values())}
 
+    def before_answer(self, head):
+        """Called with the head of each call before it is answered."""
+
     def connection(self, s):
         data = b""
         while True:
@@ -282,8 +285,10 @@
                 data += got
             head, data = data.split(b"\r\n\r\n", 1)
             target = head.split(b" ")[1].decode()
+            self.before_answer(head)
             if "stream=1" in target:
-                return self.watch(s, target)
+                self.watch(s, target)
+                return
             with self.cond:
                 body = json.dumps(self.whole()).encode()
             s.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
