--- a/review/tools-2/standins.py
+++ b/review/tools-2/standins.py
@@ -272,7 +272,7 @@
     def whole(self):
         return {"rev": self.rev, "all": True, "targets": list(self.members.values())}
 
-    def before_answer(self, head):
+    def before_answer(self, s, head):
         """Called with the head of each call before it is answered."""
 
     def connection(self, s):
@@ -285,7 +285,7 @@
                 data += got
             head, data = data.split(b"\r\n\r\n", 1)
             target = head.split(b" ")[1].decode()
-            self.before_answer(head)
+            self.before_answer(s, head)
             if "stream=1" in target:
                 self.watch(s, target)
                 return
